--- /dev/null
+++ b/src/pearbarrow/placement/decision.h
@@ -0,0 +1,164 @@
+/// Records of placement decisions: everything that a decision looked at, what came out, and the
+/// reason code. `redecide` runs the decision function again on the recorded inputs, so that anyone
+/// can check an answer after owner and dispatcher have been replaced.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
+#include "pearbarrow/base/ids.h"
+#include "pearbarrow/wire/placement_messages.h"
+
+namespace pearbarrow::placement {
+
+enum class decision_kind : std::uint8_t { granted = 0, refused = 1, waiting = 2 };
+
+/// Stable codes of why a decision came out as it did.
+namespace reason {
+inline constexpr std::string_view placed_on_cached_prefix = "placed_on_cached_prefix";
+inline constexpr std::string_view placed_least_wait = "placed_least_wait";
+inline constexpr std::string_view waiting_for_capacity = "waiting_for_capacity";
+inline constexpr std::string_view waiting_for_cached_prefix = "waiting_for_cached_prefix";
+inline constexpr std::string_view waiting_behind_others = "waiting_behind_others";
+inline constexpr std::string_view queue_full = "queue_full";
+inline constexpr std::string_view deadline_unreachable = "deadline_unreachable";
+inline constexpr std::string_view deadline_passed = "deadline_passed";
+inline constexpr std::string_view no_eligible_engine = "no_eligible_engine";
+inline constexpr std::string_view prompt_too_long = "prompt_too_long";
+inline constexpr std::string_view tenant_concurrency = "tenant_concurrency";
+inline constexpr std::string_view withdrawn = "withdrawn";
+}  // namespace reason
+
+/// One engine as the decision saw it.
+struct candidate_input {
+    base::backend_id backend;
+    /// False when a rule, the model, the engine's state or an earlier failure excludes it;
+    /// `exclusion` then says why (`draining`, `wrong_model`, `selector`, `avoided`, `unreachable`).
+    bool eligible = true;
+    std::string exclusion;
+    std::uint32_t in_flight = 0;
+    std::uint32_t in_flight_limit = 0;
+    /// Tokens of context that calls in flight hold, and that may be held.
+    std::uint64_t tokens_in_flight = 0;
+    std::uint64_t token_limit = 0;
+    /// Prompt tokens not yet computed by the calls in flight.
+    std::uint64_t prefill_backlog = 0;
+    /// Prompt tokens that this call would find in the engine's cache, as far as known.
+    std::uint32_t cached_tokens = 0;
+    /// Prefill and decode speeds as learned from finished calls.
+    double prefill_us_per_token = 0;
+    double decode_us_per_token = 0;
+    /// Age of the engine's last load report.
+    std::uint64_t report_age_ms = 0;
+    bool report_known = false;
+
+    MSGPACK_DEFINE(backend, eligible, exclusion, in_flight, in_flight_limit, tokens_in_flight,
+                   token_limit, prefill_backlog, cached_tokens, prefill_us_per_token,
+                   decode_us_per_token, report_age_ms, report_known);
+};
+
+/// Everything that `decide` looks at.
+struct decision_inputs {
+    base::config_version configuration;
+    base::attempt_id attempt;
+    base::program_id program;
+    base::tenant_id tenant;
+    std::string program_class;
+    /// Names of the scheduling rules that matched the program, in order.
+    std::vector<std::string> matched_rules;
+    std::int32_t priority = 0;
+
+    std::uint32_t prompt_tokens = 0;
+    std::uint32_t max_output_tokens = 0;
+    /// Output tokens that calls of this class turned out to need.
+    double expected_output_tokens = 0;
+    /// 0 when the call has no deadline.
+    std::uint64_t deadline_left_ms = 0;
+    bool has_deadline = false;
+    std::uint64_t waited_ms = 0;
+    std::uint64_t attained_service_us = 0;
+    double expected_remaining_us = 0;
+    /// Position in the queue's order: lower goes first. `starved` calls go before all others.
+    double order_key = 0;
+    bool starved = false;
+    std::uint32_t queue_length = 0;
+    std::uint32_t queue_limit = 0;
+    /// Calls before this one in the queue when it was decided.
+    std::uint32_t ahead = 0;
+    /// Grants a second over the last while; 0 when unknown.
+    double grants_per_second = 0;
+    /// How long a call may wait for the engine that holds its prefix.
+    std::uint64_t affinity_wait_ms = 0;
+    std::uint32_t tenant_in_flight = 0;
+    /// 0: no limit.
+    std::uint32_t tenant_in_flight_limit = 0;
+    std::vector<candidate_input> candidates;
+
+    MSGPACK_DEFINE(configuration, attempt, program, tenant, program_class, matched_rules, priority,
+                   prompt_tokens, max_output_tokens, expected_output_tokens, deadline_left_ms,
+                   has_deadline, waited_ms, attained_service_us, expected_remaining_us, order_key,
+                   starved, queue_length, queue_limit, ahead, grants_per_second, affinity_wait_ms,
+                   tenant_in_flight, tenant_in_flight_limit, candidates);
+};
+
+/// The expected time from now to the end of the call on one engine; lower is better.
+struct candidate_score {
+    base::backend_id backend;
+    bool can_start = false;
+    double expected_us = 0;
+
+    MSGPACK_DEFINE(backend, can_start, expected_us);
+};
+
+struct decision_outcome {
+    decision_kind kind = decision_kind::waiting;
+    std::string reason;
+    /// Set when granted: the chosen engine.
+    base::backend_id backend;
+    /// Set when refused: when the caller may usefully come back; 0 when repeating can't help.
+    std::uint64_t retry_after_ms = 0;
+    std::vector<candidate_score> scores;
+
+    MSGPACK_DEFINE(kind, reason, backend, retry_after_ms, scores);
+};
+
+/// What is kept in memory and journaled with the call.
+struct decision_record {
+    std::uint32_t format = 1;
+    decision_inputs inputs;
+    decision_outcome outcome;
+
+    MSGPACK_DEFINE(format, inputs, outcome);
+};
+
+/// The decision function: pure and deterministic. The scheduler calls it for the call at the head
+/// of the queue and for a new offer.
+decision_outcome decide(const decision_inputs& inputs);
+
+/// Decides again from the record. Ok when the outcome is the recorded one; otherwise a
+/// kDataLoss status, reason `decision_differs`, that names the first difference.
+absl::Status verify(const decision_record& record);
+
+/// Runs `decide` on the recorded inputs.
+decision_outcome redecide(const decision_record& record);
+
+std::string encode_record(const decision_record& record);
+/// kInvalidArgument, reason `malformed_message`, when the bytes are no record.
+absl::StatusOr<decision_record> decode_record(std::string_view bytes);
+
+/// The record in words: rules matched, candidates with scores, ages of the inputs, what the call
+/// waited for, and what would have changed the outcome. Several lines, each ended by a newline.
+std::string explain(const decision_record& record);
+/// The same as JSON text.
+std::string explain_json(const decision_record& record);
+
+std::string_view to_string(decision_kind kind);
+
+}  // namespace pearbarrow::placement
+
+MSGPACK_ADD_ENUM(pearbarrow::placement::decision_kind);
--- a/src/pearbarrow/wire/methods.h
+++ b/src/pearbarrow/wire/methods.h
@@ -22,6 +22,8 @@
 inline constexpr method_number placement_offer = 30;
 inline constexpr method_number placement_finished = 31;
 inline constexpr method_number placement_explain = 32;
+inline constexpr method_number placement_withdraw = 33;
+inline constexpr method_number placement_register = 34;
 
 /// Configuration log, called by every node.
 inline constexpr method_number config_fetch = 40;
