Placement: take rules and limits from the configuration, tool services in a cell

The owner knows the last engine and the history length of a program, not hashes of its content; the offer carries these. Engine priorities follow the engine client: lower runs first.

--- a/src/pearbarrow/placement/cell_scheduler.h
+++ b/src/pearbarrow/placement/cell_scheduler.h
@@ -16,6 +16,7 @@
 
 #include "pearbarrow/base/clock.h"
 #include "pearbarrow/base/ids.h"
+#include "pearbarrow/config/configuration.h"
 #include "pearbarrow/placement/decision.h"
 #include "pearbarrow/wire/placement_messages.h"
 
@@ -43,47 +44,37 @@
     bool early_refusal = true;
 };
 
-/// An engine of the cell as configured and as it last reported on itself.
+/// An engine (or tool service) of the cell as configured. A cell has at most 64.
 struct cell_engine {
     base::backend_id backend;
-    std::map<std::string, std::string> labels;
+    /// Labels that selectors over pools see (config::pool_labels).
+    config::label_set pool_labels;
+    /// What it serves: models of an engine, tools of a tool service.
     std::vector<base::model_name> models;
+    std::vector<base::tool_name> tools;
     /// Requests at once, and tokens of context at once, that the engine takes.
     std::uint32_t in_flight_limit = 32;
     std::uint64_t token_limit = 200'000;
+    /// Longest prompt and output together.
+    std::uint64_t context_limit = 300'000;
     /// Leaving (machine list, own report or an operator's order): gets nothing new.
     bool draining = false;
     /// Not reachable at the moment: gets nothing new, its calls may still end.
     bool unreachable = false;
-    /// Speeds assumed until finished calls have shown better.
+    /// Speeds assumed until finished calls have shown better: for a prompt token, for an output
+    /// token when alone, and what each other sequence in the batch adds to it.
     double prefill_us_per_token = 100;
-    double decode_us_per_token = 20'000;
+    double decode_us_per_token = 15'000;
+    double decode_us_per_sequence = 300;
 };
 
-/// A scheduling rule: programs that match the one selector may run only on engines that match the
-/// other. Selector syntax: see config/selector.h. An empty selector matches everything.
-struct cell_rule {
-    std::string name;
-    std::string program_selector;
-    std::string engine_selector;
-    std::int32_t priority = 0;
-    /// Share of the tenant's programs under this rule against other rules; above 0.
-    double weight = 1;
-};
-
-struct tenant_share {
-    base::tenant_id tenant;
-    double weight = 1;
-    /// Model calls of the tenant in flight in this cell; 0 for no limit.
-    std::uint32_t in_flight_limit = 0;
-};
-
-/// The whole configuration of the cell at one version; replaces the earlier one.
+/// The whole configuration of the cell; replaces the earlier one. Rules, tenants' weights and
+/// limits are read from `configuration`; without one (null) every program may run everywhere.
+/// Calls in flight on an engine that has gone from the list stay counted for their tenants.
 struct engines_changed_event {
-    base::config_version version;
+    config::configuration_ptr configuration;
+    base::region_name region;
     std::vector<cell_engine> engines;
-    std::vector<cell_rule> rules;
-    std::vector<tenant_share> tenants;
 };
 struct offer_event {
     wire::placement_offer offer;
@@ -107,12 +98,11 @@
     /// Changes when the engine has started anew, with an empty cache.
     std::uint64_t incarnation = 0;
 };
-enum class cache_change : std::uint8_t { stored, evicted, cleared };
-/// A cache event of an engine; may come late or never.
+/// The engine says how much of a program's prefix it still holds; may come late or never.
 struct cache_event {
     base::backend_id backend;
-    cache_change change = cache_change::stored;
-    wire::prefix_mark prefix;
+    base::program_id program;
+    std::uint32_t tokens_left = 0;
 };
 /// The engine leaves, or came back. Takes effect at once, ahead of the next configuration.
 struct engine_state_event {
@@ -136,6 +126,7 @@
     base::node_id owner;
     base::backend_id backend;
     base::grant_id grant;
+    /// Lower runs first, as in backend/engine_client.h.
     std::int32_t engine_priority = 0;
     base::milliseconds pin_lease{0};
     decision_record decision;
--- a/src/pearbarrow/placement/decision.h
+++ b/src/pearbarrow/placement/decision.h
@@ -30,7 +30,9 @@
 inline constexpr std::string_view deadline_passed = "deadline_passed";
 inline constexpr std::string_view no_eligible_engine = "no_eligible_engine";
 inline constexpr std::string_view prompt_too_long = "prompt_too_long";
-inline constexpr std::string_view tenant_concurrency = "tenant_concurrency";
+inline constexpr std::string_view tenant_queue_full = "tenant_queue_full";
+inline constexpr std::string_view waiting_for_tenant_limit = "waiting_for_tenant_limit";
+inline constexpr std::string_view denied_by_rule = "denied_by_rule";
 inline constexpr std::string_view withdrawn = "withdrawn";
 }  // namespace reason
 
@@ -53,13 +55,19 @@
     /// Prefill and decode speeds as learned from finished calls.
     double prefill_us_per_token = 0;
     double decode_us_per_token = 0;
+    double decode_us_per_sequence = 0;
+    /// Factor by which the engine has been slower than these speeds of late; 1 when on par.
+    double slowdown = 1;
+    /// Expected wait until a place for this call is free; 0 when there is one.
+    double expected_wait_us = 0;
     /// Age of the engine's last load report.
     std::uint64_t report_age_ms = 0;
     bool report_known = false;
 
     MSGPACK_DEFINE(backend, eligible, exclusion, in_flight, in_flight_limit, tokens_in_flight,
                    token_limit, prefill_backlog, cached_tokens, prefill_us_per_token,
-                   decode_us_per_token, report_age_ms, report_known);
+                   decode_us_per_token, decode_us_per_sequence, slowdown, expected_wait_us,
+                   report_age_ms, report_known);
 };
 
 /// Everything that `decide` looks at.
@@ -81,7 +89,7 @@
     std::uint64_t deadline_left_ms = 0;
     bool has_deadline = false;
     std::uint64_t waited_ms = 0;
-    std::uint64_t attained_service_us = 0;
+    std::uint64_t attained_tokens = 0;
     double expected_remaining_us = 0;
     /// Position in the queue's order: lower goes first. `starved` calls go before all others.
     double order_key = 0;
@@ -94,16 +102,25 @@
     double grants_per_second = 0;
     /// How long a call may wait for the engine that holds its prefix.
     std::uint64_t affinity_wait_ms = 0;
-    std::uint32_t tenant_in_flight = 0;
-    /// 0: no limit.
-    std::uint32_t tenant_in_flight_limit = 0;
+    /// Tokens of the tenant in flight in this cell, and the bound; 0: none.
+    std::uint64_t tenant_tokens_in_flight = 0;
+    std::uint64_t tenant_token_limit = 0;
+    std::uint32_t tenant_queued = 0;
+    std::uint32_t tenant_queue_limit = 0;
+    /// Weights of the matched rule, see config/objects.h.
+    double latency_weight = 1;
+    double cache_weight = 0.5;
+    /// The decision was made when the call was offered, before it entered the queue.
+    bool on_arrival = false;
+    bool early_refusal = true;
     std::vector<candidate_input> candidates;
 
     MSGPACK_DEFINE(configuration, attempt, program, tenant, program_class, matched_rules, priority,
                    prompt_tokens, max_output_tokens, expected_output_tokens, deadline_left_ms,
-                   has_deadline, waited_ms, attained_service_us, expected_remaining_us, order_key,
+                   has_deadline, waited_ms, attained_tokens, expected_remaining_us, order_key,
                    starved, queue_length, queue_limit, ahead, grants_per_second, affinity_wait_ms,
-                   tenant_in_flight, tenant_in_flight_limit, candidates);
+                   tenant_tokens_in_flight, tenant_token_limit, tenant_queued, tenant_queue_limit,
+                   latency_weight, cache_weight, on_arrival, early_refusal, candidates);
 };
 
 /// The expected time from now to the end of the call on one engine; lower is better.
--- a/src/pearbarrow/wire/placement_messages.h
+++ b/src/pearbarrow/wire/placement_messages.h
@@ -1,9 +1,10 @@
 /// Messages between a program's owner and the dispatcher of a cell of engines.
 ///
-/// The owner offers one attempt at a model call and waits for the reply, a grant or a refusal. When
-/// the attempt has ended it sends `placement_finished`. After the loss of a dispatcher the owner
-/// offers again what has no grant and sends `placement_registration` for what is in flight.
-/// Processes' clocks differ, so every time here is a length, counted when the message is sent.
+/// The owner offers one attempt at a model or tool call and waits for the reply, a grant or a
+/// refusal. When the attempt has ended it sends `placement_finished`. After the loss of a
+/// dispatcher the owner offers again what has no grant and sends `placement_registration` for what
+/// is in flight. Processes' clocks differ, so every time here is a length, counted when the message
+/// is sent.
 #pragma once
 
 #include <cstdint>
@@ -25,33 +26,40 @@
     MSGPACK_DEFINE(key, tokens);
 };
 
-/// One attempt at a model call, offered to a cell.
+/// One attempt at a call, offered to a cell of engines or tool services.
 struct placement_offer {
-    /// Also the id of the offer: unique for each attempt.
+    /// Names the offer: unique for each one that is ever made.
     base::attempt_id attempt;
     base::program_id program;
     base::tenant_id tenant;
     base::call_number call;
     base::node_id owner;
     std::string program_class;
+    /// Exactly one of both is not empty.
     base::model_name model;
+    base::tool_name tool;
     /// Labels of the program, matched by the selectors of scheduling rules.
     std::map<std::string, std::string> labels;
 
     std::uint32_t prompt_tokens = 0;
     std::uint32_t max_output_tokens = 0;
-    /// Marks of the prompt in ascending order of tokens: shared parts first, then the program's own
-    /// history as it stood after its earlier calls.
+    /// Marks of the prompt in ascending order of tokens: parts that other programs may
+    /// share (system prompt, document). The program's own history is `history_tokens`.
     std::vector<prefix_mark> prefixes;
 
     /// Time left until the caller's deadline; 0 when there is none.
     std::uint64_t deadline_ms = 0;
     /// Time that the call has waited before this offer (earlier dispatchers and attempts).
     std::uint64_t waited_ms = 0;
-    /// Engine time that the whole program, sub-programs with it, has used so far.
-    std::uint64_t attained_service_us = 0;
+    /// Engine of the program's last model call, which may hold its prefix; empty if none.
+    base::backend_id last_engine;
+    /// Tokens at the head of the prompt that the last engine may have cached.
+    std::uint32_t history_tokens = 0;
+    /// Tokens that the program has been served so far.
+    std::uint64_t attained_tokens = 0;
     /// Time since the program's first call.
     std::uint64_t program_age_ms = 0;
+    /// Calls of the program that are finished.
     std::uint32_t calls_done = 0;
     /// 0 for a program, 1 for its sub-program, and so on.
     std::uint32_t depth = 0;
@@ -60,10 +68,10 @@
     /// Engines on which earlier attempts at this call failed.
     std::vector<base::backend_id> avoid;
 
-    MSGPACK_DEFINE(attempt, program, tenant, call, owner, program_class, model, labels,
-                   prompt_tokens, max_output_tokens, prefixes, deadline_ms, waited_ms,
-                   attained_service_us, program_age_ms, calls_done, depth, siblings_under_way,
-                   avoid);
+    MSGPACK_DEFINE(attempt, program, tenant, call, owner, program_class, model, tool, labels,
+                   prompt_tokens, max_output_tokens, prefixes, deadline_ms, waited_ms, last_engine,
+                   history_tokens, attained_tokens, program_age_ms, calls_done, depth,
+                   siblings_under_way, avoid);
 };
 
 enum class placement_answer : std::uint8_t { granted = 0, refused = 1 };
@@ -76,7 +84,7 @@
     /// Set when granted. The engine to call, and the number of the grant at this dispatcher.
     base::backend_id backend;
     base::grant_id grant;
-    /// The engine's own priority for this request; higher runs first.
+    /// The priority to give to the engine for this request; lower runs first.
     std::int32_t engine_priority = 0;
     /// How long the engine is asked to keep the program's prefix after the answer; 0 for no pin.
     std::uint64_t pin_lease_ms = 0;
@@ -110,15 +118,15 @@
     /// From the request's arrival at the engine to the first token, and to the last.
     std::uint64_t first_token_us = 0;
     std::uint64_t service_us = 0;
-    /// What the prefix of the program's next call will start with: prompt and answer.
-    prefix_mark history;
+    /// What the program's next prompt will start with: prompt and answer, in tokens.
+    std::uint32_t history_tokens = 0;
     /// No further call will come: the program has ended.
     bool program_ended = false;
     /// The tool that the program is going to call next, when known; empty otherwise.
     std::string next_tool;
 
     MSGPACK_DEFINE(attempt, program, backend, outcome, prompt_tokens, cached_tokens, output_tokens,
-                   first_token_us, service_us, history, program_ended, next_tool);
+                   first_token_us, service_us, history_tokens, program_ended, next_tool);
 };
 
 /// The owner no longer wants a grant for this offer. Answered by a refusal with reason `withdrawn`
