--- /dev/null
+++ b/src/pearbarrow/program/budget.h
@@ -0,0 +1,41 @@
+/// The token budget of one program: what it may spend, has spent, and holds reserved.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include <msgpack.hpp>
+
+namespace pearbarrow::program {
+
+/// Tokens of one program. A reservation is the most that an attempt can cost; it is held from
+/// before the attempt until its true cost is known, and for good when that never becomes known.
+class token_budget {
+  public:
+    token_budget() = default;
+    explicit token_budget(std::uint64_t total) : total_(total) {}
+
+    std::uint64_t total() const { return total_; }
+    std::uint64_t spent() const { return spent_; }
+    std::uint64_t reserved() const { return reserved_; }
+    /// Tokens that are not spent, reserved or handed to sub-programs.
+    std::uint64_t remaining() const;
+    bool covers(std::uint64_t tokens) const { return tokens <= remaining(); }
+
+    void reserve(std::uint64_t tokens) { reserved_ += tokens; }
+    /// Ends a reservation. Without `spent` the cost is in doubt and the reservation stays.
+    void settle(std::uint64_t reserved, std::optional<std::uint64_t> spent);
+    /// Hands tokens to a sub-program, and takes back what that did not spend.
+    void transfer_out(std::uint64_t tokens) { transferred_ += tokens; }
+    void take_back(std::uint64_t tokens);
+
+    MSGPACK_DEFINE(total_, spent_, reserved_, transferred_);
+
+  private:
+    std::uint64_t total_ = 0;
+    std::uint64_t spent_ = 0;
+    std::uint64_t reserved_ = 0;
+    std::uint64_t transferred_ = 0;
+};
+
+}  // namespace pearbarrow::program
--- a/src/pearbarrow/program/owner_options.h
+++ b/src/pearbarrow/program/owner_options.h
@@ -14,7 +14,6 @@
     bool budget_reservation = false;
     /// Act before the intent is committed, and send an in-doubt call again after a take-over.
     bool journal_before_act = false;
-    bool query_before_retry = false;
     bool tenant_check = false;
     bool release_retry = false;
     bool event_id_check = false;
@@ -49,9 +48,6 @@
     /// Limits of programs that name none.
     wire::program_limits limits{
         .idle_ms = 600'000, .run_time_ms = 7'200'000, .turns = 1'000, .equal_calls = 20};
-    /// Bytes of a message that stand for one token at least, and tokens that frame a message.
-    std::uint64_t bytes_per_token = 1;
-    std::uint64_t tokens_per_message = 8;
     /// A snapshot is made after this many records; 0: never.
     std::uint64_t snapshot_every = 20'000;
 
--- a/src/pearbarrow/program/shard_actions.h
+++ b/src/pearbarrow/program/shard_actions.h
@@ -9,6 +9,7 @@
 
 #include "pearbarrow/program/records.h"
 #include "pearbarrow/program/shard_events.h"
+#include "pearbarrow/wire/placement_messages.h"
 
 namespace pearbarrow::program::action {
 
@@ -48,6 +49,8 @@
 
 /// What placement needs to know of a call.
 struct call_description {
+    /// The attempt that a grant will start: unique for each attempt that is ever sent.
+    base::attempt_id attempt;
     base::program_id program;
     base::tenant_id tenant;
     std::string program_class;
@@ -62,11 +65,17 @@
     std::uint64_t max_output_tokens = 0;
     /// Engine of the program's last model call, which may hold its prefix; empty if none.
     base::backend_id last_engine;
-    /// Tokens that the last engine may have cached.
-    std::uint64_t history_tokens = 0;
+    /// Marks of the prompt in ascending order of tokens: its first messages, then the history as
+    /// it stood after earlier calls.
+    std::vector<wire::prefix_mark> prefixes;
     /// Tokens that the program has been served so far, and time since it was opened.
     std::uint64_t attained_tokens = 0;
     base::milliseconds program_age{0};
+    base::milliseconds waited{0};
+    std::uint32_t calls_done = 0;
+    bool sub_program = false;
+    /// Back ends on which earlier attempts at this call failed.
+    std::vector<base::backend_id> avoid;
     /// Time left until the caller wants no answer any more.
     base::milliseconds time_left{0};
 };
@@ -83,8 +92,22 @@
 /// The granted attempt is over: its place on the back end is free.
 struct finish_placement {
     offer_id offer;
+    base::attempt_id attempt;
+    base::program_id program;
     base::backend_id backend;
+    wire::attempt_outcome outcome = wire::attempt_outcome::completed;
     std::optional<wire::token_usage> usage;
+    /// Mark of the history including this call's answer.
+    wire::prefix_mark history;
+    /// Tool of the program's next call, when that is queued already; empty otherwise.
+    base::tool_name next_tool;
+};
+
+/// The program has ended: placement may forget its prefixes.
+struct announce_program_end {
+    base::program_id program;
+    /// Engines that its calls ran on.
+    std::vector<base::backend_id> engines;
 };
 
 /// After a take-over: an attempt that an earlier owner started occupies the back end.
@@ -105,19 +128,23 @@
     std::uint64_t max_output_tokens = 0;
     std::string parameters_json;
     std::string priority_class;
+    /// As granted by placement.
+    std::int32_t engine_priority = 0;
+    base::milliseconds pin_lease{0};
     base::milliseconds time_left{0};
+    base::call_number call;
     leadership confirm;
 };
 
-/// Stream the attempt again from part `from_index`; answered like a start.
+/// Stream the attempt again from token `from_index` (the first is 1); answered like a start.
 struct resume_model_attempt {
     base::attempt_id attempt;
     base::backend_id engine;
-    std::uint64_t from_index = 0;
+    std::uint64_t from_index = 1;
 };
 
-/// The engine answers by `model_finished` (finish reason `cancelled`) or `model_failed`, or the
-/// shell by `model_lost`.
+/// Answered by `model_finished` (finish reason `cancelled`, with the usage), by `model_failed` (the
+/// attempt had ended before, or is not known), or by `model_lost` when the engine can't be asked.
 struct cancel_model_attempt {
     base::attempt_id attempt;
     base::backend_id engine;
@@ -133,6 +160,7 @@
     std::string idempotency_key;
     std::string arguments_json;
     base::milliseconds time_left{0};
+    base::call_number call;
     leadership confirm;
 };
 
@@ -163,6 +191,7 @@
 struct send_to_owner {
     std::uint64_t exchange = 0;
     wire::program_request request;
+    leadership confirm;
 };
 
 /// Answered by `event::retained_read`.
@@ -195,11 +224,11 @@
 using shard_action =
     std::variant<action::append_record, action::reply_part, action::reply_final,
                  action::reply_error, action::offer_call, action::withdraw_offer,
-                 action::finish_placement, action::register_in_flight, action::start_model_attempt,
-                 action::resume_model_attempt, action::cancel_model_attempt,
-                 action::start_tool_attempt, action::cancel_tool_attempt,
-                 action::query_tool_attempt, action::release_cache, action::send_to_owner,
-                 action::read_retained, action::drop_retained, action::store_snapshot,
-                 action::journal_unusable>;
+                 action::finish_placement, action::announce_program_end, action::register_in_flight,
+                 action::start_model_attempt, action::resume_model_attempt,
+                 action::cancel_model_attempt, action::start_tool_attempt,
+                 action::cancel_tool_attempt, action::query_tool_attempt, action::release_cache,
+                 action::send_to_owner, action::read_retained, action::drop_retained,
+                 action::store_snapshot, action::journal_unusable>;
 
 }  // namespace pearbarrow::program
--- a/src/pearbarrow/program/shard_events.h
+++ b/src/pearbarrow/program/shard_events.h
@@ -50,8 +50,14 @@
     append_sequence through = 0;
 };
 
-/// A higher ballot fenced this owner, or it hands the shard over. Every waiting requester gets
-/// `not_owner`; the object answers only `not_owner` from here on.
+/// No majority of the replicas answers (or again does): new requests are refused with `no_quorum`.
+struct journal_availability {
+    bool available = true;
+};
+
+/// A higher ballot fenced this owner, or it hands the shard over. Each waiting requester gets
+/// `owner_lost` (executed unknown; repeating a numbered request elsewhere is safe); the object
+/// answers only `not_owner` (executed no) from here on.
 struct ownership_lost {
     /// The new owner, if known; shown as the peer of the error.
     base::node_id hint;
@@ -63,6 +69,9 @@
     base::backend_id backend;
     /// The encoded decision record.
     std::string decision;
+    /// Passed on to the engine.
+    std::int32_t engine_priority = 0;
+    base::milliseconds pin_lease{0};
 };
 
 /// Placement refuses for good: the call gets this status as its final answer.
@@ -77,25 +86,26 @@
     offer_id offer;
 };
 
-/// Part number `index` (the first is 0) of an attempt's text. Repeats are ignored, gaps make the
-/// owner resume the stream.
+/// Text of an attempt. Parts of one attempt come in order without gaps; repeats are ignored.
 struct model_part {
     base::attempt_id attempt;
+    /// Index of the last token in `text`; the answer's first token has index 1.
     std::uint64_t index = 0;
     std::string text;
 };
 
-/// The engine ended the attempt's stream after `part_count` parts.
+/// The engine ended the attempt's stream. When `usage` names more generated tokens than parts
+/// arrived, the owner resumes the stream behind the last one.
 struct model_finished {
     base::attempt_id attempt;
-    std::uint64_t part_count = 0;
     wire::token_usage usage;
     /// `stop`, `length` or `cancelled`.
     std::string finish_reason;
 };
 
-/// The engine says that the attempt is over without a whole answer (or that it does not know it:
-/// reason `unknown_attempt`). `usage` when the engine says what the attempt cost.
+/// The engine says that the attempt is over without a whole answer, or that it does not know it
+/// (reason `stream_unknown`). `usage` only when the engine states what the attempt cost: leave it
+/// out when the engine does not know the attempt, since it may have lost its memory.
 struct model_failed {
     base::attempt_id attempt;
     absl::Status status;
@@ -125,7 +135,7 @@
 };
 
 enum class tool_state {
-    /// Ran; `output` or `error` is what it answered.
+    /// It ran; `output` or `error` is what it answered.
     ran,
     running,
     /// Never seen, and the tool will refuse the idempotency key from now on.
@@ -188,9 +198,9 @@
 
 using shard_event =
     std::variant<event::request_received, event::requester_gone, event::journal_recovered,
-                 event::records_committed, event::ownership_lost, event::placement_granted,
-                 event::placement_refused, event::placement_lost, event::model_part,
-                 event::model_finished, event::model_failed, event::model_lost,
+                 event::records_committed, event::journal_availability, event::ownership_lost,
+                 event::placement_granted, event::placement_refused, event::placement_lost,
+                 event::model_part, event::model_finished, event::model_failed, event::model_lost,
                  event::tool_finished, event::tool_failed, event::tool_lost, event::tool_status,
                  event::cache_released, event::owner_answered, event::retained_read,
                  event::concurrency_limits_changed, event::tick>;
