--- /dev/null
+++ b/src/pearbarrow/net/connection.cc
@@ -0,0 +1,366 @@
+#include "pearbarrow/net/connection.h"
+
+#include <utility>
+
+#include <netinet/tcp.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/ssl/host_name_verification.hpp>
+#include <boost/asio/ssl/stream.hpp>
+
+#include "pearbarrow/base/status.h"
+#include "pearbarrow/net/tls_context.h"
+
+namespace pearbarrow::net {
+namespace {
+
+namespace ssl = boost::asio::ssl;
+
+constexpr std::size_t max_gathered_buffers = 64;
+constexpr std::size_t max_gathered_bytes = 1024 * 1024;
+/// Writes below this are merged before TLS, which takes one buffer at a time.
+constexpr std::size_t tls_merge_bytes = 16 * 1024;
+/// How long a closing connection waits for the other side to see the last bytes.
+constexpr base::milliseconds linger_time{1'000};
+
+template <int Level, int Name>
+using integer_option = boost::asio::detail::socket_option::integer<Level, Name>;
+
+/// Nagle's delay off; a vanished peer found by the kernel in about 15 s also on an idle link.
+void set_socket_options(boost::asio::ip::tcp::socket& socket) {
+    boost::system::error_code ignored;
+    socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(integer_option<IPPROTO_TCP, TCP_KEEPIDLE>(6), ignored);
+    socket.set_option(integer_option<IPPROTO_TCP, TCP_KEEPINTVL>(3), ignored);
+    socket.set_option(integer_option<IPPROTO_TCP, TCP_KEEPCNT>(3), ignored);
+}
+
+}  // namespace
+
+struct connection::tls_layer {
+    tls_layer(tcp::socket& socket, ssl::context& context) : stream(socket, context) {}
+    ssl::stream<tcp::socket&> stream;
+};
+
+connection::connection(boost::asio::io_context& context, tcp::socket socket,
+                       std::shared_ptr<tls_context> tls, connection_options options,
+                       std::shared_ptr<traffic_counters> counters)
+    : context_(context),
+      socket_(std::move(socket)),
+      tls_context_(std::move(tls)),
+      options_(options),
+      counters_(counters ? std::move(counters) : std::make_shared<traffic_counters>()),
+      give_up_(context, [this] {
+          lose(base::make_error(absl::StatusCode::kUnavailable, "the other side takes no bytes",
+                                {.step = "write",
+                                 .peer = peer_,
+                                 .reason = "slow_reader",
+                                 .was_executed = base::executed::unknown}));
+      }) {
+    if (tls_context_ != nullptr) {
+        tls_ = std::make_unique<tls_layer>(socket_, tls_context_->context);
+    }
+}
+
+connection::~connection() = default;
+
+void connection::connect(const endpoint& server, ready_handler ready) {
+    error_code error;
+    const auto address = boost::asio::ip::make_address(server.address, error);
+    peer_ = to_string(server);
+    if (tls_ != nullptr && options_.verify_address) {
+        tls_->stream.set_verify_callback(ssl::host_name_verification(server.address), error);
+    }
+    auto connected = [self = shared_from_this(),
+                      ready = std::move(ready)](const error_code& failed) {
+        if (!self->open_) {
+            return;
+        }
+        if (failed) {
+            const auto status = base::make_error(
+                absl::StatusCode::kUnavailable, failed.message(),
+                {.step = "connect", .peer = self->peer_, .reason = "connect_failed"});
+            self->close();
+            ready(status);
+            return;
+        }
+        set_socket_options(self->socket_);
+        self->handshake(false, ready);
+    };
+    if (error) {
+        boost::asio::post(context_,
+                          [connected = std::move(connected), error] { connected(error); });
+        return;
+    }
+    socket_.async_connect(tcp::endpoint(address, server.port), std::move(connected));
+}
+
+void connection::accept(ready_handler ready) {
+    remember_peer();
+    set_socket_options(socket_);
+    handshake(true, std::move(ready));
+}
+
+void connection::remember_peer() {
+    error_code error;
+    const auto remote = socket_.remote_endpoint(error);
+    peer_ =
+        error ? std::string() : to_string(endpoint{remote.address().to_string(), remote.port()});
+}
+
+void connection::handshake(bool as_server, ready_handler ready) {
+    if (tls_ == nullptr) {
+        ready(absl::OkStatus());
+        return;
+    }
+    const auto type = as_server ? ssl::stream_base::server : ssl::stream_base::client;
+    tls_->stream.async_handshake(type, [self = shared_from_this(),
+                                        ready = std::move(ready)](const error_code& error) {
+        if (!self->open_) {
+            return;
+        }
+        if (error) {
+            const auto status = base::make_error(
+                absl::StatusCode::kUnavailable, error.message(),
+                {.step = "tls_handshake", .peer = self->peer_, .reason = "tls_handshake_failed"});
+            self->close();
+            ready(status);
+            return;
+        }
+        ready(absl::OkStatus());
+    });
+}
+
+void connection::attach(std::shared_ptr<connection_user> user) {
+    if (!is_open()) {
+        return;
+    }
+    user_ = std::move(user);
+    read_buffer_.resize(options_.read_buffer_bytes);
+    read_next();
+}
+
+void connection::resume_reading() {
+    paused_ = false;
+    read_next();
+}
+
+void connection::read_next() {
+    if (!open_ || paused_ || reading_) {
+        return;
+    }
+    reading_ = true;
+    auto done = [self = shared_from_this()](const error_code& error, std::size_t size) {
+        self->on_read(error, size);
+    };
+    if (tls_ != nullptr) {
+        tls_->stream.async_read_some(boost::asio::buffer(read_buffer_), std::move(done));
+    } else {
+        socket_.async_read_some(boost::asio::buffer(read_buffer_), std::move(done));
+    }
+}
+
+void connection::on_read(const error_code& error, std::size_t size) {
+    reading_ = false;
+    if (!open_) {
+        return;
+    }
+    if (error) {
+        if (closing_ && !lingering_) {
+            return;  // The last bytes are still being written.
+        }
+        lose(broken(error, "read"));
+        return;
+    }
+    counters_->received += size;
+    // A copy, so that the user outlives its own call to `close`.
+    if (const auto user = user_; user != nullptr) {
+        user->on_data(std::string_view(read_buffer_.data(), size));
+    }
+    read_next();
+}
+
+absl::Status connection::broken(const error_code& error, std::string_view step) const {
+    const bool orderly = error == boost::asio::error::eof;
+    return base::make_error(
+        orderly ? absl::StatusCode::kOutOfRange : absl::StatusCode::kUnavailable, error.message(),
+        {.step = std::string(step),
+         .peer = peer_,
+         .reason = orderly ? "connection_closed" : "connection_lost",
+         .was_executed = base::executed::unknown});
+}
+
+void connection::write(std::string bytes) {
+    if (!is_open() || bytes.empty()) {
+        return;
+    }
+    pending_ += bytes.size();
+    queued_position_ += bytes.size();
+    queue_.push_back(std::move(bytes));
+    if (pending_ > options_.max_pending_bytes) {
+        const auto status =
+            base::make_error(absl::StatusCode::kResourceExhausted, "too many bytes wait to be sent",
+                             {.step = "write",
+                              .peer = peer_,
+                              .reason = "slow_reader",
+                              .was_executed = base::executed::unknown});
+        // Reported from the loop: the user is in the middle of its own call.
+        auto user = user_;
+        close();
+        boost::asio::post(context_, [user = std::move(user), status] {
+            if (user != nullptr) {
+                user->on_lost(status);
+            }
+        });
+        return;
+    }
+    schedule_flush();
+}
+
+void connection::schedule_flush() {
+    if (writing_ || flush_scheduled_) {
+        return;
+    }
+    flush_scheduled_ = true;
+    boost::asio::post(context_, [self = shared_from_this()] {
+        self->flush_scheduled_ = false;
+        self->flush();
+    });
+}
+
+void connection::merge_small_writes() {
+    std::string& front = queue_.front();
+    while (queue_.size() > 1 &&
+           front.size() + queue_[1].size() <= front_offset_ + tls_merge_bytes) {
+        front.append(queue_[1]);
+        queue_.erase(queue_.begin() + 1);
+    }
+}
+
+void connection::flush() {
+    if (!open_ || writing_) {
+        return;
+    }
+    if (queue_.empty()) {
+        if (closing_) {
+            end_gracefully();
+        }
+        return;
+    }
+    writing_ = true;
+    give_up_.set_after(options_.write_timeout);
+    auto done = [self = shared_from_this()](const error_code& error, std::size_t size) {
+        self->on_written(error, size);
+    };
+    if (tls_ != nullptr) {
+        merge_small_writes();
+        const auto part = boost::asio::buffer(queue_.front()) + front_offset_;
+        submitted_position_ = written_position_ + part.size();
+        tls_->stream.async_write_some(part, std::move(done));
+        return;
+    }
+    std::vector<boost::asio::const_buffer> parts;
+    std::size_t total = 0;
+    for (const std::string& bytes : queue_) {
+        if (parts.size() == max_gathered_buffers || total >= max_gathered_bytes) {
+            break;
+        }
+        parts.push_back(boost::asio::buffer(bytes) + (parts.empty() ? front_offset_ : 0));
+        total += parts.back().size();
+    }
+    submitted_position_ = written_position_ + total;
+    socket_.async_write_some(parts, std::move(done));
+}
+
+void connection::on_written(const error_code& error, std::size_t size) {
+    writing_ = false;
+    if (!open_) {
+        queue_.clear();
+        return;
+    }
+    if (error) {
+        lose(broken(error, "write"));
+        return;
+    }
+    counters_->sent += size;
+    written_position_ += size;
+    pending_ -= size;
+    front_offset_ += size;
+    while (!queue_.empty() && front_offset_ >= queue_.front().size()) {
+        front_offset_ -= queue_.front().size();
+        queue_.pop_front();
+    }
+    if (queue_.empty()) {
+        give_up_.clear();
+    }
+    flush();
+}
+
+void connection::post(std::function<void()> task) {
+    boost::asio::post(context_, std::move(task));
+}
+
+void connection::close_after_writes() {
+    if (!is_open()) {
+        return;
+    }
+    closing_ = true;
+    release_user();
+    schedule_flush();
+}
+
+void connection::end_gracefully() {
+    // Bytes that the other side still sends are read and dropped: closing with unread bytes would
+    // make the kernel discard the last answer.
+    lingering_ = true;
+    give_up_.set_after(linger_time);
+    if (tls_ != nullptr) {
+        tls_->stream.async_shutdown(
+            [self = shared_from_this()](const error_code& /*error*/) { self->close(); });
+        return;
+    }
+    error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    if (read_buffer_.empty()) {
+        read_buffer_.resize(options_.read_buffer_bytes);
+    }
+    resume_reading();
+}
+
+void connection::close() {
+    if (!open_) {
+        return;
+    }
+    open_ = false;
+    give_up_.clear();
+    error_code ignored;
+    socket_.close(ignored);
+    release_user();
+    // An operation under way still refers to the bytes that it writes; they go with the connection.
+    if (!writing_) {
+        queue_.clear();
+    }
+    pending_ = 0;
+}
+
+void connection::release_user() {
+    if (user_ != nullptr) {
+        boost::asio::post(context_, [user = std::move(user_)] {});
+        user_ = nullptr;
+    }
+}
+
+void connection::lose(const absl::Status& status) {
+    if (!open_) {
+        return;
+    }
+    const auto self = shared_from_this();
+    const auto user = user_;
+    close();
+    if (user != nullptr) {
+        user->on_lost(status);
+    }
+}
+
+}  // namespace pearbarrow::net
--- a/src/pearbarrow/net/http.h
+++ b/src/pearbarrow/net/http.h
@@ -17,6 +17,7 @@
 #include "pearbarrow/base/clock.h"
 #include "pearbarrow/net/endpoint.h"
 #include "pearbarrow/net/event_loop.h"
+#include "pearbarrow/net/tls_files.h"
 
 namespace pearbarrow::net {
 
@@ -83,14 +84,6 @@
 
 using http_handler = std::function<void(std::shared_ptr<http_exchange>)>;
 
-/// Files of PEM keys; reloaded on `http_server::reload_tls`.
-struct tls_files {
-    std::string certificate_chain;
-    std::string private_key;
-    /// Certificate authorities that a client must be signed by; empty: clients need none.
-    std::string client_authorities;
-};
-
 struct http_server_options {
     endpoint listen;
     std::size_t max_header_bytes = 16 * 1024;
@@ -167,10 +160,17 @@
     /// Collects the whole response. The callback runs once, also without a handle kept.
     virtual void fetch(http_call call,
                        std::function<void(absl::StatusOr<http_response>)> callback) = 0;
+    /// Reads the key files again; connections already open keep their keys until they end, and
+    /// idle ones are closed.
+    virtual absl::Status reload_tls() = 0;
 };
 
 struct http_client_options {
     std::size_t max_idle_connections_per_server = 64;
+    /// An idle connection older than this is not used again; kept under the servers' own limit,
+    /// so that a request seldom meets a connection that its server is closing.
+    base::milliseconds idle_lifetime{10'000};
+    /// Servers are then spoken to over TLS, and their certificate must name their IP number.
     std::optional<tls_files> tls;
 };
 
--- /dev/null
+++ b/src/pearbarrow/net/http_call_core.cc
@@ -0,0 +1,221 @@
+#include "pearbarrow/net/http_call_core.h"
+
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include "pearbarrow/base/status.h"
+
+namespace pearbarrow::net {
+namespace {
+
+constexpr std::size_t client_read_bytes = 16 * 1024;
+
+}  // namespace
+
+http_call_core::http_call_core(std::shared_ptr<http_client_core> core, http_call call,
+                               http_call_callbacks callbacks)
+    : core_(std::move(core)),
+      call_(std::move(call)),
+      callbacks_(std::move(callbacks)),
+      deadline_(core_->context, [this] { overdue(); }) {}
+
+void http_call_core::start() {
+    if (done_) {
+        return;
+    }
+    if (call_.head_timeout.count() > 0) {
+        deadline_.set_after(call_.head_timeout);
+    }
+    if (!core_->tls_status.ok()) {
+        end(core_->tls_status);
+        return;
+    }
+    if (auto link = core_->take_idle(call_.server); link != nullptr) {
+        was_idle_ = true;
+        send(std::move(link));
+        return;
+    }
+    connect();
+}
+
+void http_call_core::connect() {
+    was_idle_ = false;
+    const connection_options limits{.read_buffer_bytes = client_read_bytes};
+    link_ = std::make_shared<connection>(core_->context, connection::tcp::socket(core_->context),
+                                         core_->tls, limits);
+    link_->connect(call_.server, [self = shared_from_this()](const absl::Status& status) {
+        if (self->done_) {
+            return;
+        }
+        if (!status.ok()) {
+            self->end(status);
+            return;
+        }
+        self->send(self->link_);
+    });
+}
+
+void http_call_core::expect_response() {
+    reader_ = std::make_unique<http_response_reader>(
+        http_response_reader::options{.answers_head_request = call_.method == "HEAD",
+                                      .max_body_bytes = call_.max_body_bytes,
+                                      .on_body = [this](std::string_view part) {
+                                          if (!done_ && callbacks_.on_chunk) {
+                                              callbacks_.on_chunk(part);
+                                          }
+                                      }});
+}
+
+void http_call_core::send(std::shared_ptr<connection> link) {
+    link_ = std::move(link);
+    inbox_.clear();
+    expect_response();
+    request_position_ = link_->queued_position();
+    link_->write(format_request_head(call_));
+    // Kept for a second try only where there may be one.
+    link_->write(was_idle_ && call_.method == "GET" ? call_.body : std::move(call_.body));
+    link_->attach(shared_from_this());
+}
+
+void http_call_core::on_data(std::string_view bytes) {
+    if (done_) {
+        return;
+    }
+    if (head_seen_ && call_.idle_timeout.count() > 0) {
+        deadline_.set_after(call_.idle_timeout);
+    }
+    inbox_.append(bytes);
+    read_response();
+}
+
+void http_call_core::read_response() {
+    const auto self = shared_from_this();
+    while (!done_) {
+        // The reader stays alive when a callback cancels the call.
+        switch (reader_->feed(inbox_)) {
+            case read_progress::need_more:
+                return;
+            case read_progress::head_complete:
+                on_head();
+                break;
+            case read_progress::complete:
+                if (reader_->status() >= 200) {
+                    complete();
+                    return;
+                }
+                // "100 Continue" or "103 Early Hints": the answer itself follows.
+                expect_response();
+                break;
+            case read_progress::failed:
+                if (reader_->body_too_large()) {
+                    fail(absl::StatusCode::kResourceExhausted, "the answer is too long", "read",
+                         "body_too_large");
+                } else {
+                    fail(absl::StatusCode::kUnavailable, reader_->failure(), "read",
+                         "malformed_response");
+                }
+                return;
+        }
+    }
+}
+
+void http_call_core::on_head() {
+    const int status = reader_->status();
+    if (status < 200) {
+        return;
+    }
+    head_seen_ = true;
+    if (call_.idle_timeout.count() > 0) {
+        deadline_.set_after(call_.idle_timeout);
+    } else {
+        deadline_.clear();
+    }
+    if (callbacks_.on_head) {
+        callbacks_.on_head(status, reader_->headers());
+    }
+}
+
+void http_call_core::complete() {
+    if (reader_->keep_alive() && inbox_.empty() && link_->is_open()) {
+        core_->keep_idle(call_.server, link_);
+        link_ = nullptr;
+    }
+    end(absl::OkStatus());
+}
+
+void http_call_core::on_lost(const absl::Status& status) {
+    if (done_) {
+        return;
+    }
+    const bool orderly = status.code() == absl::StatusCode::kOutOfRange;
+    if (orderly && reader_->end() == read_progress::complete) {
+        end(absl::OkStatus());
+        return;
+    }
+    if (send_again()) {
+        return;
+    }
+    fail(absl::StatusCode::kUnavailable,
+         head_seen_ ? "the connection broke in the middle of the answer"
+                    : "the connection broke before the answer",
+         "read", "connection_lost");
+}
+
+bool http_call_core::send_again() {
+    if (!was_idle_ || reader_->has_begun() || call_.method != "GET") {
+        return false;
+    }
+    connect();
+    return true;
+}
+
+bool http_call_core::may_have_been_sent() const {
+    return link_ != nullptr && reader_ != nullptr && link_->may_have_sent(request_position_);
+}
+
+void http_call_core::overdue() {
+    fail(absl::StatusCode::kDeadlineExceeded,
+         head_seen_ ? "the answer stopped coming" : "no answer in time",
+         reader_ == nullptr ? "connect" : "read",
+         head_seen_ ? "idle_timeout" : (reader_ == nullptr ? "connect_timeout" : "head_timeout"));
+}
+
+void http_call_core::fail(absl::StatusCode code, std::string_view message, std::string step,
+                          std::string reason) {
+    end(base::make_error(
+        code, message,
+        {.step = std::move(step),
+         .peer = to_string(call_.server),
+         .reason = std::move(reason),
+         .was_executed = may_have_been_sent() ? base::executed::unknown : base::executed::no}));
+}
+
+void http_call_core::end(const absl::Status& status) {
+    if (done_) {
+        return;
+    }
+    const auto on_done = std::move(callbacks_.on_done);
+    cancel();
+    if (on_done) {
+        on_done(status);
+    }
+}
+
+void http_call_core::cancel() {
+    if (done_) {
+        return;
+    }
+    done_ = true;
+    deadline_.clear();
+    if (link_ != nullptr) {
+        link_->close();
+    }
+    const auto self = shared_from_this();
+    core_->calls.erase(self);
+    // What the callbacks hold is freed from the loop: one of them may be running now.
+    boost::asio::post(core_->context, [self] { self->callbacks_ = {}; });
+}
+
+}  // namespace pearbarrow::net
--- /dev/null
+++ b/src/pearbarrow/net/http_call_core.h
@@ -0,0 +1,101 @@
+/// One client request from its start to its end, and the idle connections. Internal to `net`.
+#pragma once
+
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "pearbarrow/net/connection.h"
+#include "pearbarrow/net/http.h"
+#include "pearbarrow/net/http_codec.h"
+
+namespace pearbarrow::net {
+
+class http_call_core;
+class idle_connection;
+
+/// What the calls of one client share.
+struct http_client_core : std::enable_shared_from_this<http_client_core> {
+    http_client_core(boost::asio::io_context& io_context, http_client_options client_options)
+        : context(io_context), options(std::move(client_options)) {}
+
+    /// An idle connection, or null.
+    std::shared_ptr<connection> take_idle(const endpoint& server);
+    void keep_idle(const endpoint& server, const std::shared_ptr<connection>& link);
+    void forget_idle(const endpoint& server, const idle_connection* idle);
+    void close_idle();
+    void shut_down();
+
+    boost::asio::io_context& context;
+    http_client_options options;
+    std::shared_ptr<tls_context> tls;
+    /// Why TLS cannot be used, when its files were unusable.
+    absl::Status tls_status;
+    std::map<endpoint, std::list<std::shared_ptr<idle_connection>>> idle;
+    std::set<std::shared_ptr<http_call_core>> calls;
+    bool stopped = false;
+};
+
+/// Watches a connection that waits to be used again.
+class idle_connection final : public connection_user,
+                              public std::enable_shared_from_this<idle_connection> {
+  public:
+    idle_connection(std::weak_ptr<http_client_core> core, boost::asio::io_context& context,
+                    endpoint server, std::shared_ptr<connection> link);
+
+    void start(base::milliseconds lifetime);
+    /// Bytes that nobody asked for: the connection is of no further use.
+    void on_data(std::string_view bytes) override;
+    void on_lost(const absl::Status& status) override;
+    const std::shared_ptr<connection>& link() const { return link_; }
+
+  private:
+    void leave();
+
+    std::weak_ptr<http_client_core> core_;
+    endpoint server_;
+    std::shared_ptr<connection> link_;
+    deadline expiry_;
+};
+
+class http_call_core final : public connection_user,
+                             public std::enable_shared_from_this<http_call_core> {
+  public:
+    http_call_core(std::shared_ptr<http_client_core> core, http_call call,
+                   http_call_callbacks callbacks);
+
+    void start();
+    void cancel();
+    void on_data(std::string_view bytes) override;
+    void on_lost(const absl::Status& status) override;
+
+  private:
+    void connect();
+    void send(std::shared_ptr<connection> link);
+    void expect_response();
+    void read_response();
+    void on_head();
+    void complete();
+    bool send_again();
+    void overdue();
+    void fail(absl::StatusCode code, std::string_view message, std::string step,
+              std::string reason);
+    void end(const absl::Status& status);
+    bool may_have_been_sent() const;
+
+    std::shared_ptr<http_client_core> core_;
+    http_call call_;
+    http_call_callbacks callbacks_;
+    deadline deadline_;
+    std::shared_ptr<connection> link_;
+    std::unique_ptr<http_response_reader> reader_;
+    std::string inbox_;
+    std::uint64_t request_position_ = 0;
+    bool was_idle_ = false;
+    bool head_seen_ = false;
+    bool done_ = false;
+};
+
+}  // namespace pearbarrow::net
--- /dev/null
+++ b/src/pearbarrow/net/http_client.cc
@@ -0,0 +1,188 @@
+#include <utility>
+
+#include "pearbarrow/net/http_call_core.h"
+
+namespace pearbarrow::net {
+
+std::shared_ptr<connection> http_client_core::take_idle(const endpoint& server) {
+    const auto found = idle.find(server);
+    if (found == idle.end()) {
+        return nullptr;
+    }
+    std::shared_ptr<connection> link;
+    while (link == nullptr && !found->second.empty()) {
+        // The newest first: the oldest may be about to be closed by the server.
+        auto candidate = found->second.back()->link();
+        found->second.pop_back();
+        if (candidate->is_open()) {
+            link = std::move(candidate);
+        }
+    }
+    if (found->second.empty()) {
+        idle.erase(found);
+    }
+    return link;
+}
+
+void http_client_core::keep_idle(const endpoint& server, const std::shared_ptr<connection>& link) {
+    if (stopped) {
+        link->close();
+        return;
+    }
+    auto& list = idle[server];
+    if (list.size() >= options.max_idle_connections_per_server) {
+        list.front()->link()->close();
+        list.pop_front();
+    }
+    auto entry = std::make_shared<idle_connection>(weak_from_this(), context, server, link);
+    list.push_back(entry);
+    entry->start(options.idle_lifetime);
+}
+
+void http_client_core::forget_idle(const endpoint& server, const idle_connection* entry) {
+    const auto found = idle.find(server);
+    if (found == idle.end()) {
+        return;
+    }
+    found->second.remove_if([&](const auto& candidate) { return candidate.get() == entry; });
+    if (found->second.empty()) {
+        idle.erase(found);
+    }
+}
+
+void http_client_core::close_idle() {
+    const auto current = std::exchange(idle, {});
+    for (const auto& [server, list] : current) {
+        for (const auto& entry : list) {
+            entry->link()->close();
+        }
+    }
+}
+
+void http_client_core::shut_down() {
+    stopped = true;
+    const auto current = std::exchange(calls, {});
+    for (const auto& call : current) {
+        call->cancel();
+    }
+    close_idle();
+}
+
+idle_connection::idle_connection(std::weak_ptr<http_client_core> core,
+                                 boost::asio::io_context& context, endpoint server,
+                                 std::shared_ptr<connection> link)
+    : core_(std::move(core)),
+      server_(std::move(server)),
+      link_(std::move(link)),
+      expiry_(context, [this] { leave(); }) {}
+
+void idle_connection::start(base::milliseconds lifetime) {
+    expiry_.set_after(lifetime);
+    link_->attach(shared_from_this());
+}
+
+void idle_connection::on_data(std::string_view /*bytes*/) {
+    leave();
+}
+
+void idle_connection::on_lost(const absl::Status& /*status*/) {
+    leave();
+}
+
+void idle_connection::leave() {
+    const auto self = shared_from_this();
+    link_->close();
+    if (const auto core = core_.lock(); core != nullptr) {
+        core->forget_idle(server_, this);
+    }
+}
+
+namespace {
+
+class call_handle final : public http_call_handle {
+  public:
+    explicit call_handle(std::weak_ptr<http_call_core> core) : core_(std::move(core)) {}
+    call_handle(const call_handle&) = delete;
+    call_handle& operator=(const call_handle&) = delete;
+    ~call_handle() override { call_handle::cancel(); }
+
+    void cancel() override {
+        if (const auto core = core_.lock(); core != nullptr) {
+            core->cancel();
+        }
+    }
+
+  private:
+    std::weak_ptr<http_call_core> core_;
+};
+
+class asio_http_client final : public http_client {
+  public:
+    asio_http_client(event_loop& loop, http_client_options options)
+        : loop_(loop),
+          core_(std::make_shared<http_client_core>(loop.context(), std::move(options))) {
+        core_->tls_status = asio_http_client::reload_tls();
+    }
+    asio_http_client(const asio_http_client&) = delete;
+    asio_http_client& operator=(const asio_http_client&) = delete;
+    ~asio_http_client() override { core_->shut_down(); }
+
+    std::unique_ptr<http_call_handle> start(http_call call,
+                                            http_call_callbacks callbacks) override {
+        return std::make_unique<call_handle>(begin(std::move(call), std::move(callbacks)));
+    }
+
+    void fetch(http_call call,
+               std::function<void(absl::StatusOr<http_response>)> callback) override {
+        auto response = std::make_shared<http_response>();
+        begin(std::move(call),
+              {.on_head =
+                   [response](int status, const http_headers& headers) {
+                       response->status = status;
+                       response->headers = headers;
+                   },
+               .on_chunk = [response](std::string_view part) { response->body.append(part); },
+               .on_done =
+                   [response, callback = std::move(callback)](const absl::Status& status) {
+                       if (status.ok()) {
+                           callback(std::move(*response));
+                       } else {
+                           callback(status);
+                       }
+                   }});
+    }
+
+    absl::Status reload_tls() override {
+        if (!core_->options.tls.has_value()) {
+            return absl::OkStatus();
+        }
+        auto loaded = load_tls(*core_->options.tls, tls_role::client);
+        if (!loaded.ok()) {
+            return loaded.status();
+        }
+        core_->tls = *std::move(loaded);
+        core_->tls_status = absl::OkStatus();
+        core_->close_idle();
+        return absl::OkStatus();
+    }
+
+  private:
+    std::shared_ptr<http_call_core> begin(http_call call, http_call_callbacks callbacks) {
+        auto core = std::make_shared<http_call_core>(core_, std::move(call), std::move(callbacks));
+        core_->calls.insert(core);
+        // From the loop, so that no callback runs inside this call.
+        loop_.post([core] { core->start(); });
+        return core;
+    }
+
+    event_loop& loop_;
+    std::shared_ptr<http_client_core> core_;
+};
+
+}  // namespace
+
+std::unique_ptr<http_client> make_http_client(event_loop& loop, http_client_options options) {
+    return std::make_unique<asio_http_client>(loop, std::move(options));
+}
+
+}  // namespace pearbarrow::net
--- /dev/null
+++ b/src/pearbarrow/net/http_exchange.cc
@@ -0,0 +1,125 @@
+#include "pearbarrow/net/http_exchange.h"
+
+#include <utility>
+
+namespace pearbarrow::net {
+
+session_exchange::session_exchange(std::shared_ptr<http_server_core> core,
+                                   std::shared_ptr<http_session> session, http_request request)
+    : core_(std::move(core)),
+      session_(std::move(session)),
+      request_(std::move(request)),
+      is_head_(request_.method == "HEAD") {
+    ++core_->open_exchanges;
+}
+
+session_exchange::~session_exchange() {
+    if (stage_ == stage::waiting) {
+        respond(problem_response(500, "unanswered", "the request was dropped without an answer"));
+    } else if (stage_ == stage::streaming) {
+        abort();
+    }
+}
+
+void session_exchange::respond(http_response response) {
+    const auto session = session_.lock();
+    if (stage_ != stage::waiting || session == nullptr) {
+        return;
+    }
+    const bool bodiless = response.status == 204 || response.status == 304;
+    std::string bytes = format_response_head({.status = response.status,
+                                              .headers = &response.headers,
+                                              .body_size = bodiless ? 0 : response.body.size(),
+                                              .keep_alive = session->keeps_alive()});
+    if (is_head_ || bodiless) {
+        session->send(std::move(bytes));
+    } else if (response.body.size() <= bytes.capacity()) {
+        session->send(bytes.append(response.body));
+    } else {
+        session->send(std::move(bytes));
+        session->send(std::move(response.body));
+    }
+    complete();
+}
+
+void session_exchange::start_stream(int status, http_headers headers) {
+    const auto session = session_.lock();
+    if (stage_ != stage::waiting || session == nullptr) {
+        return;
+    }
+    stage_ = stage::streaming;
+    framing_ = session->can_take_chunks() ? body_framing::chunks : body_framing::until_close;
+    session->send(format_response_head(
+        {.status = status,
+         .headers = &headers,
+         .framing = framing_,
+         .keep_alive = framing_ == body_framing::chunks && session->keeps_alive()}));
+}
+
+void session_exchange::write(std::string chunk) {
+    const auto session = session_.lock();
+    if (stage_ != stage::streaming || session == nullptr || chunk.empty() || is_head_) {
+        return;
+    }
+    session->send(framing_ == body_framing::chunks ? format_chunk(chunk) : std::move(chunk));
+}
+
+void session_exchange::finish() {
+    const auto session = session_.lock();
+    if (stage_ != stage::streaming || session == nullptr) {
+        return;
+    }
+    if (framing_ == body_framing::chunks && !is_head_) {
+        session->send(std::string(last_chunk()));
+    }
+    complete();
+    if (framing_ == body_framing::until_close) {
+        session->close_when_idle();
+    }
+}
+
+void session_exchange::abort() {
+    const auto session = session_.lock();
+    if (stage_ == stage::done) {
+        return;
+    }
+    // Whoever aborts needs no word that the connection is closed.
+    on_closed_ = nullptr;
+    if (session != nullptr) {
+        session->close();
+    }
+    client_gone();
+}
+
+std::size_t session_exchange::pending_bytes() const {
+    const auto session = session_.lock();
+    return session == nullptr || stage_ == stage::done ? 0 : session->pending_bytes();
+}
+
+void session_exchange::on_closed(std::function<void()> callback) {
+    if (stage_ != stage::done) {
+        on_closed_ = std::move(callback);
+    }
+}
+
+void session_exchange::complete() {
+    stage_ = stage::done;
+    on_closed_ = nullptr;
+    --core_->open_exchanges;
+    if (const auto session = session_.lock(); session != nullptr) {
+        session->answer_complete();
+    }
+}
+
+void session_exchange::client_gone() {
+    if (stage_ == stage::done) {
+        return;
+    }
+    stage_ = stage::done;
+    --core_->open_exchanges;
+    if (const auto callback = std::exchange(on_closed_, nullptr); callback) {
+        callback();
+    }
+}
+
+}  // namespace pearbarrow::net
--- /dev/null
+++ b/src/pearbarrow/net/http_exchange.h
@@ -0,0 +1,46 @@
+/// The server's side of one request on a session. Internal to `net`.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "pearbarrow/net/http_session.h"
+
+namespace pearbarrow::net {
+
+class session_exchange final : public http_exchange {
+  public:
+    session_exchange(std::shared_ptr<http_server_core> core, std::shared_ptr<http_session> session,
+                     http_request request);
+    session_exchange(const session_exchange&) = delete;
+    session_exchange& operator=(const session_exchange&) = delete;
+    ~session_exchange() override;
+
+    const http_request& request() const override { return request_; }
+    void respond(http_response response) override;
+    void start_stream(int status, http_headers headers) override;
+    void write(std::string chunk) override;
+    void finish() override;
+    void abort() override;
+    std::size_t pending_bytes() const override;
+    void on_closed(std::function<void()> callback) override;
+
+    /// The session's word that nobody waits for the answer any more.
+    void client_gone();
+
+  private:
+    enum class stage { waiting, streaming, done };
+
+    void complete();
+
+    std::shared_ptr<http_server_core> core_;
+    std::weak_ptr<http_session> session_;
+    http_request request_;
+    std::function<void()> on_closed_;
+    stage stage_ = stage::waiting;
+    body_framing framing_ = body_framing::chunks;
+    bool is_head_ = false;
+};
+
+}  // namespace pearbarrow::net
--- /dev/null
+++ b/src/pearbarrow/net/http_response_reader.cc
@@ -0,0 +1,138 @@
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/optional.hpp>
+
+#include "pearbarrow/net/http_codec.h"
+
+namespace pearbarrow::net {
+namespace {
+
+namespace http = boost::beast::http;
+using error_code = boost::system::error_code;
+
+constexpr std::uint32_t max_response_header_bytes = 64 * 1024;
+
+/// A Beast body that passes each part on instead of keeping it. Beast sets the names.
+struct forwarded_body {
+    using value_type = std::function<void(std::string_view)>;
+
+    class reader {
+      public:
+        template <bool IsRequest, typename Fields>
+        reader(http::header<IsRequest, Fields>& /*header*/, value_type& receiver)
+            : receiver_(receiver) {}
+
+        void init(const boost::optional<std::uint64_t>& /*length*/, error_code& error) {
+            error = {};
+        }
+
+        template <typename Buffers>
+        std::size_t put(const Buffers& buffers, error_code& error) {
+            error = {};
+            std::size_t total = 0;
+            const auto end = boost::asio::buffer_sequence_end(buffers);
+            for (auto part = boost::asio::buffer_sequence_begin(buffers); part != end; ++part) {
+                const boost::asio::const_buffer buffer = *part;
+                total += buffer.size();
+                if (buffer.size() > 0 && receiver_) {
+                    receiver_({static_cast<const char*>(buffer.data()), buffer.size()});
+                }
+            }
+            return total;
+        }
+
+        void finish(error_code& error) { error = {}; }
+
+      private:
+        value_type& receiver_;
+    };
+};
+
+}  // namespace
+
+struct http_response_reader::state {
+    http::response_parser<forwarded_body> parser;
+    error_code error;
+    bool begun = false;
+    bool head_reported = false;
+};
+
+http_response_reader::http_response_reader(options options) : state_(std::make_unique<state>()) {
+    auto& parser = state_->parser;
+    parser.header_limit(max_response_header_bytes);
+    parser.body_limit(options.max_body_bytes);
+    parser.skip(options.answers_head_request);
+    parser.get().body() = std::move(options.on_body);
+}
+
+http_response_reader::~http_response_reader() = default;
+
+read_progress http_response_reader::feed(std::string& buffer) {
+    auto& parser = state_->parser;
+    std::size_t taken = 0;
+    read_progress progress = read_progress::need_more;
+    while (taken < buffer.size() || parser.is_done()) {
+        if (parser.is_done()) {
+            progress = read_progress::complete;
+            break;
+        }
+        state_->begun = true;
+        taken += parser.put(boost::asio::buffer(buffer) + taken, state_->error);
+        if (state_->error == http::error::need_more) {
+            state_->error = {};
+            break;
+        }
+        if (state_->error) {
+            progress = read_progress::failed;
+            break;
+        }
+        if (parser.is_header_done() && !std::exchange(state_->head_reported, true)) {
+            parser.eager(true);
+            progress = read_progress::head_complete;
+            break;
+        }
+    }
+    buffer.erase(0, taken);
+    return progress;
+}
+
+read_progress http_response_reader::end() {
+    if (!state_->parser.is_header_done()) {
+        return read_progress::failed;
+    }
+    state_->parser.put_eof(state_->error);
+    return state_->error ? read_progress::failed : read_progress::complete;
+}
+
+bool http_response_reader::has_begun() const {
+    return state_->begun;
+}
+
+bool http_response_reader::body_too_large() const {
+    return state_->error == http::error::body_limit;
+}
+
+std::string http_response_reader::failure() const {
+    return state_->error ? state_->error.message() : "the answer is not whole";
+}
+
+int http_response_reader::status() const {
+    return static_cast<int>(state_->parser.get().result_int());
+}
+
+http_headers http_response_reader::headers() const {
+    http_headers result;
+    for (const auto& field : state_->parser.get()) {
+        result.add(std::string(field.name_string().data(), field.name_string().size()),
+                   std::string(field.value().data(), field.value().size()));
+    }
+    return result;
+}
+
+bool http_response_reader::keep_alive() const {
+    return state_->parser.keep_alive();
+}
+
+}  // namespace pearbarrow::net
--- /dev/null
+++ b/src/pearbarrow/net/http_server.cc
@@ -0,0 +1,88 @@
+#include <set>
+#include <utility>
+
+#include "pearbarrow/base/log.h"
+#include "pearbarrow/net/connection.h"
+#include "pearbarrow/net/http_session.h"
+#include "pearbarrow/net/listener.h"
+
+namespace pearbarrow::net {
+namespace {
+
+/// Connections beyond the limit that are still told so; more are closed without a word.
+constexpr std::size_t refused_connections_answered = 64;
+
+class asio_http_server final : public http_server {
+  public:
+    asio_http_server(event_loop& loop, http_server_options options, http_handler handler)
+        : context_(loop.context()),
+          core_(std::make_shared<http_server_core>(std::move(options), std::move(handler))),
+          listener_(context_) {}
+
+    asio_http_server(const asio_http_server&) = delete;
+    asio_http_server& operator=(const asio_http_server&) = delete;
+
+    ~asio_http_server() override {
+        listener_.stop();
+        core_->shut_down();
+    }
+
+    absl::Status start() override {
+        if (auto status = reload_tls(); !status.ok()) {
+            return status;
+        }
+        return listener_.start(core_->options.listen, [this](boost::asio::ip::tcp::socket socket) {
+            accept(std::move(socket));
+        });
+    }
+
+    endpoint local_endpoint() const override { return listener_.local_endpoint(); }
+
+    void stop_accepting() override {
+        listener_.stop();
+        core_->stop_accepting();
+    }
+
+    std::size_t open_exchanges() const override { return core_->open_exchanges; }
+
+    absl::Status reload_tls() override {
+        if (!core_->options.tls.has_value()) {
+            return absl::OkStatus();
+        }
+        auto loaded = load_tls(*core_->options.tls, tls_role::server);
+        if (!loaded.ok()) {
+            return loaded.status();
+        }
+        tls_ = *std::move(loaded);
+        return absl::OkStatus();
+    }
+
+  private:
+    void accept(boost::asio::ip::tcp::socket socket) {
+        const std::size_t open = core_->sessions.size();
+        const std::size_t limit = core_->options.max_connections;
+        if (open >= limit + refused_connections_answered) {
+            return;
+        }
+        const connection_options limits{.max_pending_bytes = core_->options.max_pending_bytes,
+                                        .write_timeout = core_->options.write_timeout};
+        auto link = std::make_shared<connection>(context_, std::move(socket), tls_, limits);
+        auto session = std::make_shared<http_session>(context_, core_, std::move(link));
+        core_->sessions.insert(session);
+        session->start(open >= limit);
+    }
+
+    boost::asio::io_context& context_;
+    std::shared_ptr<http_server_core> core_;
+    listener listener_;
+    std::shared_ptr<tls_context> tls_;
+};
+
+}  // namespace
+
+std::unique_ptr<http_server> make_http_server(event_loop& loop, http_server_options options,
+                                              http_handler handler) {
+    return std::make_unique<asio_http_server>(loop, std::move(options), std::move(handler));
+}
+
+}  // namespace pearbarrow::net
--- /dev/null
+++ b/src/pearbarrow/net/http_session.h
@@ -0,0 +1,77 @@
+/// One connection of the HTTP server: requests one after another. Internal to `net`.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "pearbarrow/net/connection.h"
+#include "pearbarrow/net/http.h"
+#include "pearbarrow/net/http_codec.h"
+
+namespace pearbarrow::net {
+
+class http_session;
+class session_exchange;
+
+/// What the sessions of one server share.
+struct http_server_core {
+    http_server_core(http_server_options server_options, http_handler server_handler)
+        : options(std::move(server_options)), handler(std::move(server_handler)) {}
+
+    void stop_accepting();
+    void shut_down();
+
+    http_server_options options;
+    http_handler handler;
+    std::set<std::shared_ptr<http_session>> sessions;
+    std::size_t open_exchanges = 0;
+    bool stopping = false;
+};
+
+class http_session final : public connection_user,
+                           public std::enable_shared_from_this<http_session> {
+  public:
+    http_session(boost::asio::io_context& context, std::shared_ptr<http_server_core> core,
+                 std::shared_ptr<connection> link);
+
+    /// Begins to read; with `overloaded` the first request is refused with 503.
+    void start(bool overloaded);
+    void on_data(std::string_view bytes) override;
+    void on_lost(const absl::Status& status) override;
+    /// Closes unless a request is being answered; then after that answer.
+    void close_when_idle();
+    /// Closes at once.
+    void close();
+
+    // Called by the exchange under way.
+    void send(std::string bytes) { link_->write(std::move(bytes)); }
+    void answer_complete();
+    std::size_t pending_bytes() const { return link_->pending_bytes(); }
+    bool keeps_alive() const;
+    bool can_take_chunks() const { return can_take_chunks_; }
+
+  private:
+    void read_request();
+    void on_head();
+    void dispatch();
+    void refuse(int status, std::string_view reason, std::string_view detail);
+    void request_overdue();
+    void leave_server();
+
+    std::shared_ptr<http_server_core> core_;
+    std::shared_ptr<connection> link_;
+    deadline request_deadline_;
+    std::unique_ptr<http_request_reader> reader_;
+    std::string inbox_;
+    std::weak_ptr<session_exchange> exchange_;
+    bool answering_ = false;
+    bool client_keeps_alive_ = true;
+    bool can_take_chunks_ = true;
+    bool close_after_answer_ = false;
+    bool overloaded_ = false;
+    bool ended_ = false;
+};
+
+}  // namespace pearbarrow::net
--- /dev/null
+++ b/src/pearbarrow/net/listener.h
@@ -0,0 +1,35 @@
+/// Accepts TCP connections. Internal to `net`.
+#pragma once
+
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+
+#include <absl/status/status.h>
+
+#include "pearbarrow/net/endpoint.h"
+
+namespace pearbarrow::net {
+
+class listener {
+  public:
+    using socket_handler = std::function<void(boost::asio::ip::tcp::socket)>;
+
+    explicit listener(boost::asio::io_context& context);
+    ~listener();
+    listener(const listener&) = delete;
+    listener& operator=(const listener&) = delete;
+
+    /// Fails with reason `bind_failed` and the address as peer.
+    absl::Status start(const endpoint& listen, socket_handler handler);
+    void stop();
+    endpoint local_endpoint() const;
+
+  private:
+    struct core;
+    std::shared_ptr<core> core_;
+};
+
+}  // namespace pearbarrow::net
--- /dev/null
+++ b/src/pearbarrow/net/peer_link.cc
@@ -0,0 +1,316 @@
+#include "pearbarrow/net/peer_link.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "pearbarrow/base/log.h"
+#include "pearbarrow/base/status.h"
+#include "pearbarrow/wire/codec.h"
+
+namespace pearbarrow::net {
+namespace {
+
+connection_options limits_of(const peer_rpc_options& options) {
+    constexpr std::size_t read_bytes = 16 * 1024;
+    // Above the bound of requests, so that cancel and probe frames still fit.
+    return {.max_pending_bytes = options.max_queued_bytes + options.max_frame_bytes,
+            .write_timeout = options.write_timeout,
+            .read_buffer_bytes = read_bytes,
+            .verify_address = false};
+}
+
+absl::Status bad_link(std::string_view message, std::string peer, std::string reason) {
+    return base::make_error(
+        absl::StatusCode::kUnavailable, message,
+        {.step = "peer_hello", .peer = std::move(peer), .reason = std::move(reason)});
+}
+
+absl::Status bad_frame(std::string peer) {
+    return base::make_error(absl::StatusCode::kInvalidArgument, "a frame that has no place here",
+                            {.step = "peer_frame",
+                             .peer = std::move(peer),
+                             .reason = "malformed_frame",
+                             .was_executed = base::executed::unknown});
+}
+
+}  // namespace
+
+framed_link::framed_link(std::shared_ptr<peer_core> core, std::shared_ptr<connection> link)
+    : core_(std::move(core)),
+      link_(std::move(link)),
+      decoder_(core_->options.max_frame_bytes),
+      hello_deadline_(
+          core_->context,
+          [this] { lose(bad_link("no hello in time", link_->peer(), "hello_timeout")); }),
+      silence_(core_->context, [this] { on_silence(); }) {
+    hello_deadline_.set_after(core_->options.connect_timeout);
+}
+
+void framed_link::begin() {
+    link_->attach(shared_from_this());
+}
+
+void framed_link::send_hello() {
+    send({.kind = static_cast<std::uint8_t>(frame_kind::hello),
+          .payload = wire::encode(
+              hello_message{.cluster = core_->options.cluster, .node = core_->options.self})});
+}
+
+void framed_link::on_data(std::string_view bytes) {
+    last_heard_ = now();
+    const auto status = decoder_.feed(bytes, [this](peer_frame frame) {
+        if (const auto taken = take(std::move(frame)); !taken.ok()) {
+            lose(taken);
+        }
+        return !ended_;
+    });
+    if (!status.ok()) {
+        lose(status);
+    }
+}
+
+absl::Status framed_link::take(peer_frame frame) {
+    if (!hello_seen_) {
+        return take_hello(frame);
+    }
+    switch (static_cast<frame_kind>(frame.kind)) {
+        case frame_kind::hello:
+            return bad_frame(link_->peer());
+        case frame_kind::probe:
+            send({.kind = static_cast<std::uint8_t>(frame_kind::probe_answer)});
+            return absl::OkStatus();
+        case frame_kind::probe_answer:
+            return absl::OkStatus();
+        default:
+            return on_frame(std::move(frame));
+    }
+}
+
+absl::Status framed_link::take_hello(const peer_frame& frame) {
+    const auto hello = wire::decode<hello_message>(frame.payload);
+    if (frame.kind != static_cast<std::uint8_t>(frame_kind::hello) || !hello.ok()) {
+        return bad_link("the link does not begin with a hello", link_->peer(), "malformed_hello");
+    }
+    if (hello->version != peer_protocol_version) {
+        return bad_link("protocol version " + std::to_string(hello->version), link_->peer(),
+                        "version_mismatch");
+    }
+    if (hello->cluster != core_->options.cluster) {
+        return bad_link("a node of another cluster", link_->peer(), "cluster_mismatch");
+    }
+    hello_seen_ = true;
+    hello_deadline_.clear();
+    return on_hello(*hello);
+}
+
+void framed_link::watch_silence() {
+    if (!silence_.is_set()) {
+        last_heard_ = now();
+        silence_.set(last_heard_ + core_->options.silence_before_probe);
+    }
+}
+
+void framed_link::on_silence() {
+    if (ended_ || !has_calls()) {
+        return;
+    }
+    const base::instant present = now();
+    const auto& options = core_->options;
+    if (present - last_heard_ >= options.silence_before_loss) {
+        lose(base::make_error(absl::StatusCode::kUnavailable, "the node is silent",
+                              {.step = "peer_link",
+                               .peer = link_->peer(),
+                               .reason = "peer_silent",
+                               .was_executed = base::executed::unknown}));
+        return;
+    }
+    if (present - last_heard_ >= options.silence_before_probe) {
+        send({.kind = static_cast<std::uint8_t>(frame_kind::probe)});
+        silence_.set(std::min<base::instant>(present + options.silence_before_probe,
+                                             last_heard_ + options.silence_before_loss));
+        return;
+    }
+    silence_.set(last_heard_ + options.silence_before_probe);
+}
+
+void framed_link::on_lost(const absl::Status& status) {
+    lose(status);
+}
+
+void framed_link::lose(const absl::Status& status) {
+    if (std::exchange(ended_, true)) {
+        return;
+    }
+    const auto self = shared_from_this();
+    hello_deadline_.clear();
+    silence_.clear();
+    // An orderly end needs no line in the log.
+    if (status.code() != absl::StatusCode::kOutOfRange && !core_->shut_down) {
+        auto fields = base::log_fields(status);
+        fields["link"] = link_->peer();
+        base::log(base::log_level::warning, "peer_link_lost", std::move(fields));
+    }
+    // After the hello that it sent, so that the other side sees the mismatch too.
+    link_->close_after_writes();
+    ended(status);
+}
+
+peer_link::peer_link(std::shared_ptr<peer_core> core, base::node_id node, endpoint address)
+    : framed_link(core, std::make_shared<connection>(
+                            core->context, connection::tcp::socket(core->context), core->client_tls,
+                            limits_of(core->options), core->counters)),
+      node_(std::move(node)),
+      address_(std::move(address)) {}
+
+void peer_link::start() {
+    link_->connect(address_, [self = std::static_pointer_cast<peer_link>(shared_from_this())](
+                                 const absl::Status& status) {
+        if (self->has_ended()) {
+            return;
+        }
+        if (!status.ok()) {
+            self->lose(status);
+            return;
+        }
+        self->begin();
+        self->send_hello();
+    });
+}
+
+absl::Status peer_link::send_request(const std::shared_ptr<outgoing_call>& call,
+                                     peer_frame request) {
+    const std::size_t size = request.payload.size() + frame_overhead_bytes;
+    const std::size_t queued = waiting_bytes_ + link_->pending_bytes();
+    if (queued + size > core_->options.max_queued_bytes ||
+        calls_.size() >= core_->options.max_open_requests) {
+        return queue_full(node_.value());
+    }
+    const std::uint64_t id = request.call;
+    std::string bytes = encode_frame(request);
+    pending_call pending{.call = call};
+    if (is_ready()) {
+        pending.position = link_->queued_position();
+        link_->write(std::move(bytes));
+        watch_silence();
+    } else {
+        waiting_bytes_ += bytes.size();
+        waiting_.push_back({.call = id, .bytes = std::move(bytes)});
+    }
+    calls_.emplace(id, std::move(pending));
+    call->set_withdraw([weak = weak_from_this(), id] {
+        const auto self = std::static_pointer_cast<peer_link>(weak.lock());
+        return self == nullptr || self->withdraw(id);
+    });
+    return absl::OkStatus();
+}
+
+absl::Status peer_link::on_hello(const hello_message& hello) {
+    if (!node_.value().empty() && hello.node != node_) {
+        return bad_link("another node answers at this address: " + hello.node.value(),
+                        to_string(address_), "wrong_node");
+    }
+    for (waiting_frame& frame : waiting_) {
+        if (const auto found = calls_.find(frame.call); found != calls_.end()) {
+            found->second.position = link_->queued_position();
+            link_->write(std::move(frame.bytes));
+        }
+    }
+    waiting_.clear();
+    waiting_bytes_ = 0;
+    if (has_calls()) {
+        watch_silence();
+    }
+    return absl::OkStatus();
+}
+
+absl::Status peer_link::on_frame(peer_frame frame) {
+    switch (static_cast<frame_kind>(frame.kind)) {
+        case frame_kind::part:
+            if (const auto found = calls_.find(frame.call); found != calls_.end()) {
+                // A copy, because the callback may cancel the call.
+                const auto call = found->second.call;
+                call->part(frame.payload);
+            }
+            return absl::OkStatus();
+        case frame_kind::reply:
+            if (const auto call = take_call(frame.call); call != nullptr) {
+                call->complete(std::move(frame.payload));
+            }
+            return absl::OkStatus();
+        case frame_kind::error: {
+            const auto error = wire::decode<error_message>(frame.payload);
+            if (!error.ok()) {
+                return bad_frame(link_->peer());
+            }
+            if (const auto call = take_call(frame.call); call != nullptr) {
+                call->complete(to_status(*error));
+            }
+            return absl::OkStatus();
+        }
+        default:
+            return bad_frame(link_->peer());
+    }
+}
+
+std::shared_ptr<outgoing_call> peer_link::take_call(std::uint64_t id) {
+    // None when the call was cancelled while its answer was on the way.
+    auto node = calls_.extract(id);
+    return node.empty() ? nullptr : std::move(node.mapped().call);
+}
+
+bool peer_link::may_have_sent(const pending_call& pending) const {
+    return pending.position.has_value() && link_->may_have_sent(*pending.position);
+}
+
+bool peer_link::withdraw(std::uint64_t id) {
+    const auto node = calls_.extract(id);
+    if (node.empty() || has_ended()) {
+        return true;
+    }
+    const bool sent = node.mapped().position.has_value();
+    const bool may_have_run = may_have_sent(node.mapped());
+    if (sent) {
+        send({.kind = static_cast<std::uint8_t>(frame_kind::cancel), .call = id});
+        return may_have_run;
+    }
+    const auto same = [id](const waiting_frame& frame) { return frame.call == id; };
+    if (const auto found = std::find_if(waiting_.begin(), waiting_.end(), same);
+        found != waiting_.end()) {
+        waiting_bytes_ -= found->bytes.size();
+        waiting_.erase(found);
+    }
+    return false;
+}
+
+void peer_link::abandon_calls() {
+    const auto calls = calls_;
+    for (const auto& [id, pending] : calls) {
+        pending.call->cancel();
+    }
+}
+
+void peer_link::ended(const absl::Status& status) {
+    const auto found = core_->outbound.find({node_, address_});
+    if (found != core_->outbound.end() && found->second.get() == this) {
+        core_->outbound.erase(found);
+    }
+    base::error_details details = base::details_of(status);
+    if (details.reason == "connection_closed") {
+        details.reason = "connection_lost";
+    }
+    details.peer = node_.value().empty() ? to_string(address_) : node_.value();
+    const auto code = status.code() == absl::StatusCode::kOutOfRange
+                          ? absl::StatusCode::kUnavailable
+                          : status.code();
+    const std::string message(status.message().data(), status.message().size());
+    const auto calls = std::exchange(calls_, {});
+    waiting_.clear();
+    waiting_bytes_ = 0;
+    for (const auto& [id, pending] : calls) {
+        details.was_executed =
+            may_have_sent(pending) ? base::executed::unknown : base::executed::no;
+        pending.call->complete(base::make_error(code, message, details));
+    }
+}
+
+}  // namespace pearbarrow::net
--- a/src/pearbarrow/net/peer_rpc.h
+++ b/src/pearbarrow/net/peer_rpc.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -21,6 +22,7 @@
 #include "pearbarrow/base/ids.h"
 #include "pearbarrow/net/endpoint.h"
 #include "pearbarrow/net/event_loop.h"
+#include "pearbarrow/net/tls_files.h"
 #include "pearbarrow/wire/methods.h"
 
 namespace pearbarrow::net {
@@ -33,7 +35,18 @@
     endpoint listen;
     std::size_t max_frame_bytes = 16 * 1024 * 1024;
     std::size_t max_queued_bytes = 64 * 1024 * 1024;
+    /// Longest time to connect and to exchange hello frames.
     base::milliseconds connect_timeout{1'000};
+    /// Requests of one caller under way at once; more fail with reason `peer_queue_full`.
+    std::size_t max_open_requests = 65'536;
+    /// With requests under way, a link on which nothing arrives is probed after the first time
+    /// and given up after the second: it finds peers that vanished without closing.
+    base::milliseconds silence_before_probe{2'000};
+    base::milliseconds silence_before_loss{8'000};
+    /// A peer that takes none of the bytes sent for this long is cut off.
+    base::milliseconds write_timeout{8'000};
+    /// Mutual TLS: both sides must be signed by `client_authorities`, which should sign nodes only.
+    std::optional<tls_files> tls;
 };
 
 /// Server side of one request. Dropping it unanswered answers with kInternal.
@@ -41,6 +54,8 @@
   public:
     virtual ~peer_responder() = default;
     virtual base::node_id caller() const = 0;
+    /// The time that the caller gives the request, counted from its sending; zero: no limit.
+    virtual base::milliseconds timeout() const { return {}; }
     /// Sends a partial reply; ignored once the caller has gone.
     virtual void send_part(std::string payload) = 0;
     /// Sends the last reply. Ends the request.
@@ -78,15 +93,19 @@
     virtual absl::Status start() = 0;
     virtual endpoint local_endpoint() const = 0;
     virtual void register_method(method_number method, peer_method_handler handler) = 0;
+    /// Calls `method` of `node` at `address`. An empty node id takes whichever node answers there.
     /// `timeout` zero: no limit beyond the connection's life.
     [[nodiscard]] virtual std::unique_ptr<peer_call_handle> call(
         const base::node_id& node, const endpoint& address, method_number method,
         std::string payload, base::milliseconds timeout, peer_call_callbacks callbacks) = 0;
-    /// Takes no new requests (they fail with reason `node_stopping`); those begun go on.
+    /// Takes no new requests of other nodes (they fail with reason `node_stopping`); those begun
+    /// go on, and so do the node's calls to itself, which they may need.
     virtual void stop_accepting() = 0;
     /// Bytes sent and received since the start, for the control-traffic metric.
     virtual std::uint64_t bytes_sent() const = 0;
     virtual std::uint64_t bytes_received() const = 0;
+    /// Reads the key files again; connections already open keep their keys.
+    virtual absl::Status reload_tls() = 0;
 };
 
 std::unique_ptr<peer_rpc> make_peer_rpc(event_loop& loop, peer_rpc_options options);
--- /dev/null
+++ b/tests/unit/net/net_fixture.h
@@ -0,0 +1,104 @@
+/// Helpers of the network tests: a loop that runs until a condition holds, and a bare TCP client.
+#pragma once
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "pearbarrow/net/endpoint.h"
+#include "pearbarrow/net/event_loop.h"
+
+namespace pearbarrow::net::testing {
+
+inline const endpoint loopback{"127.0.0.1", 0};
+
+/// Runs the loop until `done` holds; false when it does not within the limit, which only a failing
+/// test reaches.
+inline bool run_until(event_loop& loop, const std::function<bool()>& done,
+                      std::chrono::milliseconds limit = std::chrono::seconds(20)) {
+    const auto give_up = std::chrono::steady_clock::now() + limit;
+    const auto poll = loop.every(std::chrono::milliseconds(1), [&] {
+        if (done() || std::chrono::steady_clock::now() > give_up) {
+            loop.stop();
+        }
+    });
+    loop.run();
+    return done();
+}
+
+/// Runs the loop for a while, for tests that something does not happen.
+inline void run_for(event_loop& loop, std::chrono::milliseconds time) {
+    const auto timer = loop.after(time, [&] { loop.stop(); });
+    loop.run();
+}
+
+/// A TCP client without any protocol.
+class raw_client {
+  public:
+    explicit raw_client(const endpoint& server, int receive_buffer = 0)
+        : socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
+        if (receive_buffer > 0) {
+            ::setsockopt(socket_, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof(receive_buffer));
+        }
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(server.port);
+        ::inet_pton(AF_INET, server.address.c_str(), &address.sin_addr);
+        connected_ =
+            ::connect(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+        ::fcntl(socket_, F_SETFL, O_NONBLOCK);
+    }
+    raw_client(const raw_client&) = delete;
+    raw_client& operator=(const raw_client&) = delete;
+    ~raw_client() { close(); }
+
+    bool connected() const { return connected_; }
+    /// Sends as much as the kernel takes; the number of bytes.
+    std::size_t send(std::string_view bytes) const {
+        const auto sent = ::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        return sent < 0 ? 0 : static_cast<std::size_t>(sent);
+    }
+    /// Takes what has arrived into `received`.
+    void receive() {
+        char buffer[65536];
+        for (;;) {
+            const auto size = ::recv(socket_, buffer, sizeof(buffer), 0);
+            if (size <= 0) {
+                closed_ = closed_ || size == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+                return;
+            }
+            received.append(buffer, static_cast<std::size_t>(size));
+        }
+    }
+    /// Whether the server closed; takes what has arrived.
+    bool closed() {
+        receive();
+        return closed_;
+    }
+    bool has(std::string_view text) {
+        receive();
+        return received.find(text) != std::string::npos;
+    }
+    void close() {
+        if (socket_ >= 0) {
+            ::close(std::exchange(socket_, -1));
+        }
+    }
+
+    std::string received;
+
+  private:
+    int socket_;
+    bool connected_ = false;
+    bool closed_ = false;
+};
+
+}  // namespace pearbarrow::net::testing
