--- a/src/pearbarrow/wire/methods.h
+++ b/src/pearbarrow/wire/methods.h
@@ -14,6 +14,8 @@
 inline constexpr method_number journal_read = 12;
 inline constexpr method_number journal_snapshot = 13;
 inline constexpr method_number journal_read_retained = 14;
+inline constexpr method_number journal_install = 15;
+inline constexpr method_number journal_status = 16;
 
 /// Program owner, called by gateways and by owners of parent and child programs.
 inline constexpr method_number program_request = 20;
@@ -32,4 +34,7 @@
 inline constexpr method_number ownership_offer = 50;
 inline constexpr method_number ownership_locate = 51;
 
+/// An operator's order to a node, passed on by the node that took it.
+inline constexpr method_number node_drain = 60;
+
 }  // namespace pearbarrow::wire
