Configuration objects, selectors and log core; membership and rendezvous cores

Configuration: typed objects read from JSON with every mistake named at once, Kubernetes-style selectors whose errors give a position, an immutable configuration with indexes, validation of a change before it is written, and the log core that brings a change to its final answer (accepted, conflict with the winner's name, unavailable, or unknown). Membership: SWIM with a ring probe beside the random one, suspicion shortened by confirmations, anti-entropy by bucket hashes and reconnection after partitions; rendezvous choice of owners, dispatchers, followers and replicas. A peer's table that calls a live member dead only makes it be probed, so that a healed partition does not bring down the members of both sides.

--- a/src/pearbarrow/config/objects.h
+++ b/src/pearbarrow/config/objects.h
@@ -2,9 +2,9 @@
 ///
 /// An object is a JSON resource `{"kind", "name", "labels", "spec"}`. Unknown fields are refused.
 ///
-/// Labels that selectors over programs see are the class's labels, then the tenant's, then the
-/// program's own, later ones winning, and the reserved keys `class`, `tenant` and `region`, which
-/// nobody can set.
+/// Labels that selectors over programs see are the program's own, then the class's, then the
+/// tenant's, later ones winning so that operators have the last word, and the reserved keys
+/// `class`, `tenant` and `region`, which nobody can set.
 #pragma once
 
 #include <compare>
--- a/src/pearbarrow/membership/swim.h
+++ b/src/pearbarrow/membership/swim.h
@@ -221,22 +221,26 @@
                             base::instant now, actions& out);
 
     void merge_record(const wire::member_record& record, base::instant now, actions& out);
-    void merge_accusation(const wire::member_accusation& accusation, base::instant now,
-                          actions& out);
+    void merge_accusation(const wire::member_accusation& accusation, bool from_table,
+                          base::instant now, actions& out);
+    void accuse(member_entry& entry, const wire::member_accusation& accusation, base::instant now,
+                actions& out);
     void merge_report(const wire::config_report& report, actions& out);
     void note_config_version(const base::node_id& id, base::config_version version, actions& out);
-    void defend_self(std::uint64_t generation, std::uint64_t incarnation, member_state state,
-                     actions& out);
+    void merge_record_of_self(const wire::member_record& record, actions& out);
+    void defend_self(std::uint64_t generation, std::uint64_t incarnation, member_state state);
     void confirm_suspicion(member_entry& entry, const base::node_id& accuser, base::instant now);
-    void set_state(member_entry& entry, member_state state, const base::node_id& accuser,
-                   base::instant now, actions& out);
+    void set_state(member_entry& entry, member_state state, base::instant now, actions& out);
+    void add_member(const member& next, base::instant now, actions& out);
     void adopt(member_entry& entry, const member& next, base::instant now, actions& out);
+    void recount();
 
     bool notice_pause(base::instant now);
     void start_probe_round(base::instant now, actions& out);
-    void start_probe(const base::node_id& target, base::instant now, actions& out);
+    void start_probe(const member_entry& target, base::instant now, actions& out,
+                     const wire::member_accusation* told = nullptr);
     void check_probes(base::instant now, actions& out);
-    void send_indirect(probe& waiting, base::instant now, actions& out);
+    void send_indirect(probe& waiting, actions& out);
     void fail_probe(const probe& failed, base::instant now, actions& out);
     void check_suspicions(base::instant now, actions& out);
     void forget_old(base::instant now, actions& out);
@@ -249,16 +253,25 @@
     wire::swim_datagram make_message(wire::swim_message_kind kind, std::uint64_t sequence) const;
     void send(const net::endpoint& to, wire::swim_datagram message, bool with_news, actions& out);
     void add_news(wire::swim_datagram& message, std::size_t size);
+    std::size_t add_news_about(const base::node_id& about, std::size_t room,
+                               wire::swim_datagram& message) const;
+    void add_reports(wire::swim_datagram& message, std::size_t room);
+    std::vector<wire::member_accusation> accusations_of(const member_entry& entry) const;
+    wire::member_accusation own_farewell() const;
     void send_members(const net::endpoint& to, const std::vector<std::uint64_t>& theirs,
                       actions& out);
     std::vector<std::uint64_t> bucket_digests() const;
+    std::size_t bucket_of(const base::node_id& id) const;
     void spread(const base::node_id& about);
     void spread_report(std::uint64_t member_hash);
+    void refill_allowance(base::instant now);
 
-    std::optional<base::node_id> ring_successor() const;
-    std::optional<base::node_id> next_in_round();
-    std::vector<base::node_id> random_live(std::size_t count, const base::node_id& except);
-    std::vector<base::node_id> random_with_state(std::size_t count, member_state state);
+    const member_entry* ring_successor() const;
+    const member_entry* next_in_round();
+    std::vector<const member_entry*> random_members(std::size_t count, member_state weakest,
+                                                    member_state strongest,
+                                                    const base::node_id& except);
+    bool is_probed(const base::node_id& id) const;
     std::size_t retransmit_limit() const;
     base::microseconds shortest_suspicion() const;
     base::microseconds scaled(base::milliseconds timeout) const;
@@ -274,6 +287,7 @@
     std::map<std::uint64_t, base::node_id> by_report_hash_;
     std::vector<net::endpoint> hints_;
     std::size_t live_others_ = 0;
+    std::uint64_t ring_position_ = 0;
 
     std::vector<news> news_;
     std::map<std::uint64_t, std::uint32_t> reports_;
@@ -289,6 +303,7 @@
     base::instant next_reconnect_;
     base::instant next_cleanup_;
     base::instant no_accusation_before_;
+    base::instant last_datagram_;
     double gossip_allowance_ = 0;
     base::instant allowance_at_;
     std::uint32_t doubt_ = 0;
--- /dev/null
+++ b/src/pearbarrow/membership/swim_members.cc
@@ -0,0 +1,309 @@
+/// The member table: what is believed of whom; see swim.h.
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+#include "pearbarrow/base/hash.h"
+#include "pearbarrow/membership/member_wire.h"
+#include "pearbarrow/membership/swim.h"
+
+namespace pearbarrow::membership {
+namespace {
+
+/// About this many nodes probe a suspect as soon as they hear of it.
+constexpr double prompt_probes = 8.0;
+
+auto strength(const member& value) {
+    return std::make_tuple(value.generation, value.incarnation, value.state);
+}
+
+}  // namespace
+
+// ---- Views ----
+
+std::vector<member> swim_core::members() const {
+    std::vector<member> result;
+    result.reserve(entries_.size() + 1);
+    for (const auto& [id, entry] : entries_) {
+        result.push_back(entry.value);
+    }
+    const auto place =
+        std::lower_bound(result.begin(), result.end(), self_.id,
+                         [](const member& each, const base::node_id& id) { return each.id < id; });
+    result.insert(place, self_);
+    return result;
+}
+
+std::vector<member> swim_core::live_members() const {
+    std::vector<member> result = members();
+    std::erase_if(result, [](const member& each) { return !each.is_live(); });
+    return result;
+}
+
+std::optional<member> swim_core::find(const base::node_id& id) const {
+    if (id == self_.id) {
+        return self_;
+    }
+    const auto found = entries_.find(id);
+    return found == entries_.end() ? std::nullopt : std::optional(found->second.value);
+}
+
+std::size_t swim_core::live_count() const {
+    return live_others_ + (self_.is_live() ? 1 : 0);
+}
+
+base::config_version swim_core::lowest_live_config_version() const {
+    base::config_version lowest = self_.config_version;
+    for (const auto& [id, entry] : entries_) {
+        if (entry.value.is_live()) {
+            lowest = std::min(lowest, entry.value.config_version);
+        }
+    }
+    return lowest;
+}
+
+void swim_core::recount() {
+    live_others_ = static_cast<std::size_t>(
+        std::count_if(entries_.begin(), entries_.end(),
+                      [](const auto& each) { return each.second.value.is_live(); }));
+}
+
+// ---- Records: what a node says of itself ----
+
+void swim_core::merge_record(const wire::member_record& record, base::instant now, actions& out) {
+    if (record.id == self_.id) {
+        merge_record_of_self(record, out);
+        return;
+    }
+    const member next = from_record(record);
+    const auto found = entries_.find(next.id);
+    if (found == entries_.end()) {
+        // The unknown dead stay unknown, or they would be told of for ever.
+        if (next.is_live()) {
+            add_member(next, now, out);
+        }
+        return;
+    }
+    member_entry& entry = found->second;
+    if (strength(next) > strength(entry.value)) {
+        adopt(entry, next, now, out);
+    } else if (next.generation == entry.value.generation) {
+        note_config_version(next.id, next.config_version, out);
+    }
+}
+
+void swim_core::add_member(const member& next, base::instant now, actions& out) {
+    member_entry& entry = entries_[next.id];
+    entry.value = next;
+    entry.since = now;
+    entry.ring_position = base::stable_hash(next.id.value());
+    entry.report_hash = report_hash(next.id, next.generation);
+    by_report_hash_[entry.report_hash] = next.id;
+    recount();
+    if (next.state == member_state::suspect) {
+        entry.value.state = member_state::alive;
+        set_state(entry, member_state::suspect, now, out);
+    }
+    spread(next.id);
+    out.emplace_back(member_changed{entry.value, std::nullopt, false});
+}
+
+void swim_core::adopt(member_entry& entry, const member& next, base::instant now, actions& out) {
+    const member_state previous = entry.value.state;
+    const bool restarted = next.generation != entry.value.generation;
+    const base::config_version reported = entry.value.config_version;
+    entry.value = next;
+    if (restarted) {
+        by_report_hash_.erase(entry.report_hash);
+        entry.report_hash = report_hash(next.id, next.generation);
+        by_report_hash_[entry.report_hash] = next.id;
+    } else {
+        entry.value.config_version = std::max(reported, next.config_version);
+    }
+    entry.accusers.clear();
+    if (next.state == member_state::suspect) {
+        entry.value.state = member_state::alive;
+        set_state(entry, member_state::suspect, now, out);
+    }
+    if (previous != entry.value.state) {
+        entry.since = now;
+    }
+    recount();
+    spread(next.id);
+    out.emplace_back(member_changed{entry.value, previous, false});
+}
+
+void swim_core::merge_record_of_self(const wire::member_record& record, actions& out) {
+    const member other = from_record(record);
+    if (other.generation <= self_.generation) {
+        defend_self(other.generation, other.incarnation, other.state);
+        return;
+    }
+    if (other.is_live() && other.metadata.datagram != self_.metadata.datagram) {
+        if (!identity_reported_) {
+            identity_reported_ = true;
+            out.emplace_back(identity_taken{other.generation});
+        }
+        return;
+    }
+    // An earlier process of this node, started when the clock was ahead.
+    defend_self(other.generation, other.incarnation, member_state::dead);
+}
+
+// ---- Accusations: what others say of a node ----
+
+void swim_core::merge_accusation(const wire::member_accusation& accusation, bool from_table,
+                                 base::instant now, actions& out) {
+    if (accusation.id == self_.id) {
+        defend_self(accusation.generation, accusation.incarnation,
+                    state_from_wire(accusation.state));
+        return;
+    }
+    const auto found = entries_.find(accusation.id);
+    if (found == entries_.end() || found->second.value.generation != accusation.generation) {
+        return;
+    }
+    member_entry& entry = found->second;
+    const bool old_death = from_table && entry.value.is_live() &&
+                           state_from_wire(accusation.state) == member_state::dead;
+    if (old_death && accusation.incarnation >= entry.value.incarnation) {
+        // The other side of a partition that has healed took it for dead. Let it refute that
+        // instead of believing it; if it is dead indeed, the probe will tell.
+        const double chance = prompt_probes / static_cast<double>(live_others_ + 1);
+        if (random_.chance(chance) && !is_probed(entry.value.id)) {
+            start_probe(entry, now, out, &accusation);
+        }
+        return;
+    }
+    accuse(entry, accusation, now, out);
+}
+
+void swim_core::accuse(member_entry& entry, const wire::member_accusation& accusation,
+                       base::instant now, actions& out) {
+    const member_state state = state_from_wire(accusation.state);
+    if (accusation.incarnation < entry.value.incarnation || state < entry.value.state ||
+        state == member_state::alive) {
+        return;
+    }
+    if (state == entry.value.state) {
+        if (state == member_state::suspect) {
+            confirm_suspicion(entry, accusation.accuser, now);
+        }
+        return;
+    }
+    entry.value.incarnation = accusation.incarnation;
+    set_state(entry, state, now, out);
+    if (state != member_state::suspect) {
+        return;
+    }
+    confirm_suspicion(entry, accusation.accuser, now);
+    const double chance = prompt_probes / static_cast<double>(live_others_ + 1);
+    if (accusation.accuser != self_.id && random_.chance(chance) && !is_probed(entry.value.id)) {
+        start_probe(entry, now, out);
+    }
+}
+
+void swim_core::set_state(member_entry& entry, member_state state, base::instant now,
+                          actions& out) {
+    const member_state previous = entry.value.state;
+    entry.value.state = state;
+    entry.since = now;
+    entry.accusers.clear();
+    if (state == member_state::suspect) {
+        ++statistics_.suspicions;
+        entry.suspicion_started = now;
+        entry.suspicion_ends = now + shortest_suspicion() * options_.suspicion_maximum_factor;
+    }
+    recount();
+    spread(entry.value.id);
+    out.emplace_back(member_changed{entry.value, previous, false});
+}
+
+void swim_core::confirm_suspicion(member_entry& entry, const base::node_id& accuser,
+                                  base::instant now) {
+    const std::size_t others = live_others_ <= 1 ? 0 : live_others_ - 1;
+    const std::size_t wanted = std::min<std::size_t>(options_.confirmations_wanted, others);
+    const bool known =
+        std::find(entry.accusers.begin(), entry.accusers.end(), accuser) != entry.accusers.end();
+    if (known || entry.accusers.size() > wanted) {
+        return;
+    }
+    entry.accusers.push_back(accuser);
+    spread(entry.value.id);
+    const double shortest = static_cast<double>(shortest_suspicion().count());
+    const double longest = shortest * options_.suspicion_maximum_factor;
+    const double confirmations = static_cast<double>(entry.accusers.size() - 1);
+    const double progress =
+        wanted == 0 ? 1.0 : std::log1p(confirmations) / std::log1p(static_cast<double>(wanted));
+    const double length = longest - (longest - shortest) * std::min(1.0, progress);
+    entry.suspicion_ends =
+        entry.suspicion_started + base::microseconds(static_cast<std::int64_t>(length));
+}
+
+void swim_core::defend_self(std::uint64_t generation, std::uint64_t incarnation,
+                            member_state state) {
+    if (leaving_ || options_.faults.no_refutation) {
+        return;
+    }
+    if (generation > self_.generation && state >= member_state::dead) {
+        self_.generation = generation + 1;
+        self_report_hash_ = report_hash(self_.id, self_.generation);
+        spread(self_.id);
+        return;
+    }
+    const bool accused = state != member_state::alive && incarnation >= self_.incarnation;
+    const bool overtaken = incarnation > self_.incarnation;
+    if (generation != self_.generation || !(accused || overtaken)) {
+        return;
+    }
+    self_.incarnation = incarnation + 1;
+    ++statistics_.refutations;
+    doubt_self_more();
+    spread(self_.id);
+}
+
+void swim_core::check_suspicions(base::instant now, actions& out) {
+    if (now < no_accusation_before_) {
+        return;
+    }
+    for (auto& [id, entry] : entries_) {
+        if (entry.value.state == member_state::suspect && now >= entry.suspicion_ends) {
+            ++statistics_.deaths;
+            set_state(entry, member_state::dead, now, out);
+        }
+    }
+}
+
+void swim_core::forget_old(base::instant now, actions& out) {
+    std::erase_if(entries_, [&](const auto& each) {
+        const member_entry& entry = each.second;
+        if (entry.value.is_live() || now - entry.since < options_.forget_after) {
+            return false;
+        }
+        by_report_hash_.erase(entry.report_hash);
+        out.emplace_back(member_changed{entry.value, entry.value.state, true});
+        return true;
+    });
+}
+
+// ---- Configuration versions ----
+
+void swim_core::merge_report(const wire::config_report& report, actions& out) {
+    const auto found = by_report_hash_.find(report.member_hash);
+    if (found != by_report_hash_.end()) {
+        note_config_version(found->second, report.version, out);
+    }
+}
+
+void swim_core::note_config_version(const base::node_id& id, base::config_version version,
+                                    actions& out) {
+    const auto found = entries_.find(id);
+    if (found == entries_.end() || version <= found->second.value.config_version) {
+        return;
+    }
+    found->second.value.config_version = version;
+    spread_report(found->second.report_hash);
+    out.emplace_back(member_config_version{id, version});
+}
+
+}  // namespace pearbarrow::membership
