Program owner: sequencing, budget, attempts, re-attach, release, transfers

A record's effects (sends, replies) wait until the record is committed.

A final answer stays final for its call number: running a refused number again would make an earlier "not run" untrue for a late duplicate.

--- a/src/pearbarrow/program/owner_options.h
+++ b/src/pearbarrow/program/owner_options.h
@@ -12,8 +12,10 @@
 struct disabled_mechanisms {
     bool call_order = false;
     bool budget_reservation = false;
-    /// Act before the intent is committed, and send an in-doubt call again after a take-over.
+    /// Act before the intent is committed, and answer before the result is.
     bool journal_before_act = false;
+    /// Send a call whose outcome is in doubt again, instead of asking the tool.
+    bool in_doubt_query = false;
     bool tenant_check = false;
     bool release_retry = false;
     bool event_id_check = false;
--- /dev/null
+++ b/src/pearbarrow/program/owner_state.h
@@ -0,0 +1,228 @@
+/// The inside of `shard_owner`; only files of this folder include it.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "pearbarrow/program/history_cache.h"
+#include "pearbarrow/program/limits.h"
+#include "pearbarrow/program/owner_options.h"
+#include "pearbarrow/program/program_state.h"
+#include "pearbarrow/program/runtime.h"
+#include "pearbarrow/program/shard_actions.h"
+#include "pearbarrow/program/shard_events.h"
+
+namespace pearbarrow::program {
+
+/// A program's durable state and runtime. The references hold until the program is forgotten.
+struct program_context {
+    program_state& program;
+    program_runtime& runtime;
+};
+
+/// The same for one unfinished call. The references hold until the call's result is committed.
+struct call_context {
+    program_state& program;
+    program_runtime& runtime;
+    call_state& call;
+    call_runtime& active;
+};
+
+/// Name of an attempt at its back end: `<program id>.<call number>.<attempt number>`.
+base::attempt_id attempt_name(const base::program_id& program, base::call_number number,
+                              attempt_number attempt);
+std::string event_id(attempt_number attempt, std::uint64_t offset);
+
+class owner_state {
+  public:
+    explicit owner_state(owner_options options);
+
+    std::vector<shard_action> apply(const shard_event& event, base::instant now);
+
+    std::size_t program_count() const { return programs_.size(); }
+    std::size_t history_cache_bytes() const { return histories_.bytes(); }
+    std::vector<base::program_id> live_programs() const;
+    bool idle() const;
+
+  private:
+    using effect = std::function<void()>;
+
+    // owner_state.cc: events, the journal, replies, time.
+    void on(const event::request_received& event);
+    void on(const event::requester_gone& event);
+    void on(const event::records_committed& event);
+    void on(const event::journal_availability& event);
+    void on(const event::ownership_lost& event);
+    void on(const event::concurrency_limits_changed& event);
+    void on(const event::tick& event);
+    void emit(shard_action action) { actions_.push_back(std::move(action)); }
+    /// Applies the record to the state and appends it to the journal.
+    void append(program_state& program, program_record record);
+    /// Runs `then` when everything appended so far is committed: at once if it is already.
+    void when_committed(effect then);
+    void make_snapshot_if_due();
+    action::leadership leadership() const;
+    void reply(reply_token token, wire::program_reply reply, bool confirm = false);
+    void reply_error(reply_token token, absl::Status status, bool confirm = false);
+    void reply_view(reply_token token, const base::program_id& program);
+    std::optional<program_context> find(const base::program_id& program);
+    std::optional<call_context> find(const base::program_id& program, base::call_number number);
+    std::optional<call_context> find(const base::attempt_id& attempt);
+    std::optional<call_context> find(offer_id offer);
+    void wake_at(const base::program_id& program, base::instant at);
+    base::microseconds backoff(std::uint32_t tries, const base::program_id& program) const;
+    /// Everything about one program that is due by time.
+    void check_program(program_context at);
+    void check_call(call_context at);
+    void check_deadline(call_context at);
+    void give_up_on_commit(call_context at);
+
+    // owner_requests.cc: what requesters ask for.
+    void refuse_unserved(reply_token token);
+    bool refuse_without_quorum(reply_token token);
+    void handle(reply_token token, const wire::program_request& request);
+    void open(reply_token token, const wire::program_request& request);
+    void handle(reply_token token, program_context at, const wire::program_request& request);
+    void submit(reply_token token, program_context at, const wire::submit_call_request& request);
+    void submit_new(reply_token token, program_context at, const wire::submit_call_request& request,
+                    base::call_number number);
+    void hold_early(reply_token token, program_context at, const wire::submit_call_request& request,
+                    base::call_number number);
+    void release_early(program_context at);
+    void accept(reply_token token, program_context at, const wire::submit_call_request& request,
+                base::call_number number);
+    absl::Status admit(program_context at, const wire::submit_call_request& request);
+    void cancel(reply_token token, program_context at, base::call_number number);
+    void explain(reply_token token, program_context at, base::call_number number);
+    void open_program(const base::program_id& id, const base::tenant_id& tenant,
+                      const wire::open_program_request& request);
+
+    // owner_calls.cc: the life of a call from acceptance to result.
+    void advance(program_context at);
+    void begin(call_context at);
+    void offer(call_context at);
+    action::call_description describe(call_context at, attempt_number attempt) const;
+    void on(const event::placement_granted& event);
+    void on(const event::placement_refused& event);
+    void on(const event::placement_lost& event);
+    void send_attempt(call_context at);
+    void start_model(call_context at, const program_history& history);
+    void start_tool(call_context at);
+    void finish_placement(call_context at, wire::attempt_outcome outcome,
+                          std::optional<wire::token_usage> usage);
+    void fail(call_context at, const absl::Status& status, std::optional<std::uint64_t> spent);
+    void finish(call_context at, result_record result);
+    void complete(const base::program_id& program, base::call_number number);
+    /// Closes the attempt and waits before the next one, or fails the call when it had enough.
+    void retry(call_context at, const absl::Status& why, std::optional<std::uint64_t> spent);
+    /// Stops a call at whatever stage it is; its answer will be `status` with the truth on
+    /// `executed`.
+    void stop(call_context at, absl::StatusCode code, std::string_view message,
+              std::string_view reason);
+    base::executed executed_so_far(const call_context& at) const;
+    void set_stage(call_runtime& active, call_stage stage);
+
+    // owner_models.cc: attempts at engines.
+    void on(const event::model_part& event);
+    void on(const event::model_finished& event);
+    void on(const event::model_failed& event);
+    void on(const event::model_lost& event);
+    void resume_model(call_context at);
+    void stop_model(call_context at);
+    void conclude_stop(call_context at, std::optional<wire::token_usage> usage);
+
+    // owner_tools.cc: attempts at tools.
+    void on(const event::tool_finished& event);
+    void on(const event::tool_failed& event);
+    void on(const event::tool_lost& event);
+    void on(const event::tool_status& event);
+    void query_tool(call_context at);
+    void tool_in_doubt(call_context at);
+    void tool_ran(call_context at, const std::string& output);
+    void tool_cannot_tell(call_context at);
+    void tool_never_ran(call_context at);
+
+    // owner_readers.cc: answers to readers, histories.
+    void attach(program_context at, base::call_number number, call_reader reader);
+    void deliver(call_context at);
+    void deliver(call_reader& reader, base::call_number number, attempt_number attempt,
+                 const std::string& text);
+    void answer(call_reader reader, const program_state& program, const result_record& result);
+    const program_history* history(program_context at);
+    void need_history(program_context at, history_request request);
+    void request_history(program_context at);
+    void answer_history_requests(program_context at, const program_history& history);
+    void on(const event::retained_read& event);
+
+    // owner_ending.cc: end, release, forget.
+    void begin_end(program_context at, const std::string& reason);
+    void finish_end_if_quiet(program_context at);
+    void after_end(program_context at);
+    void start_releases(program_context at);
+    void check_releases(program_context at);
+    void on(const event::cache_released& event);
+    void check_limits(program_context at);
+    void check_forget(program_context at);
+    void forget(program_context at);
+
+    // owner_transfers.cc: budgets between a program and its sub-programs.
+    void open_sub_program(reply_token token, const wire::program_request& request);
+    void open_child(reply_token token, const wire::program_request& request);
+    void take_back(reply_token token, program_context at,
+                   const wire::return_budget_request& request);
+    void check_transfers(program_context at);
+    void check_budget_return(program_context at);
+    void send_open_child(program_context at, const base::program_id& child);
+    void on(const event::owner_answered& event);
+    void child_answered(program_context at, const base::program_id& child,
+                        const absl::StatusOr<wire::program_reply>& reply);
+    void return_answered(program_context at, const absl::StatusOr<wire::program_reply>& reply);
+
+    // recovery.cc: the first event of a term.
+    void on(const event::journal_recovered& event);
+    void recover(program_context at);
+    void recover_attempt(call_context at);
+
+    wire::program_view view_of(const program_state& program) const;
+
+    const owner_options options_;
+    base::instant now_{};
+    std::vector<shard_action> actions_;
+
+    bool recovered_ = false;
+    bool lost_ = false;
+    bool quorum_ = true;
+    base::node_id new_owner_;
+
+    program_map programs_;
+    std::map<base::program_id, program_runtime> runtimes_;
+    history_cache histories_;
+    concurrency concurrency_;
+
+    append_sequence last_appended_ = 0;
+    append_sequence committed_ = 0;
+    /// When each uncommitted record was appended.
+    std::deque<std::pair<append_sequence, base::instant>> append_times_;
+    base::instant leadership_known_at_{};
+    std::deque<std::pair<append_sequence, effect>> effects_;
+    std::uint64_t records_since_snapshot_ = 0;
+
+    /// Requesters that have not had their final answer.
+    std::set<reply_token> waiting_;
+    std::uint64_t next_offer_ = 1;
+    std::map<offer_id, std::pair<base::program_id, base::call_number>> offers_;
+    std::map<base::attempt_id, std::pair<base::program_id, base::call_number>> attempts_;
+    std::uint64_t next_exchange_ = 1;
+    /// Program, and its child when the exchange opens one.
+    std::map<std::uint64_t, std::pair<base::program_id, std::optional<base::program_id>>>
+        exchanges_;
+    std::set<std::pair<base::instant, base::program_id>> wake_ups_;
+};
+
+}  // namespace pearbarrow::program
--- a/src/pearbarrow/program/program_state.cc
+++ b/src/pearbarrow/program/program_state.cc
@@ -58,7 +58,9 @@
     });
 }
 
-std::uint64_t hash_of(const wire::call_body& body) { return base::stable_hash(wire::encode(body)); }
+std::uint64_t hash_of(const wire::call_body& body) {
+    return base::stable_hash(wire::encode(body));
+}
 
 std::uint64_t prompt_tokens(const wire::call_body& body, std::uint64_t history_tokens) {
     if (!body.model) {
--- a/src/pearbarrow/program/program_state.h
+++ b/src/pearbarrow/program/program_state.h
@@ -82,8 +82,8 @@
     prefix_chain history;
     /// Age of the program at its newest record.
     std::uint64_t age_ms = 0;
-    MSGPACK_DEFINE(id, tenant, request, budget, phase, end_reason, calls, children,
-                   budget_returned, engines, last_engine, history, age_ms);
+    MSGPACK_DEFINE(id, tenant, request, budget, phase, end_reason, calls, children, budget_returned,
+                   engines, last_engine, history, age_ms);
 
     bool open() const { return phase == program_phase::open; }
     base::call_number next_call() const;
--- a/src/pearbarrow/program/records.cc
+++ b/src/pearbarrow/program/records.cc
@@ -44,7 +44,9 @@
     return record;
 }
 
-std::string retention_prefix(const base::program_id& program) { return program.value() + "/"; }
+std::string retention_prefix(const base::program_id& program) {
+    return program.value() + "/";
+}
 
 std::string retention_key(const base::program_id& program, base::call_number number) {
     return fmt::format("{}/{:010}", program.value(), number.value());
