--- a/tests/unit/net/http_test.cc
+++ b/tests/unit/net/http_test.cc
@@ -1,43 +1,12 @@
 #include "pearbarrow/net/http.h"
 
-#include "net_fixture.h"
-#include "pearbarrow/base/status.h"
+#include "http_fixture.h"
 
 #include <criterion/criterion.h>
 
 using namespace pearbarrow;
 using namespace pearbarrow::net;
 using namespace pearbarrow::net::testing;
-using std::chrono::milliseconds;
-
-namespace {
-
-std::unique_ptr<http_server> serve(event_loop& loop, http_handler handler,
-                                   http_server_options options = {}) {
-    options.listen = loopback;
-    auto server = make_http_server(loop, std::move(options), std::move(handler));
-    cr_assert(server->start().ok());
-    return server;
-}
-
-void echo(const std::shared_ptr<http_exchange>& exchange) {
-    exchange->respond({.status = 200,
-                       .headers = {{"X-Target", exchange->request().target}},
-                       .body = exchange->request().body});
-}
-
-absl::StatusOr<http_response> fetch(event_loop& loop, http_client& client, http_call call) {
-    absl::StatusOr<http_response> result = absl::UnknownError("no answer");
-    bool done = false;
-    client.fetch(std::move(call), [&](absl::StatusOr<http_response> response) {
-        result = std::move(response);
-        done = true;
-    });
-    cr_assert(run_until(loop, [&] { return done; }));
-    return result;
-}
-
-}  // namespace
 
 Test(http, answers_requests_on_one_connection) {
     event_loop loop;
@@ -79,3 +48,117 @@
     cr_assert(seen == "onetwo");
     cr_assert(server->open_exchanges() == 0);
 }
+
+Test(http, a_dropped_exchange_answers_500) {
+    event_loop loop;
+    const auto server = serve(loop, [](const std::shared_ptr<http_exchange>&) {});
+    const auto client = make_http_client(loop);
+    const auto response = fetch(loop, *client, get(server->local_endpoint()));
+    cr_assert(response.ok());
+    cr_assert(response->status == 500);
+    cr_assert(response->headers.find("content-type") == "application/problem+json");
+    cr_assert(server->open_exchanges() == 0);
+}
+
+Test(http, a_dropped_stream_is_seen_as_broken) {
+    event_loop loop;
+    const auto server = serve(loop, [](const std::shared_ptr<http_exchange>& exchange) {
+        exchange->start_stream(200, {});
+        exchange->write("a part");
+    });
+    const auto client = make_http_client(loop);
+    const auto response = fetch(loop, *client, get(server->local_endpoint()));
+    cr_assert(!response.ok());
+    cr_assert(server->open_exchanges() == 0);
+}
+
+Test(http, answers_requests_that_arrive_together_one_after_another) {
+    event_loop loop;
+    const auto server = serve(loop, echo);
+    raw_client client(server->local_endpoint());
+    client.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+    cr_assert(run_until(loop, [&] { return client.has("X-Target: /2"); }));
+    cr_assert(client.received.find("X-Target: /1") < client.received.find("X-Target: /2"));
+}
+
+Test(http, a_head_request_gets_no_body) {
+    event_loop loop;
+    const auto server = serve(loop, [](const std::shared_ptr<http_exchange>& exchange) {
+        exchange->respond({.status = 200, .body = "body"});
+    });
+    const auto client = make_http_client(loop);
+    for (int turn = 0; turn < 2; ++turn) {
+        auto call = get(server->local_endpoint());
+        call.method = "HEAD";
+        const auto response = fetch(loop, *client, std::move(call));
+        cr_assert(response.ok());
+        cr_assert(response->body.empty());
+        cr_assert(response->headers.find("content-length") == "4");
+    }
+}
+
+Test(http, tells_a_client_that_expects_it_to_continue) {
+    event_loop loop;
+    const auto server = serve(loop, echo);
+    raw_client client(server->local_endpoint());
+    client.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n");
+    cr_assert(run_until(loop, [&] { return client.has("100 Continue\r\n\r\n"); }));
+    client.send("body");
+    cr_assert(run_until(loop, [&] { return client.has("\r\n\r\nbody"); }));
+}
+
+Test(http, streams_to_an_old_client_until_the_connection_closes) {
+    event_loop loop;
+    const auto server = serve(loop, [](const std::shared_ptr<http_exchange>& exchange) {
+        exchange->start_stream(200, {});
+        exchange->write("plain");
+        exchange->finish();
+    });
+    raw_client client(server->local_endpoint());
+    client.send("GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n");
+    cr_assert(run_until(loop, [&] { return client.closed(); }));
+    cr_assert(client.received.find("chunked") == std::string::npos);
+    cr_assert(client.has("\r\n\r\nplain"));
+}
+
+Test(http, a_header_value_cannot_add_lines) {
+    event_loop loop;
+    const auto server = serve(loop, [](const std::shared_ptr<http_exchange>& exchange) {
+        exchange->respond({.headers = {{"X-Bad", "a\r\nX-Injected: b"}}});
+    });
+    const auto client = make_http_client(loop);
+    const auto response = fetch(loop, *client, get(server->local_endpoint()));
+    cr_assert(response.ok());
+    cr_assert(!response->headers.find("x-injected").has_value());
+}
+
+Test(http, stopping_closes_idle_connections_and_finishes_answers) {
+    event_loop loop;
+    std::shared_ptr<http_exchange> held;
+    const auto server =
+        serve(loop, [&](std::shared_ptr<http_exchange> exchange) { held = std::move(exchange); });
+    const endpoint address = server->local_endpoint();
+    raw_client idle(address);
+    raw_client waiting(address);
+    waiting.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    cr_assert(run_until(loop, [&] { return held != nullptr; }));
+    server->stop_accepting();
+    cr_assert(run_until(loop, [&] { return idle.closed(); }));
+    cr_assert(!waiting.closed());
+    held->respond({.body = "late"});
+    cr_assert(run_until(loop, [&] { return waiting.closed(); }));
+    cr_assert(waiting.has("Connection: close"));
+    cr_assert(waiting.has("late"));
+    cr_assert(!raw_client(address).connected());
+}
+
+Test(http, reads_query_parameters) {
+    http_request request;
+    request.target = "/path?a=1%202&b=%zz&c&d=x+y";
+    cr_assert(request.path() == "/path");
+    cr_assert(request.query("a") == "1 2");
+    cr_assert(request.query("b") == "%zz");
+    cr_assert(request.query("c") == "");
+    cr_assert(request.query("d") == "x y");
+    cr_assert(!request.query("e").has_value());
+}
--- a/tests/unit/net/net_fixture.h
+++ b/tests/unit/net/net_fixture.h
@@ -8,10 +8,12 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <chrono>
 #include <functional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "pearbarrow/net/endpoint.h"
 #include "pearbarrow/net/event_loop.h"
@@ -101,4 +103,75 @@
     bool closed_ = false;
 };
 
+/// A TCP server without any protocol: takes one connection at a time.
+class raw_server {
+  public:
+    raw_server() : listener_(::socket(AF_INET, SOCK_STREAM, 0)) {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        ::bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+        ::listen(listener_, 16);
+        ::fcntl(listener_, F_SETFL, O_NONBLOCK);
+        socklen_t size = sizeof(address);
+        ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+        local_ = {"127.0.0.1", ntohs(address.sin_port)};
+    }
+    raw_server(const raw_server&) = delete;
+    raw_server& operator=(const raw_server&) = delete;
+    ~raw_server() {
+        close_connection();
+        ::close(listener_);
+    }
+
+    const endpoint& local_endpoint() const { return local_; }
+    /// Takes a waiting connection, closing the earlier one; whether there was one.
+    bool accept() {
+        const int socket = ::accept(listener_, nullptr, nullptr);
+        if (socket < 0) {
+            return false;
+        }
+        close_connection();
+        socket_ = socket;
+        ::fcntl(socket_, F_SETFL, O_NONBLOCK);
+        ++accepted;
+        return true;
+    }
+    /// Whether `text` has arrived on the present connection; accepts one first if there is none.
+    bool has(std::string_view text) {
+        if (socket_ < 0 && !accept()) {
+            return false;
+        }
+        char buffer[65536];
+        for (;;) {
+            const auto size = ::recv(socket_, buffer, sizeof(buffer), 0);
+            if (size <= 0) {
+                peer_closed = peer_closed || size == 0;
+                break;
+            }
+            received.append(buffer, static_cast<std::size_t>(size));
+        }
+        return received.find(text) != std::string::npos;
+    }
+    void send(std::string_view bytes) const {
+        [[maybe_unused]] const auto sent =
+            ::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+    void close_connection() {
+        if (socket_ >= 0) {
+            ::close(std::exchange(socket_, -1));
+        }
+        received.clear();
+    }
+
+    std::string received;
+    int accepted = 0;
+    bool peer_closed = false;
+
+  private:
+    int listener_;
+    int socket_ = -1;
+    endpoint local_;
+};
+
 }  // namespace pearbarrow::net::testing
