--- a/src/pearbarrow/emulator/engine_model.h
+++ b/src/pearbarrow/emulator/engine_model.h
@@ -185,6 +185,7 @@
     const engine_options& options() const { return options_; }
     const engine_totals& totals() const { return totals_; }
     const cache_accounting& accounting() const { return cache_.accounting(); }
+    std::uint64_t cache_blocks_used() const { return cache_.used_blocks(); }
     cache_namespace current_namespace(std::string adapter) const;
     /// All attempts in memory, for the meter.
     std::vector<backend::meter_entry> meter() const;
