Placement: decision core, queue, engine table, rules, explanation

A cell scheduler orders waiting calls by program, chooses engines by expected time with prefix affinity, holds tenants to their limits, refuses early and keeps a record of each decision that `verify` decides again.

--- /dev/null
+++ b/src/pearbarrow/placement/call_queue.h
@@ -0,0 +1,112 @@
+/// The calls that wait in a cell, in order: past the starvation bound first, then by priority, then
+/// tenants within their share, then by the program's key. Every operation takes O(log n).
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+#include <ext/pb_ds/assoc_container.hpp>
+#include <ext/pb_ds/tree_policy.hpp>
+
+#include "pearbarrow/base/clock.h"
+#include "pearbarrow/base/ids.h"
+#include "pearbarrow/wire/placement_messages.h"
+
+namespace pearbarrow::placement {
+
+/// Set of engines of a cell, one bit each.
+using engine_mask = std::uint64_t;
+
+/// Position of a call; smaller goes first.
+struct queue_key {
+    /// 0: past the starvation bound, 1: others.
+    std::uint8_t band = 1;
+    /// Negated priority.
+    std::int32_t priority = 0;
+    /// 1 when the tenant has had more than its share of late.
+    std::uint8_t over_share = 0;
+    double order = 0;
+    std::uint64_t sequence = 0;
+
+    auto operator<=>(const queue_key&) const = default;
+};
+
+/// A call that waits.
+struct waiting_call {
+    wire::placement_offer offer;
+    queue_key key;
+    /// When the call came in, counted with the time before this offer.
+    base::instant waiting_since;
+    /// None when the caller set no deadline.
+    std::optional<base::instant> deadline;
+    /// Engines that rules, model and context length permit.
+    engine_mask permitted = 0;
+};
+
+class call_queue {
+  public:
+    /// Returns false when the attempt is waiting already.
+    bool insert(waiting_call call);
+    /// Removes and returns the call; none when it is unknown.
+    std::optional<waiting_call> remove(const base::attempt_id& attempt);
+    const waiting_call* find(const base::attempt_id& attempt) const;
+    std::size_t size() const { return calls_.size(); }
+
+    /// Calls that go before this key, over all engines.
+    std::size_t ahead_of(const queue_key& key) const { return all_.order_of_key(key); }
+    /// Moves a call to a new position.
+    void change_key(const base::attempt_id& attempt, queue_key key);
+    /// Changes the engines that a call may use.
+    void change_permitted(const base::attempt_id& attempt, engine_mask permitted);
+
+    /// Moves calls that have waited since before `bound` to the front.
+    void promote_starved(base::instant bound);
+    /// Attempts whose deadline is at or before `now`.
+    std::vector<base::attempt_id> past_deadline(base::instant now) const;
+    std::vector<base::attempt_id> attempts() const;
+
+    /// Reads the queue in order, only calls that may use one of the `open` engines, passing over
+    /// calls that were looked at.
+    class cursor {
+      public:
+        cursor(const call_queue& queue, engine_mask open);
+        /// The next call, or null at the end. `open` may shrink between steps.
+        const waiting_call* next(engine_mask open);
+
+      private:
+        const call_queue& queue_;
+        struct position {
+            engine_mask mask = 0;
+            std::optional<queue_key> last;
+        };
+        std::vector<position> positions_;
+    };
+
+  private:
+    template <typename Mapped>
+    using ordered =
+        __gnu_pbds::tree<queue_key, Mapped, std::less<queue_key>, __gnu_pbds::rb_tree_tag,
+                         __gnu_pbds::tree_order_statistics_node_update>;
+    /// Calls that may use the same engines.
+    using lane = std::map<queue_key, waiting_call*>;
+
+    void link(waiting_call& call);
+    void unlink(waiting_call& call);
+
+    absl::flat_hash_map<base::attempt_id, std::unique_ptr<waiting_call>> calls_;
+    ordered<__gnu_pbds::null_type> all_;
+    std::map<engine_mask, lane> lanes_;
+    /// By arrival; only calls not yet past the starvation bound.
+    std::set<std::pair<base::instant, std::uint64_t>> arrivals_;
+    std::map<std::uint64_t, waiting_call*> by_sequence_;
+    std::set<std::pair<base::instant, std::uint64_t>> deadlines_;
+};
+
+}  // namespace pearbarrow::placement
--- a/src/pearbarrow/placement/cell_scheduler.h
+++ b/src/pearbarrow/placement/cell_scheduler.h
@@ -22,6 +22,21 @@
 
 namespace pearbarrow::placement {
 
+/// What the order of waiting calls goes by.
+enum class queue_order : std::uint8_t {
+    /// The call that came first.
+    arrival,
+    /// The program that started first.
+    program_start,
+    /// The program that has been served least.
+    least_attained,
+    /// The program with the least expected remaining work.
+    shortest_remaining,
+    /// The program's start plus a multiple of its expected remaining work: short programs pass long
+    /// ones, and every program's turn comes.
+    stretch,
+};
+
 /// How calls in the queue are ordered and placed. The fields that switch a mechanism off are for
 /// experiments and tests.
 struct cell_options {
@@ -29,15 +44,24 @@
     /// A call that has waited this long goes before every call that has not.
     base::milliseconds starvation_bound{30'000};
     /// Decision records kept in memory for `explain`.
-    std::uint32_t record_limit = 4096;
+    std::uint32_t record_limit = 1024;
     /// A load report older than this is not used.
     base::milliseconds report_horizon{5'000};
+    /// For this long after the first event, load reports count as calls in flight that are not
+    /// registered yet.
+    base::milliseconds take_over_time{10'000};
     /// The longest pin of a paused program's prefix.
     base::milliseconds longest_pin{60'000};
-    /// Calls waiting that one pass over the queue looks at when the head can't start.
+    /// A paused program's prefix is kept while the chance of its return is above this, a second.
+    double least_return_rate = 0.02;
+    /// How long a call may wait for the engine that holds its prefix.
+    base::milliseconds affinity_wait{2'000};
+    /// Calls that one pass over the queue looks at beyond those it grants.
     std::uint32_t scan_limit = 16;
+    queue_order order = queue_order::stretch;
+    /// Multiple of the expected remaining work in `queue_order::stretch`.
+    double stretch_factor = 4;
 
-    bool program_order = true;
     bool prefix_affinity = true;
     bool retention = true;
     bool tenant_fairness = true;
@@ -129,6 +153,8 @@
     /// Lower runs first, as in backend/engine_client.h.
     std::int32_t engine_priority = 0;
     base::milliseconds pin_lease{0};
+    /// Engines that hold an outdated prefix of the program: the owner may release it there.
+    std::vector<base::backend_id> stale_holders;
     decision_record decision;
 };
 /// Send the reply with the refusal. `status` carries step, reason and retry_after.
--- a/src/pearbarrow/placement/decision.h
+++ b/src/pearbarrow/placement/decision.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -52,6 +53,8 @@
     std::uint64_t prefill_backlog = 0;
     /// Prompt tokens that this call would find in the engine's cache, as far as known.
     std::uint32_t cached_tokens = 0;
+    /// Of these, tokens that calls in flight hold already (shared prefixes, counted once).
+    std::uint32_t shared_tokens = 0;
     /// Prefill and decode speeds as learned from finished calls.
     double prefill_us_per_token = 0;
     double decode_us_per_token = 0;
@@ -65,7 +68,7 @@
     bool report_known = false;
 
     MSGPACK_DEFINE(backend, eligible, exclusion, in_flight, in_flight_limit, tokens_in_flight,
-                   token_limit, prefill_backlog, cached_tokens, prefill_us_per_token,
+                   token_limit, prefill_backlog, cached_tokens, shared_tokens, prefill_us_per_token,
                    decode_us_per_token, decode_us_per_sequence, slowdown, expected_wait_us,
                    report_age_ms, report_known);
 };
@@ -157,6 +160,17 @@
 /// of the queue and for a new offer.
 decision_outcome decide(const decision_inputs& inputs);
 
+/// The outcome without texts and scores: what the scheduler needs on its way through the queue.
+struct quick_outcome {
+    decision_kind kind = decision_kind::waiting;
+    std::string_view reason;
+    /// Index into the candidates, when granted.
+    std::optional<std::size_t> chosen;
+    std::uint64_t retry_after_ms = 0;
+};
+/// The same decision as `decide`, without allocating.
+quick_outcome decide_quickly(const decision_inputs& inputs);
+
 /// Decides again from the record. Ok when the outcome is the recorded one; otherwise a
 /// kDataLoss status, reason `decision_differs`, that names the first difference.
 absl::Status verify(const decision_record& record);
--- a/src/pearbarrow/wire/placement_messages.h
+++ b/src/pearbarrow/wire/placement_messages.h
@@ -88,6 +88,8 @@
     std::int32_t engine_priority = 0;
     /// How long the engine is asked to keep the program's prefix after the answer; 0 for no pin.
     std::uint64_t pin_lease_ms = 0;
+    /// Engines that hold an outdated prefix of the program: the owner may release it there.
+    std::vector<base::backend_id> stale_holders;
 
     /// Set when refused: an absl::StatusCode, a snake_case reason, a sentence, and when to come
     /// back (0: repeating can't help). A refused attempt was not and will not be run.
@@ -99,8 +101,8 @@
     /// The packed `placement::decision_record`, journaled with the call by the owner.
     std::string decision;
 
-    MSGPACK_DEFINE(answer, attempt, backend, grant, engine_priority, pin_lease_ms, status_code,
-                   reason, message, retry_after_ms, decision);
+    MSGPACK_DEFINE(answer, attempt, backend, grant, engine_priority, pin_lease_ms, stale_holders,
+                   status_code, reason, message, retry_after_ms, decision);
 };
 
 enum class attempt_outcome : std::uint8_t { completed = 0, cancelled = 1, failed = 2, lost = 3 };
