--- /dev/null
+++ b/src/pearbarrow/settings/field_reader.cc
@@ -0,0 +1,207 @@
+#include "pearbarrow/settings/field_reader.h"
+
+#include <utility>
+
+#include <spdlog/fmt/fmt.h>
+
+namespace pearbarrow::settings {
+namespace {
+
+constexpr std::size_t max_items = 1'024;
+
+std::string_view wanted_endpoint(endpoint_use use) {
+    return use == endpoint_use::listen
+               ? R"(must be an IP number and a port, such as "127.0.0.1:8080" or "[::1]:8080")"
+               : R"(must be an IP number (no name, not 0.0.0.0) and a port from 1 to 65535)";
+}
+
+bool usable(const ip_endpoint& value, endpoint_use use) {
+    const bool open = value.port == 0 || value.address == "0.0.0.0" || value.address == "::";
+    return use == endpoint_use::listen || !open;
+}
+
+std::optional<ip_endpoint> endpoint_of(const toml::node& node, endpoint_use use) {
+    const auto text = node.value_exact<std::string>();
+    const auto parsed = text.has_value() ? parse_ip_endpoint(*text) : std::nullopt;
+    return parsed.has_value() && usable(*parsed, use) ? parsed : std::nullopt;
+}
+
+}  // namespace
+
+const toml::node* field_reader::find(std::string_view path) const {
+    return document_.at_path(path).node();
+}
+
+const toml::node* field_reader::take(std::string_view path) {
+    known_.emplace(path);
+    return find(path);
+}
+
+bool field_reader::has(std::string_view path) const {
+    return find(path) != nullptr;
+}
+
+std::uint32_t field_reader::line_of(std::string_view path) const {
+    const auto* node = find(path);
+    return node == nullptr ? 0 : node->source().begin.line;
+}
+
+void field_reader::note(std::string_view path, std::string message) {
+    problems_.push_back({std::string(path), line_of(path), std::move(message)});
+}
+
+void field_reader::note_at(const toml::node& node, std::string_view path, std::string message) {
+    problems_.push_back({std::string(path), node.source().begin.line, std::move(message)});
+}
+
+bool field_reader::require(std::string_view path) {
+    known_.emplace(path);
+    if (!has(path)) {
+        note(path, "is missing");
+        return false;
+    }
+    return true;
+}
+
+void field_reader::read(std::string_view path, std::string& target, std::size_t max_bytes) {
+    const auto* node = take(path);
+    if (node == nullptr) {
+        return;
+    }
+    const auto text = node->value_exact<std::string>();
+    if (!text.has_value()) {
+        note(path, "must be a string");
+    } else if (text->empty() || text->size() > max_bytes) {
+        note(path, fmt::format("must have 1 to {} bytes", max_bytes));
+    } else {
+        target = *text;
+    }
+}
+
+void field_reader::read_integer(std::string_view path, std::uint64_t least, std::uint64_t most,
+                                std::uint64_t& target) {
+    const auto* node = take(path);
+    if (node == nullptr) {
+        return;
+    }
+    const auto number = node->value_exact<std::int64_t>();
+    const bool good = number.has_value() && *number >= 0 &&
+                      static_cast<std::uint64_t>(*number) >= least &&
+                      static_cast<std::uint64_t>(*number) <= most;
+    if (!good) {
+        note(path, fmt::format("must be a whole number from {} to {}", least, most));
+        return;
+    }
+    target = static_cast<std::uint64_t>(*number);
+}
+
+void field_reader::read_size(std::string_view path, std::size_t least, std::size_t most,
+                             std::size_t& target) {
+    std::uint64_t value = target;
+    read_integer(path, least, most, value);
+    target = value;
+}
+
+void field_reader::read_milliseconds(std::string_view path, base::milliseconds least,
+                                     base::milliseconds most, base::milliseconds& target) {
+    auto value = static_cast<std::uint64_t>(target.count());
+    read_integer(path, static_cast<std::uint64_t>(least.count()),
+                 static_cast<std::uint64_t>(most.count()), value);
+    target = base::milliseconds(value);
+}
+
+void field_reader::read_endpoint(std::string_view path, endpoint_use use, ip_endpoint& target) {
+    const auto* node = take(path);
+    if (node == nullptr) {
+        return;
+    }
+    const auto value = endpoint_of(*node, use);
+    if (!value.has_value()) {
+        note(path, std::string(wanted_endpoint(use)));
+        return;
+    }
+    target = *value;
+}
+
+void field_reader::read_endpoint(std::string_view path, endpoint_use use,
+                                 std::optional<ip_endpoint>& target) {
+    ip_endpoint value;
+    read_endpoint(path, use, value);
+    if (!value.address.empty()) {
+        target = value;
+    }
+}
+
+void field_reader::read_endpoints(std::string_view path, std::vector<ip_endpoint>& target) {
+    const auto* node = take(path);
+    if (node == nullptr) {
+        return;
+    }
+    const auto* items = node->as_array();
+    if (items == nullptr || items->size() > max_items) {
+        note(path, fmt::format("must be an array of at most {} addresses", max_items));
+        return;
+    }
+    std::size_t index = 0;
+    for (const auto& item : *items) {
+        const auto value = endpoint_of(item, endpoint_use::remote);
+        if (value.has_value()) {
+            target.push_back(*value);
+        } else {
+            note_at(item, fmt::format("{}[{}]", path, index),
+                    std::string(wanted_endpoint(endpoint_use::remote)));
+        }
+        ++index;
+    }
+}
+
+void field_reader::read_texts(std::string_view path, std::vector<std::string>& target) {
+    const auto* node = take(path);
+    if (node == nullptr) {
+        return;
+    }
+    const auto* items = node->as_array();
+    if (items == nullptr || items->size() > max_items) {
+        note(path, fmt::format("must be an array of at most {} strings", max_items));
+        return;
+    }
+    std::size_t index = 0;
+    for (const auto& item : *items) {
+        const auto text = item.value_exact<std::string>();
+        if (text.has_value()) {
+            target.push_back(*text);
+        } else {
+            note_at(item, fmt::format("{}[{}]", path, index), "must be a string");
+        }
+        ++index;
+    }
+}
+
+bool field_reader::is_known_table(const std::string& path) const {
+    const auto prefix = path + ".";
+    const auto next = known_.lower_bound(prefix);
+    return next != known_.end() && next->rfind(prefix, 0) == 0;
+}
+
+void field_reader::note_unknown_in(const toml::table& table, const std::string& prefix) {
+    for (const auto& [key, node] : table) {
+        const auto path = prefix + std::string(key.str());
+        if (known_.find(path) != known_.end()) {
+            continue;
+        }
+        const auto* inner = node.as_table();
+        if (!is_known_table(path)) {
+            note_at(node, path, "is not a known field");
+        } else if (inner == nullptr) {
+            note_at(node, path, "must be a table");
+        } else {
+            note_unknown_in(*inner, path + ".");
+        }
+    }
+}
+
+void field_reader::note_unknown() {
+    note_unknown_in(document_, "");
+}
+
+}  // namespace pearbarrow::settings
