--- a/src/pearbarrow/membership/swim.cc
+++ b/src/pearbarrow/membership/swim.cc
@@ -136,8 +136,7 @@
     leave_ends_ = now + options_.leave_period;
     probes_.clear();
     spread(self_.id);
-    for (const member_entry* each :
-         random_members(farewell_fanout, member_state::alive, member_state::suspect, self_.id)) {
+    for (const member_entry* each : random_live(farewell_fanout)) {
         send(each->value.metadata.datagram, make_message(wire::swim_message_kind::gossip, 0), true,
              out);
     }
@@ -168,18 +167,9 @@
                        [&](const probe& each) { return each.target == id; });
 }
 
-const member_entry* swim_core::ring_successor() const {
-    const member_entry* best = nullptr;
-    std::uint64_t best_distance = 0;
-    for (const auto& [id, entry] : entries_) {
-        // Unsigned arithmetic wraps, as the ring does.
-        const std::uint64_t distance = entry.ring_position - ring_position_;
-        if (entry.value.is_live() && (best == nullptr || distance < best_distance)) {
-            best = &entry;
-            best_distance = distance;
-        }
-    }
-    return best;
+const member_entry* swim_core::ring_successor() {
+    regroup();
+    return successor_;
 }
 
 const member_entry* swim_core::next_in_round() {
@@ -188,10 +178,9 @@
     }
     while (true) {
         if (round_.empty()) {
-            for (const auto& [id, entry] : entries_) {
-                if (entry.value.is_live()) {
-                    round_.push_back(id);
-                }
+            regroup();
+            for (const member_entry* each : live_) {
+                round_.push_back(each->value.id);
             }
             for (std::size_t index = round_.size(); index > 1; --index) {
                 std::swap(round_[index - 1], round_[random_.below(index)]);
@@ -249,8 +238,7 @@
     if (options_.faults.no_indirect_probes) {
         return;
     }
-    for (const member_entry* helper : random_members(options_.indirect_probes, member_state::alive,
-                                                     member_state::alive, waiting.target)) {
+    for (const member_entry* helper : random_alive(options_.indirect_probes, waiting.target)) {
         wire::swim_datagram message =
             make_message(wire::swim_message_kind::ping_request, waiting.sequence);
         message.target = waiting.target;
--- a/src/pearbarrow/membership/swim.h
+++ b/src/pearbarrow/membership/swim.h
@@ -172,6 +172,8 @@
     /// Those alive or suspect, and this node unless it is leaving; ordered by id.
     std::vector<member> live_members() const;
     std::optional<member> find(const base::node_id& id) const;
+    /// All other known members, without copies; valid until the next `apply`.
+    const std::map<base::node_id, member_entry>& others() const { return entries_; }
     /// Members alive or suspect, this node included.
     std::size_t live_count() const;
     /// Lowest configuration version that any live member has reported; this node's included.
@@ -233,7 +235,8 @@
     void set_state(member_entry& entry, member_state state, base::instant now, actions& out);
     void add_member(const member& next, base::instant now, actions& out);
     void adopt(member_entry& entry, const member& next, base::instant now, actions& out);
-    void recount();
+    void count_change(bool was_live, bool is_live);
+    void regroup();
 
     bool notice_pause(base::instant now);
     void start_probe_round(base::instant now, actions& out);
@@ -266,11 +269,12 @@
     void spread_report(std::uint64_t member_hash);
     void refill_allowance(base::instant now);
 
-    const member_entry* ring_successor() const;
+    const member_entry* ring_successor();
     const member_entry* next_in_round();
-    std::vector<const member_entry*> random_members(std::size_t count, member_state weakest,
-                                                    member_state strongest,
-                                                    const base::node_id& except);
+    std::vector<const member_entry*> random_of(std::vector<const member_entry*> candidates,
+                                               std::size_t count);
+    std::vector<const member_entry*> random_live(std::size_t count);
+    std::vector<const member_entry*> random_alive(std::size_t count, const base::node_id& except);
     bool is_probed(const base::node_id& id) const;
     std::size_t retransmit_limit() const;
     base::microseconds shortest_suspicion() const;
@@ -287,6 +291,13 @@
     std::map<std::uint64_t, base::node_id> by_report_hash_;
     std::vector<net::endpoint> hints_;
     std::size_t live_others_ = 0;
+    /// Members by state, and the live one that follows this node in the ring; made anew when
+    /// needed.
+    bool groups_are_stale_ = true;
+    std::vector<const member_entry*> live_;
+    std::vector<const member_entry*> dead_;
+    std::vector<base::node_id> suspects_;
+    const member_entry* successor_ = nullptr;
     std::uint64_t ring_position_ = 0;
 
     std::vector<news> news_;
--- a/src/pearbarrow/membership/swim_gossip.cc
+++ b/src/pearbarrow/membership/swim_gossip.cc
@@ -45,8 +45,7 @@
     if (news_.empty() && reports_.empty()) {
         return;
     }
-    for (const member_entry* each : random_members(options_.gossip_fanout, member_state::alive,
-                                                   member_state::suspect, self_.id)) {
+    for (const member_entry* each : random_live(options_.gossip_fanout)) {
         if (gossip_allowance_ <= 0 || (news_.empty() && reports_.empty())) {
             return;
         }
@@ -57,23 +56,30 @@
     }
 }
 
-std::vector<const member_entry*> swim_core::random_members(std::size_t count, member_state weakest,
-                                                           member_state strongest,
-                                                           const base::node_id& except) {
-    std::vector<const member_entry*> chosen;
-    std::size_t seen = 0;
-    for (const auto& [id, entry] : entries_) {
-        if (entry.value.state < weakest || entry.value.state > strongest || id == except) {
-            continue;
-        }
-        ++seen;
-        if (chosen.size() < count) {
-            chosen.push_back(&entry);
-        } else if (const std::size_t place = random_.below(seen); place < count) {
-            chosen[place] = &entry;
-        }
+std::vector<const member_entry*> swim_core::random_of(std::vector<const member_entry*> candidates,
+                                                      std::size_t count) {
+    const std::size_t wanted = std::min(count, candidates.size());
+    for (std::size_t index = 0; index < wanted; ++index) {
+        const std::size_t other = index + random_.below(candidates.size() - index);
+        std::swap(candidates[index], candidates[other]);
     }
-    return chosen;
+    candidates.resize(wanted);
+    return candidates;
+}
+
+std::vector<const member_entry*> swim_core::random_live(std::size_t count) {
+    regroup();
+    return random_of(live_, count);
+}
+
+std::vector<const member_entry*> swim_core::random_alive(std::size_t count,
+                                                         const base::node_id& except) {
+    regroup();
+    std::vector<const member_entry*> candidates = live_;
+    std::erase_if(candidates, [&](const member_entry* each) {
+        return each->value.state != member_state::alive || each->value.id == except;
+    });
+    return random_of(std::move(candidates), count);
 }
 
 // ---- Anti-entropy ----
@@ -98,8 +104,7 @@
     if (options_.faults.no_anti_entropy) {
         return;
     }
-    for (const member_entry* each :
-         random_members(1, member_state::alive, member_state::alive, self_.id)) {
+    for (const member_entry* each : random_alive(1, self_.id)) {
         send_digests(each->value.metadata.datagram, true, out);
     }
 }
@@ -172,8 +177,8 @@
     if (options_.faults.no_reconnect && live_others_ > 0) {
         return;
     }
-    for (const member_entry* each :
-         random_members(1, member_state::dead, member_state::dead, self_.id)) {
+    regroup();
+    for (const member_entry* each : random_of(dead_, 1)) {
         wire::swim_datagram message = make_message(wire::swim_message_kind::ping, ++last_sequence_);
         message.target = each->value.id;
         message.accusations = accusations_of(*each);
--- a/src/pearbarrow/membership/swim_members.cc
+++ b/src/pearbarrow/membership/swim_members.cc
@@ -62,10 +62,40 @@
     return lowest;
 }
 
-void swim_core::recount() {
-    live_others_ = static_cast<std::size_t>(
-        std::count_if(entries_.begin(), entries_.end(),
-                      [](const auto& each) { return each.second.value.is_live(); }));
+void swim_core::count_change(bool was_live, bool is_live) {
+    live_others_ += is_live ? 1 : 0;
+    live_others_ -= was_live ? 1 : 0;
+    groups_are_stale_ = true;
+}
+
+void swim_core::regroup() {
+    if (!groups_are_stale_) {
+        return;
+    }
+    groups_are_stale_ = false;
+    live_.clear();
+    dead_.clear();
+    suspects_.clear();
+    successor_ = nullptr;
+    std::uint64_t best_distance = 0;
+    for (const auto& [id, entry] : entries_) {
+        if (entry.value.state == member_state::dead) {
+            dead_.push_back(&entry);
+        }
+        if (entry.value.state == member_state::suspect) {
+            suspects_.push_back(id);
+        }
+        if (!entry.value.is_live()) {
+            continue;
+        }
+        live_.push_back(&entry);
+        // Unsigned arithmetic wraps, as the ring does.
+        const std::uint64_t distance = entry.ring_position - ring_position_;
+        if (successor_ == nullptr || distance < best_distance) {
+            successor_ = &entry;
+            best_distance = distance;
+        }
+    }
 }
 
 // ---- Records: what a node says of itself ----
@@ -99,7 +129,7 @@
     entry.ring_position = base::stable_hash(next.id.value());
     entry.report_hash = report_hash(next.id, next.generation);
     by_report_hash_[entry.report_hash] = next.id;
-    recount();
+    count_change(false, true);
     if (next.state == member_state::suspect) {
         entry.value.state = member_state::alive;
         set_state(entry, member_state::suspect, now, out);
@@ -110,6 +140,7 @@
 
 void swim_core::adopt(member_entry& entry, const member& next, base::instant now, actions& out) {
     const member_state previous = entry.value.state;
+    count_change(entry.value.is_live(), next.is_live());
     const bool restarted = next.generation != entry.value.generation;
     const base::config_version reported = entry.value.config_version;
     entry.value = next;
@@ -128,7 +159,6 @@
     if (previous != entry.value.state) {
         entry.since = now;
     }
-    recount();
     spread(next.id);
     out.emplace_back(member_changed{entry.value, previous, false});
 }
@@ -206,6 +236,7 @@
 void swim_core::set_state(member_entry& entry, member_state state, base::instant now,
                           actions& out) {
     const member_state previous = entry.value.state;
+    count_change(entry.value.is_live(), state <= member_state::suspect);
     entry.value.state = state;
     entry.since = now;
     entry.accusers.clear();
@@ -214,7 +245,6 @@
         entry.suspicion_started = now;
         entry.suspicion_ends = now + shortest_suspicion() * options_.suspicion_maximum_factor;
     }
-    recount();
     spread(entry.value.id);
     out.emplace_back(member_changed{entry.value, previous, false});
 }
@@ -266,8 +296,10 @@
     if (now < no_accusation_before_) {
         return;
     }
-    for (auto& [id, entry] : entries_) {
-        if (entry.value.state == member_state::suspect && now >= entry.suspicion_ends) {
+    regroup();
+    for (const base::node_id& id : std::vector<base::node_id>(suspects_)) {
+        member_entry& entry = entries_.at(id);
+        if (now >= entry.suspicion_ends) {
             ++statistics_.deaths;
             set_state(entry, member_state::dead, now, out);
         }
@@ -281,6 +313,7 @@
             return false;
         }
         by_report_hash_.erase(entry.report_hash);
+        groups_are_stale_ = true;
         out.emplace_back(member_changed{entry.value, entry.value.state, true});
         return true;
     });
