--- a/src/pearbarrow/net/http.h
+++ b/src/pearbarrow/net/http.h
@@ -89,6 +89,9 @@
     std::size_t max_header_bytes = 16 * 1024;
     std::size_t max_body_bytes = 8 * 1024 * 1024;
     std::size_t max_connections = 4096;
+    /// Bytes of requests that are not whole yet, of all connections together; a request beyond
+    /// them gets 503.
+    std::size_t max_receiving_bytes = 256 * 1024 * 1024;
     /// A connection on which no whole request arrives within this time is closed.
     base::milliseconds request_timeout{30'000};
     /// A client that takes none of its answer for this long is cut off.
--- a/src/pearbarrow/net/http_session.cc
+++ b/src/pearbarrow/net/http_session.cc
@@ -51,7 +51,14 @@
 
 void http_session::on_data(std::string_view bytes) {
     inbox_.append(bytes);
+    received_bytes_ += bytes.size();
+    core_->receiving_bytes += bytes.size();
     if (!answering_) {
+        if (core_->receiving_bytes > core_->options.max_receiving_bytes) {
+            refuse(503, "too_many_requests_arriving",
+                   "the server holds as many bytes of incomplete requests as it takes");
+            return;
+        }
         read_request();
     } else if (inbox_.size() > max_inbox_bytes) {
         link_->pause_reading();
@@ -90,6 +97,7 @@
 
 void http_session::dispatch() {
     request_deadline_.clear();
+    release_received();
     answering_ = true;
     client_keeps_alive_ = reader_->keep_alive();
     can_take_chunks_ = reader_->can_take_chunks();
@@ -178,8 +186,13 @@
     }
 }
 
+void http_session::release_received() {
+    core_->receiving_bytes -= std::exchange(received_bytes_, 0);
+}
+
 void http_session::leave_server() {
     ended_ = true;
+    release_received();
     request_deadline_.clear();
     core_->sessions.erase(shared_from_this());
 }
--- a/src/pearbarrow/net/http_session.h
+++ b/src/pearbarrow/net/http_session.h
@@ -27,6 +27,8 @@
     http_handler handler;
     std::set<std::shared_ptr<http_session>> sessions;
     std::size_t open_exchanges = 0;
+    /// Bytes of requests that are not whole yet.
+    std::size_t receiving_bytes = 0;
     bool stopping = false;
 };
 
@@ -59,12 +61,15 @@
     void refuse(int status, std::string_view reason, std::string_view detail);
     void request_overdue();
     void leave_server();
+    void release_received();
 
     std::shared_ptr<http_server_core> core_;
     std::shared_ptr<connection> link_;
     deadline request_deadline_;
     std::unique_ptr<http_request_reader> reader_;
     std::string inbox_;
+    /// This session's share of `receiving_bytes`.
+    std::size_t received_bytes_ = 0;
     std::weak_ptr<session_exchange> exchange_;
     bool answering_ = false;
     bool client_keeps_alive_ = true;
--- a/src/pearbarrow/net/peer_calls.cc
+++ b/src/pearbarrow/net/peer_calls.cc
@@ -211,11 +211,16 @@
             return true;
         }
         owner->local_calls.erase(weak_call.lock());
-        boost::asio::post(owner->context, [weak_responder] {
+        auto tell = [weak_responder] {
             if (const auto alive = weak_responder.lock(); alive != nullptr) {
                 alive->cancelled();
             }
-        });
+        };
+        if (owner->shut_down) {
+            tell();
+        } else {
+            boost::asio::post(owner->context, std::move(tell));
+        }
         return true;
     });
     boost::asio::post(core->context, [core, call, method, payload = std::move(payload),
--- a/src/pearbarrow/net/peer_inbound.cc
+++ b/src/pearbarrow/net/peer_inbound.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "pearbarrow/base/status.h"
@@ -6,6 +7,18 @@
 
 namespace pearbarrow::net {
 
+namespace {
+
+/// Longest timeout that a frame can ask for; longer ones are cut to it.
+constexpr base::milliseconds max_timeout = std::chrono::hours(24);
+
+base::milliseconds bounded_timeout(std::uint64_t wanted) {
+    const auto most = static_cast<std::uint64_t>(max_timeout.count());
+    return base::milliseconds(static_cast<std::int64_t>(std::min(wanted, most)));
+}
+
+}  // namespace
+
 class remote_responder final : public peer_responder {
   public:
     remote_responder(const std::shared_ptr<peer_inbound>& link, const peer_frame& request,
@@ -14,7 +27,7 @@
           caller_(link->caller()),
           self_(options.self),
           call_(request.call),
-          timeout_(static_cast<std::int64_t>(request.timeout_milliseconds)),
+          timeout_(bounded_timeout(request.timeout_milliseconds)),
           max_payload_bytes_(options.max_frame_bytes - frame_overhead_bytes) {}
     remote_responder(const remote_responder&) = delete;
     remote_responder& operator=(const remote_responder&) = delete;
--- a/src/pearbarrow/net/peer_rpc.cc
+++ b/src/pearbarrow/net/peer_rpc.cc
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "pearbarrow/base/log.h"
 #include "pearbarrow/base/status.h"
 #include "pearbarrow/net/listener.h"
 #include "pearbarrow/net/peer_link.h"
@@ -66,7 +67,11 @@
         const absl::Status status = send(node, address, call, method, std::move(payload), timeout);
         if (!status.ok()) {
             // From the loop, so that no callback runs inside this call.
-            loop_.post([call, status] { call->complete(status); });
+            loop_.post([core = core_, call, status] {
+                if (!core->shut_down) {
+                    call->complete(status);
+                }
+            });
         }
         return std::make_unique<call_owner>(call);
     }
@@ -137,6 +142,11 @@
     static void accept(const std::shared_ptr<peer_core>& core,
                        boost::asio::ip::tcp::socket socket) {
         const auto& options = core->options;
+        if (core->inbound.size() >= options.max_inbound_links) {
+            base::log(base::log_level::warning, "peer_link_refused",
+                      {{"reason", "too_many_links"}});
+            return;
+        }
         constexpr std::size_t read_bytes = 16 * 1024;
         auto link = std::make_shared<connection>(
             core->context, std::move(socket), core->server_tls,
--- a/src/pearbarrow/net/peer_rpc.h
+++ b/src/pearbarrow/net/peer_rpc.h
@@ -39,6 +39,8 @@
     base::milliseconds connect_timeout{1'000};
     /// Requests of one caller under way at once; more fail with reason `peer_queue_full`.
     std::size_t max_open_requests = 65'536;
+    /// Links from other nodes at once; more are closed.
+    std::size_t max_inbound_links = 4096;
     /// With requests under way, a link on which nothing arrives is probed after the first time
     /// and given up after the second: it finds peers that vanished without closing.
     base::milliseconds silence_before_probe{2'000};
--- a/src/pearbarrow/net/tls.cc
+++ b/src/pearbarrow/net/tls.cc
@@ -48,7 +48,7 @@
     error_code error;
     result->context.set_options(ssl::context::default_workarounds | ssl::context::no_sslv2 |
                                     ssl::context::no_sslv3 | ssl::context::no_tlsv1 |
-                                    ssl::context::no_tlsv1_1,
+                                    ssl::context::no_tlsv1_1 | SSL_OP_NO_TICKET,
                                 error);
     if (is_server || !files.certificate_chain.empty()) {
         if (auto status = load_own_key(result->context, files); !status.ok()) {
@@ -60,7 +60,8 @@
             return status;
         }
     }
-    // Without sessions a certificate is checked on every connection, also after a reload.
+    // Without sessions and tickets a certificate is checked on every connection.
+    SSL_CTX_set_num_tickets(result->context.native_handle(), 0);
     SSL_CTX_set_session_cache_mode(result->context.native_handle(), SSL_SESS_CACHE_OFF);
     return result;
 }
--- a/tests/unit/net/http_bad_input_test.cc
+++ b/tests/unit/net/http_bad_input_test.cc
@@ -222,3 +222,33 @@
     }));
     cr_assert(sent < 64 * 1024 * 1024, "%zu bytes were taken", sent);
 }
+
+Test(http_bad_input, bodies_on_the_way_share_a_bound) {
+    event_loop loop;
+    http_server_options options;
+    options.max_receiving_bytes = 100'000;
+    int handled = 0;
+    const auto server = serve(
+        loop,
+        [&](const std::shared_ptr<http_exchange>& exchange) {
+            ++handled;
+            exchange->respond({});
+        },
+        options);
+    const std::string head = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 80000\r\n\r\n";
+    const std::string body(80'000, 'x');
+    raw_client slow(server->local_endpoint());
+    slow.send(head + body.substr(1));
+    run_for(loop, milliseconds(20));
+    raw_client refused(server->local_endpoint());
+    refused.send(head + body);
+    cr_assert(run_until(loop, [&] { return refused.closed(); }));
+    cr_assert(refused.has("HTTP/1.1 503"));
+    slow.send("x");
+    cr_assert(run_until(loop, [&] { return slow.has("HTTP/1.1 200"); }));
+    // What was received counts no longer.
+    raw_client later(server->local_endpoint());
+    later.send(head + body);
+    cr_assert(run_until(loop, [&] { return later.has("HTTP/1.1 200"); }));
+    cr_assert(handled == 2);
+}
--- a/tests/unit/net/peer_bad_input_test.cc
+++ b/tests/unit/net/peer_bad_input_test.cc
@@ -267,3 +267,30 @@
     cr_assert(!to_status({.code = 0, .message = "ok?"}).ok());
     cr_assert(to_status({.code = 12345}).code() == absl::StatusCode::kUnknown);
 }
+
+Test(peer_bad_input, links_beyond_the_limit_are_closed) {
+    auto options = options_of("server");
+    options.max_inbound_links = 2;
+    peer_pair pair(options_of("client"), options);
+    raw_client first(pair.address());
+    raw_client second(pair.address());
+    first.send(hello_of("first"));
+    second.send(hello_of("second"));
+    cr_assert(run_until(pair.loop, [&] { return first.has("server") && second.has("server"); }));
+    raw_client third(pair.address());
+    cr_assert(run_until(pair.loop, [&] { return third.closed(); }));
+    cr_assert(!third.has("server"));
+    cr_assert(!first.closed() && !second.closed());
+}
+
+Test(peer_bad_input, a_timeout_from_the_network_is_never_negative) {
+    peer_pair pair;
+    raw_client caller(pair.address());
+    caller.send(hello_of("caller") +
+                encode_frame({.kind = static_cast<std::uint8_t>(frame_kind::request),
+                              .call = 1,
+                              .method = hold_method,
+                              .timeout_milliseconds = ~std::uint64_t{0}}));
+    cr_assert(run_until(pair.loop, [&] { return pair.held.size() == 1; }));
+    cr_assert(pair.held.back()->timeout() > milliseconds(0));
+}
--- a/tests/unit/net/peer_rpc_test.cc
+++ b/tests/unit/net/peer_rpc_test.cc
@@ -241,3 +241,25 @@
     cr_assert(pair.client->bytes_received() > 1000);
     cr_assert(pair.client->bytes_received() <= pair.server->bytes_sent());
 }
+
+Test(peer_rpc, a_destroyed_node_runs_no_callbacks_of_calls_that_it_refused) {
+    peer_pair pair;
+    call_result call(pair.loop);
+    call.start(*pair.client, "server", pair.address(), echo_method,
+               std::string(17 * 1024 * 1024, 'x'));
+    pair.client.reset();
+    run_for(pair.loop, milliseconds(10));
+    cr_assert(!call.done());
+}
+
+Test(peer_rpc, a_destroyed_node_tells_its_own_requests_before_it_is_gone) {
+    peer_pair pair;
+    call_result call(pair.loop);
+    call.start(*pair.client, "client", pair.address(), hold_method, "");
+    cr_assert(run_until(pair.loop, [&] { return pair.held.size() == 1; }));
+    pair.client.reset();
+    cr_assert(pair.cancelled == 1);
+    pair.held.back()->finish("ignored");
+    run_for(pair.loop, milliseconds(10));
+    cr_assert(!call.done());
+}
