--- a/src/pearbarrow/journal/leader_catch_up.cc
+++ b/src/pearbarrow/journal/leader_catch_up.cc
@@ -152,8 +152,7 @@
 void leader_core::state::on_transfer_write(follower& replica, const wire::journal_reply& reply) {
     auto& copying = *replica.copying;
     if (reply.outcome == journal_outcome::mismatch) {
-        replica.next = next_index(std::max(reply.hint, replica.matched));
-        replica.probe_from = replica.next;
+        probe_after(replica, reply.hint);
         end_transfer(replica);
         return;
     }
--- a/src/pearbarrow/journal/leader_replication.cc
+++ b/src/pearbarrow/journal/leader_replication.cc
@@ -114,8 +114,7 @@
     if (reply.outcome == journal_outcome::mismatch) {
         if (!request.expired) {
             expire_appends(replica);
-            replica.next = next_index(std::max(reply.hint, replica.matched));
-            replica.probe_from = replica.next;
+            probe_after(replica, reply.hint);
             replicate(replica);
         }
         return;
@@ -136,6 +135,12 @@
     truncate_replica(replica);
 }
 
+/// Goes on after the last index at which the replica's log may match.
+void leader_core::state::probe_after(follower& replica, log_index hint) {
+    replica.next = next_index(std::min(std::max(hint, replica.matched), last_));
+    replica.probe_from = replica.next;
+}
+
 void leader_core::state::expire_appends(follower& replica) {
     for (auto& [id, request] : outstanding_) {
         if (request.why == purpose::append && request.to == replica.member) {
--- a/src/pearbarrow/journal/leader_state.h
+++ b/src/pearbarrow/journal/leader_state.h
@@ -160,6 +160,7 @@
     void on_append_reply(follower& replica, const outstanding_request& request,
                          const wire::journal_reply& reply);
     void probe_lost(follower& replica);
+    void probe_after(follower& replica, log_index hint);
     void expire_appends(follower& replica);
     void advance_commit();
     void report_confirms();
--- a/src/pearbarrow/journal/replica_core.cc
+++ b/src/pearbarrow/journal/replica_core.cc
@@ -207,7 +207,7 @@
 }
 
 replica_step replica_core::apply_body(const wire::journal_read_retained_request& request) {
-    if (auto refusal = check_header(request.header)) {
+    if (auto refusal = check_ballot(request.header)) {
         return *std::move(refusal);
     }
     if (metadata_.commit_index < request.required_index) {
