--- a/src/pearbarrow/program/owner_requests.cc
+++ b/src/pearbarrow/program/owner_requests.cc
@@ -100,7 +100,7 @@
         at.runtime.end_waiters.push_back(token);
         begin_end(at, request.end->reason.empty() ? "ended_by_caller" : request.end->reason);
     } else if (request.get) {
-        reply_view(token, at.program.id);
+        reply_view(token, at.program.id, true);
     } else if (request.history) {
         need_history(at, {.use = history_use::show_history,
                           .number = {},
--- a/src/pearbarrow/program/owner_state.cc
+++ b/src/pearbarrow/program/owner_state.cc
@@ -158,13 +158,17 @@
     return {.known_at = leadership_known_at_, .trusted_for = options_.leadership_trust};
 }
 
+action::leadership owner_state::must_confirm() const {
+    return {.known_at = leadership_known_at_, .trusted_for = base::microseconds(0)};
+}
+
 void owner_state::reply(reply_token token, wire::program_reply reply, bool confirm) {
     if (waiting_.erase(token) == 0) {
         return;
     }
     action::reply_final final{.token = token, .reply = std::move(reply), .confirm = {}};
     if (confirm) {
-        final.confirm = leadership();
+        final.confirm = must_confirm();
     }
     emit(std::move(final));
 }
@@ -175,13 +179,13 @@
     }
     action::reply_error error{.token = token, .status = std::move(status), .confirm = {}};
     if (confirm) {
-        error.confirm = leadership();
+        error.confirm = must_confirm();
     }
     emit(std::move(error));
 }
 
-void owner_state::reply_view(reply_token token, const base::program_id& program) {
-    when_committed([this, token, program] {
+void owner_state::reply_view(reply_token token, const base::program_id& program, bool confirm) {
+    when_committed([this, token, program, confirm] {
         const auto at = find(program);
         if (!at) {
             reply_error(token, refusal(absl::StatusCode::kNotFound, "no such program",
@@ -189,7 +193,7 @@
             return;
         }
         reply(token, {.program = view_of(at->program), .call = {}, .history = {}, .explain = {}},
-              true);
+              confirm);
     });
 }
 
--- a/src/pearbarrow/program/owner_state.h
+++ b/src/pearbarrow/program/owner_state.h
@@ -68,9 +68,13 @@
     void when_committed(effect then);
     void make_snapshot_if_due();
     action::leadership leadership() const;
+    /// For reads: a newer owner may know more at any moment, so no trust is left over.
+    action::leadership must_confirm() const;
     void reply(reply_token token, wire::program_reply reply, bool confirm = false);
     void reply_error(reply_token token, absl::Status status, bool confirm = false);
-    void reply_view(reply_token token, const base::program_id& program);
+    /// Answers with the program's view once all that was appended so far is committed. `confirm`:
+    /// the view must be the newest one.
+    void reply_view(reply_token token, const base::program_id& program, bool confirm = false);
     std::optional<program_context> find(const base::program_id& program);
     std::optional<call_context> find(const base::program_id& program, base::call_number number);
     std::optional<call_context> find(const base::attempt_id& attempt);
--- a/src/pearbarrow/program/shard_actions.h
+++ b/src/pearbarrow/program/shard_actions.h
@@ -34,7 +34,8 @@
 };
 
 /// Sent only after every record that it rests on is committed. With `confirm` set the reply rests
-/// on this owner being the newest one (such as "not found").
+/// on this owner being the newest one (such as "not found", or a history): the confirmation must be
+/// asked for after the request came, so `trusted_for` is zero.
 struct reply_final {
     reply_token token;
     wire::program_reply reply;
