Emulator: a dropped stream is refused at once, not at the next tick

Cause: the shell looked only at its own record of a stream, which is removed once a second, so a stream past its retention could still be received for a while. It asks the model now; the test resumes with a retention of zero.

--- a/src/pearbarrow/emulator/block_cache.cc
+++ b/src/pearbarrow/emulator/block_cache.cc
@@ -1,7 +1,6 @@
 #include "pearbarrow/emulator/block_cache.h"
 
 #include <algorithm>
-#include <ranges>
 
 namespace pearbarrow::emulator {
 namespace {
@@ -37,10 +36,10 @@
 }
 
 void block_cache::release(std::span<const block_hash> blocks, base::instant now) {
-    for (const block_hash hash : std::views::reverse(blocks)) {
-        block& entry = blocks_.at(hash);
+    for (auto hash = blocks.rbegin(); hash != blocks.rend(); ++hash) {
+        block& entry = blocks_.at(*hash);
         if (--entry.references == 0) {
-            make_idle(hash, entry, now);
+            make_idle(*hash, entry, now);
         }
     }
 }
@@ -145,7 +144,7 @@
     program_pin pin = std::move(position->second);
     expiries_.erase({pin.expires, program});
     pins_.erase(position);
-    for (const block_hash hash : std::views::reverse(pin.blocks)) {
+    for (const block_hash hash : pin.blocks) {
         drop_pin(hash);
     }
     return pin;
--- a/src/pearbarrow/emulator/engine_routes.cc
+++ b/src/pearbarrow/emulator/engine_routes.cc
@@ -70,7 +70,8 @@
         respond_json(*exchange, result);
         return;
     }
-    if (!streams_.contains(attempt) || !model_.find(attempt)) {
+    const auto view = model_.find(attempt);
+    if (!view || !view->retained || !streams_.contains(attempt)) {
         respond_problem(*exchange, {.status = 404, .reason = "stream_unknown"});
         return;
     }
--- a/tests/unit/emulator/stand_in_test.cc
+++ b/tests/unit/emulator/stand_in_test.cc
@@ -251,6 +251,27 @@
     cr_assert(again.text == whole_answer(request));
 }
 
+Test(engine_over_http, an_id_whose_stream_was_dropped_is_refused) {
+    process in;
+    auto options = quick_engine();
+    options.model.stream_retention = base::milliseconds(0);
+    stand_in<engine_server> engine(in, options, in.history);
+    const auto client = backend::make_engine_client(*in.http, engine.address());
+    const auto request = generate_request_with("a1");
+    received first;
+    first.handle = client->generate(request, first.callbacks());
+    in.run_until([&] { return first.done(); });
+    received late;
+    late.handle = client->resume(request.attempt, 1, late.callbacks());
+    in.run_until([&] { return late.done(); });
+    cr_assert_eq(late.details().reason, "stream_unknown");
+    received again;
+    again.handle = client->generate(request, again.callbacks());
+    in.run_until([&] { return again.done(); });
+    cr_assert_eq(again.details().reason, "attempt_already_ran");
+    cr_assert(again.details().was_executed == base::executed::yes);
+}
+
 Test(engine_over_http, cancel_ends_the_stream_and_fences_unknown_ids) {
     process in;
     auto options = quick_engine();
