--- a/src/pearbarrow/journal/replica.cc
+++ b/src/pearbarrow/journal/replica.cc
@@ -7,6 +7,7 @@
 #include "pearbarrow/base/log.h"
 #include "pearbarrow/base/status.h"
 #include "pearbarrow/journal/entry.h"
+#include "pearbarrow/journal/replica_state.h"
 
 namespace pearbarrow::journal {
 
@@ -14,70 +15,6 @@
 using wire::journal_reply;
 using wire::journal_request;
 
-class replica::state : public std::enable_shared_from_this<state> {
-  public:
-    state(base::node_id self, replica_store& store, replica_options options)
-        : self_(std::move(self)), store_(store), options_(options) {}
-
-    absl::Status open();
-    void handle(const journal_request& request, reply_callback reply);
-    void flush();
-    wire::journal_member member(base::shard_id shard) const;
-    std::vector<base::shard_id> shards() const;
-    std::vector<base::shard_id> corrupt_shards() const;
-    void reset_shard(base::shard_id shard, std::function<void(absl::Status)> done);
-
-  private:
-    struct queued_request {
-        journal_request request;
-        reply_callback callback;
-    };
-    struct queued_reset {
-        base::shard_id shard;
-        std::function<void(absl::Status)> done;
-    };
-    /// Runs once the write under way has ended, with its status.
-    using completion = std::function<void(const absl::Status&)>;
-    struct corrupt_shard {
-        absl::Status fault;
-        std::optional<shard_metadata> metadata;
-    };
-
-    absl::Status restore(const shard_metadata& metadata);
-    replica_core& core_of(base::shard_id shard);
-    bool refuse_unusable(const queued_request& queued) const;
-    void answer_reads();
-    void apply_writes();
-    void apply(queued_request queued);
-    void apply(queued_reset queued);
-    void start_write();
-    void on_written(absl::Status status);
-    void mark_corrupt(base::shard_id shard, absl::Status fault);
-
-    void complete_read(const journal_request& request, journal_reply& reply);
-    absl::Status read_state(const wire::journal_read_request& request, journal_reply& reply);
-    absl::Status read_log(const wire::journal_read_request& request, journal_reply& reply);
-    absl::Status read_snapshot(const wire::journal_read_request& request, journal_reply& reply);
-    absl::Status read_history(const wire::journal_read_retained_request& request,
-                              journal_reply& reply);
-    std::size_t page_bytes(std::uint64_t wanted) const {
-        return std::min<std::size_t>(wanted, options_.max_reply_bytes);
-    }
-
-    base::node_id self_;
-    replica_store& store_;
-    replica_options options_;
-    std::map<base::shard_id, replica_core> cores_;
-    std::map<base::shard_id, corrupt_shard> corrupt_;
-    std::vector<queued_request> queued_;
-    std::vector<queued_reset> queued_resets_;
-    /// The next write, while requests are applied.
-    std::vector<store_operation> operations_;
-    std::vector<completion> completions_;
-    bool writing_ = false;
-    absl::Status storage_failure_;
-};
-
 absl::Status replica::state::open() {
     auto loaded = store_.load();
     if (!loaded.ok()) {
@@ -294,120 +231,6 @@
     }
 }
 
-void replica::state::complete_read(const journal_request& request, journal_reply& reply) {
-    const auto shard = wire::header_of(request).shard;
-    const auto* read = std::get_if<wire::journal_read_request>(&request);
-    auto status = read != nullptr
-                      ? read_state(*read, reply)
-                      : read_history(std::get<wire::journal_read_retained_request>(request), reply);
-    if (!status.ok()) {
-        reply.outcome = journal_outcome::failed;
-        reply.reason = base::details_of(status).reason;
-        reply.entries.clear();
-        if (reply.reason == "journal_corrupt") {
-            mark_corrupt(shard, std::move(status));
-        }
-    }
-}
-
-absl::Status replica::state::read_state(const wire::journal_read_request& request,
-                                        journal_reply& reply) {
-    const auto shard = request.header.shard;
-    switch (request.part) {
-        case wire::journal_read_part::entries:
-            return read_log(request, reply);
-        case wire::journal_read_part::snapshot:
-            return read_snapshot(request, reply);
-        case wire::journal_read_part::retained:
-            break;
-    }
-    auto page = store_.read_retained(shard, cores_.at(shard).metadata().retained_copy, "",
-                                     {request.after_key, request.after_index},
-                                     page_bytes(request.max_bytes));
-    if (page.ok()) {
-        reply.entries = std::move(page->entries);
-        reply.more = page->more;
-    }
-    return page.status();
-}
-
-absl::Status replica::state::read_log(const wire::journal_read_request& request,
-                                      journal_reply& reply) {
-    const auto shard = request.header.shard;
-    const auto& core = cores_.at(shard);
-    const auto before = core.ballot_at(previous_index(request.from));
-    auto page = store_.read_entries(shard, request.from, core.metadata().last_index,
-                                    page_bytes(request.max_bytes));
-    if (!page.ok()) {
-        return page.status();
-    }
-    const bool gap = request.from <= core.metadata().last_index &&
-                     (page->entries.empty() || page->entries.front().index != request.from);
-    if (!before || gap) {
-        return base::make_error(absl::StatusCode::kOutOfRange, "not in the log",
-                                {.step = "journal_read", .reason = "entries_unavailable"});
-    }
-    reply.previous_ballot = *before;
-    reply.entries = std::move(page->entries);
-    reply.more = page->more;
-    return absl::OkStatus();
-}
-
-absl::Status replica::state::read_snapshot(const wire::journal_read_request& request,
-                                           journal_reply& reply) {
-    const auto found = store_.read_snapshot(request.header.shard);
-    if (!found.ok()) {
-        return found.status();
-    }
-    const auto& snapshot = found->has_value() ? **found : std::string();
-    const auto offset = std::min<std::size_t>(request.offset, snapshot.size());
-    reply.chunk = snapshot.substr(offset, std::max<std::size_t>(1, page_bytes(request.max_bytes)));
-    reply.more = offset + reply.chunk.size() < snapshot.size();
-    return absl::OkStatus();
-}
-
-absl::Status replica::state::read_history(const wire::journal_read_retained_request& request,
-                                          journal_reply& reply) {
-    const auto shard = request.header.shard;
-    const auto& core = cores_.at(shard);
-    const retained_cursor cursor{request.after_key, request.after_index};
-    const auto limit = page_bytes(request.max_bytes);
-    auto page = store_.read_retained(shard, core.metadata().retained_copy, request.key_prefix,
-                                     cursor, limit);
-    if (!page.ok()) {
-        return page.status();
-    }
-    // Merge with what is still in the log; keys from the page's last on come with a later page.
-    std::map<replica_core::keyed_position, std::optional<wire::journal_entry>> merged;
-    for (const auto& position : core.live_keyed(request.key_prefix, cursor)) {
-        if (!page->more || position.key < page->entries.back().retention_key) {
-            merged.emplace(position, std::nullopt);
-        }
-    }
-    for (auto& entry : page->entries) {
-        replica_core::keyed_position position{entry.retention_key, entry.index};
-        merged.emplace(std::move(position), std::move(entry));
-    }
-    std::size_t bytes = 0;
-    reply.more = page->more;
-    for (auto& [position, entry] : merged) {
-        if (bytes > limit) {
-            reply.more = true;
-            break;
-        }
-        if (!entry) {
-            auto live = store_.read_entries(shard, position.index, position.index, 0);
-            if (!live.ok()) {
-                return live.status();
-            }
-            entry = std::move(live->entries.at(0));
-        }
-        bytes += entry_bytes(*entry);
-        reply.entries.push_back(*std::move(entry));
-    }
-    return absl::OkStatus();
-}
-
 wire::journal_member replica::state::member(base::shard_id shard) const {
     if (const auto core = cores_.find(shard); core != cores_.end()) {
         return core->second.member();
