--- a/src/pearbarrow/membership/member_wire.cc
+++ b/src/pearbarrow/membership/member_wire.cc
@@ -17,6 +17,9 @@
 }
 
 net::endpoint unpack(const wire::packed_endpoint& value, const wire::packed_endpoint& datagram) {
+    if (value.port == 0) {
+        return {};
+    }
     return {value.address.empty() ? datagram.address : value.address, value.port};
 }
 
--- a/src/pearbarrow/membership/swim.cc
+++ b/src/pearbarrow/membership/swim.cc
@@ -294,9 +294,12 @@
         relayed_.erase(relayed);
         return;
     }
-    const std::size_t answered = std::erase_if(
-        probes_, [&](const probe& each) { return each.sequence == message.sequence; });
-    if (answered > 0) {
+    const auto answered = std::find_if(probes_.begin(), probes_.end(), [&](const probe& each) {
+        return each.sequence == message.sequence;
+    });
+    if (answered != probes_.end()) {
+        note_answer_of(*answered, now);
+        probes_.erase(answered);
         doubt_self_less();
     }
 }
--- a/src/pearbarrow/membership/swim.h
+++ b/src/pearbarrow/membership/swim.h
@@ -30,6 +30,7 @@
 struct swim_faults {
     bool no_refutation = false;
     bool no_indirect_probes = false;
+    bool no_last_probe = false;
     bool no_self_awareness = false;
     bool no_reconnect = false;
     bool no_anti_entropy = false;
@@ -139,6 +140,8 @@
     std::vector<base::node_id> accusers;
     base::instant suspicion_started;
     base::instant suspicion_ends;
+    /// This node has probed the suspect once more, at the end of its time.
+    bool last_probe_sent = false;
     /// Hash of id and generation, which names it in configuration reports.
     std::uint64_t report_hash = 0;
     std::uint64_t ring_position = 0;
@@ -246,6 +249,7 @@
     void send_indirect(probe& waiting, actions& out);
     void fail_probe(const probe& failed, base::instant now, actions& out);
     void check_suspicions(base::instant now, actions& out);
+    void note_answer_of(const probe& answered, base::instant now);
     void forget_old(base::instant now, actions& out);
     void send_gossip(base::instant now, actions& out);
     void start_sync(base::instant now, actions& out);
--- a/src/pearbarrow/membership/swim_members.cc
+++ b/src/pearbarrow/membership/swim_members.cc
@@ -243,6 +243,7 @@
     if (state == member_state::suspect) {
         ++statistics_.suspicions;
         entry.suspicion_started = now;
+        entry.last_probe_sent = false;
         entry.suspicion_ends = now + shortest_suspicion() * options_.suspicion_maximum_factor;
     }
     spread(entry.value.id);
@@ -302,10 +303,30 @@
         if (now >= entry.suspicion_ends) {
             ++statistics_.deaths;
             set_state(entry, member_state::dead, now, out);
+            continue;
+        }
+        // The refutation may have been lost on its way here: ask the suspect itself.
+        const bool ending = now >= entry.suspicion_ends - scaled(options_.indirect_timeout);
+        if (ending && !entry.last_probe_sent && !options_.faults.no_last_probe) {
+            entry.last_probe_sent = true;
+            start_probe(entry, now, out);
         }
     }
 }
 
+void swim_core::note_answer_of(const probe& answered, base::instant now) {
+    const auto found = entries_.find(answered.target);
+    if (found == entries_.end() || options_.faults.no_last_probe ||
+        found->second.value.generation != answered.generation ||
+        found->second.value.state != member_state::suspect) {
+        return;
+    }
+    // It lives, whoever accuses it: its refutation is on the way.
+    found->second.suspicion_ends =
+        std::max(found->second.suspicion_ends, now + shortest_suspicion());
+    found->second.last_probe_sent = false;
+}
+
 void swim_core::forget_old(base::instant now, actions& out) {
     std::erase_if(entries_, [&](const auto& each) {
         const member_entry& entry = each.second;
--- a/src/pearbarrow/membership/swim_messages.cc
+++ b/src/pearbarrow/membership/swim_messages.cc
@@ -72,6 +72,13 @@
         return;
     }
     wire::swim_datagram answer = make_message(wire::swim_message_kind::ack, message.sequence);
+    const bool accused =
+        std::any_of(message.accusations.begin(), message.accusations.end(),
+                    [&](const wire::member_accusation& each) { return each.id == self_.id; });
+    if (accused && !leaving_) {
+        // Whoever told of it hears the refutation at once.
+        answer.records.push_back(to_record(self_));
+    }
     const auto sender = entries_.find(message.from);
     const bool known =
         sender != entries_.end() && sender->second.value.generation >= message.from_generation;
--- a/tests/simulation/membership/swim_simulation.cc
+++ b/tests/simulation/membership/swim_simulation.cc
@@ -103,7 +103,8 @@
     if (now_ < target.paused_until) {
         timed_event later = event;
         later.at = target.paused_until;
-        later.order = next_order_++;
+        // The worst case: timers run before the datagrams that waited are read.
+        later.order = event.is_tick ? event.order : next_order_++;
         events_.push(std::move(later));
         return;
     }
