--- a/src/pearbarrow/program/owner_models.cc
+++ b/src/pearbarrow/program/owner_models.cc
@@ -97,9 +97,11 @@
     if (at->active.stage != call_stage::running) {
         return;
     }
-    const bool not_taken = at->active.started_here && at->active.last_index == 0 &&
-                           at->active.tries == 0 &&
-                           base::details_of(event.status).was_executed == base::executed::no;
+    const base::error_details details = base::details_of(event.status);
+    const bool refused =
+        details.was_executed == base::executed::no && details.reason != "stream_unknown";
+    const bool not_taken =
+        refused && at->active.started_here && at->active.last_index == 0 && at->active.tries == 0;
     std::optional<std::uint64_t> spent = cost_of(event.usage);
     if (!spent && not_taken) {
         spent = 0;
@@ -113,6 +115,11 @@
         retry(*at, event.status, spent);
         return;
     }
+    if (refused) {
+        // It was the request to resume that the engine did not take; the attempt may well run.
+        lose_stream(*at);
+        return;
+    }
     // The engine may still have the attempt, or get it late: have it refused first.
     set_stage(at->active, call_stage::cancelling);
     stop_model(*at);
@@ -128,17 +135,23 @@
         wake_at(at->program.id, *at->active.next_try);
         return;
     }
-    if (at->active.stage != call_stage::running || at->active.next_try) {
+    if (at->active.stage == call_stage::running) {
+        lose_stream(*at);
+    }
+}
+
+void owner_state::lose_stream(call_context at) {
+    if (at.active.next_try) {
         return;
     }
-    if (at->active.tries >= max_resumes) {
-        set_stage(at->active, call_stage::cancelling);
-        stop_model(*at);
+    if (at.active.tries >= max_resumes) {
+        set_stage(at.active, call_stage::cancelling);
+        stop_model(at);
         return;
     }
-    at->active.next_try = now_ + backoff(at->active.tries, at->program.id);
-    ++at->active.tries;
-    wake_at(at->program.id, *at->active.next_try);
+    at.active.next_try = now_ + backoff(at.active.tries, at.program.id);
+    ++at.active.tries;
+    wake_at(at.program.id, *at.active.next_try);
 }
 
 void owner_state::resume_model(call_context at) {
--- a/src/pearbarrow/program/owner_state.h
+++ b/src/pearbarrow/program/owner_state.h
@@ -137,6 +137,8 @@
     void on(const event::model_finished& event);
     void on(const event::model_failed& event);
     void on(const event::model_lost& event);
+    /// The stream broke: resumes it after a pause, or gives the attempt up after some tries.
+    void lose_stream(call_context at);
     void resume_model(call_context at);
     void stop_model(call_context at);
     void conclude_stop(call_context at, std::optional<wire::token_usage> usage);
--- a/src/pearbarrow/program/program_state.cc
+++ b/src/pearbarrow/program/program_state.cc
@@ -32,19 +32,9 @@
 }
 
 call_state* program_state::first_unfinished() {
-    // Calls are done in order, apart from a cancelled one in the queue: walk from the end.
-    call_state* first = nullptr;
-    std::uint64_t done_in_a_row = 0;
-    constexpr std::uint64_t enough = 64;
-    for (auto call = calls.rbegin(); call != calls.rend() && done_in_a_row < enough; ++call) {
-        if (call->second.done()) {
-            ++done_in_a_row;
-            continue;
-        }
-        done_in_a_row = 0;
-        first = &call->second;
-    }
-    return first;
+    const auto found = std::find_if(calls.begin(), calls.end(),
+                                    [](const auto& entry) { return !entry.second.done(); });
+    return found == calls.end() ? nullptr : &found->second;
 }
 
 std::uint64_t program_state::unfinished_count() const {
--- a/tests/unit/program/calls_test.cc
+++ b/tests/unit/program/calls_test.cc
@@ -213,3 +213,21 @@
     cr_assert(harness.reply_of(reader).call->output == "whole");
     cr_assert(harness.view().reserved_tokens > 0, "the lost attempt's cost stays in doubt");
 }
+
+Test(calls, an_engine_out_of_reach_after_a_take_over_is_asked_again) {
+    owner_harness harness;
+    harness.open();
+    harness.submit(1, model_body("a"));
+    const auto attempt = harness.last<action::start_model_attempt>().attempt;
+    harness.take_over();
+    harness.apply(event::model_failed{attempt,
+                                      base::make_error(absl::StatusCode::kUnavailable, "refused",
+                                                       {.reason = "engine_unreachable"}),
+                                      std::nullopt});
+    cr_assert(harness.all<action::cancel_model_attempt>().empty());
+    harness.pass(base::seconds(1));
+    cr_assert(harness.all<action::resume_model_attempt>().size() == 2);
+    const reply_token reader = harness.submit(1, model_body("a"));
+    harness.generate(attempt, "whole");
+    cr_assert(harness.reply_of(reader).call->output == "whole");
+}
