--- a/src/pearbarrow/journal/leader.cc
+++ b/src/pearbarrow/journal/leader.cc
@@ -59,7 +59,7 @@
                                   const wire::journal_reply& reply) {
     switch (request.why) {
         case purpose::prepare:
-            on_promise(request.to, reply);
+            on_promise(request, reply);
             break;
         case purpose::recovery_read:
             on_recovery_read(reply);
--- a/src/pearbarrow/journal/leader_recovery.cc
+++ b/src/pearbarrow/journal/leader_recovery.cc
@@ -38,13 +38,21 @@
     }
 }
 
-void leader_core::state::on_promise(const wire::journal_member& from,
+void leader_core::state::on_promise(const outstanding_request& request,
                                     const wire::journal_reply& reply) {
-    if (phase_ != phase::preparing || reply.outcome != journal_outcome::accepted ||
-        reply.promised != ballot_) {
+    if (phase_ != phase::preparing) {
         return;
     }
-    promises_.insert_or_assign(from, reply);
+    if (reply.outcome == journal_outcome::failed) {
+        // The replica may get well again: ask once more after a while.
+        auto& again = outstanding_[reply.request_id] = request;
+        again.sent = now_;
+        return;
+    }
+    if (reply.promised != ballot_) {
+        return;
+    }
+    promises_.insert_or_assign(request.to, reply);
     if (promises_.size() >= majority()) {
         start_reading();
     }
--- a/src/pearbarrow/journal/leader_state.h
+++ b/src/pearbarrow/journal/leader_state.h
@@ -145,7 +145,7 @@
 
     // leader_recovery.cc: campaign and recovery.
     void start_campaign();
-    void on_promise(const wire::journal_member& from, const wire::journal_reply& reply);
+    void on_promise(const outstanding_request& request, const wire::journal_reply& reply);
     void start_reading();
     void read_on();
     void on_recovery_read(const wire::journal_reply& reply);
--- a/tests/unit/journal/leader_test.cc
+++ b/tests/unit/journal/leader_test.cc
@@ -185,6 +185,21 @@
     cr_assert(one.last<retained_read>()->entries.size() == 20);
 }
 
+Test(leader, asks_a_replica_that_failed_to_promise_again) {
+    leader_core one(shard, base::node_id("owner"));
+    const wire::journal_member member{base::node_id("r1"), "disk"};
+    const base::instant began{base::seconds(1)};
+    const auto asked = one.apply(campaign{{1, {member}}, 5}, began);
+    const auto& request = std::get<send_request>(asked.at(0)).request;
+    wire::journal_reply failure;
+    failure.request_id = wire::header_of(request).request_id;
+    failure.outcome = wire::journal_outcome::failed;
+    failure.reason = "journal_storage_failed";
+    cr_assert(one.apply(replica_replied{failure}, began).empty());
+    const auto again = one.apply(tick{}, began + base::seconds(1));
+    cr_assert(again.size() == 1 && std::holds_alternative<send_request>(again[0]));
+}
+
 Test(leader, skipping_an_epoch_while_leading_ends_the_reign) {
     group one;
     one.lead();
