Program owner: a sub-program that has ended is not opened again

A repeated opening of a child that had given its rest back was sent on. The child's owner, having forgotten it by then, would have opened it anew with the whole budget. The test fails without the check.

--- a/src/pearbarrow/program/owner_transfers.cc
+++ b/src/pearbarrow/program/owner_transfers.cc
@@ -82,6 +82,15 @@
     }
     repeated_send& transfer = at.runtime.transfers[child];
     exchanges_.erase(transfer.exchange);
+    if (state->second.returned) {
+        // The child may be forgotten at its owner, which would open it anew with a whole budget.
+        for (const reply_token token : transfer.waiting) {
+            reply_error(token, refusal(absl::StatusCode::kFailedPrecondition,
+                                       "the sub-program has ended", "program_ended"));
+        }
+        at.runtime.transfers.erase(child);
+        return;
+    }
     transfer.exchange = next_exchange_++;
     transfer.next_try = now_ + options_.max_backoff;
     exchanges_[transfer.exchange] = {at.program.id, child};
--- a/tests/unit/program/budget_test.cc
+++ b/tests/unit/program/budget_test.cc
@@ -94,6 +94,23 @@
     cr_assert(harness.view().remaining_budget == 900);
 }
 
+Test(budget, a_child_that_gave_its_rest_back_is_not_opened_again) {
+    owner_harness harness;
+    harness.open(1'000);
+    const auto child = program::program("child");
+    harness.request(open_child_of(program::program(), child, 400));
+    exchange(harness);
+    harness.end(child);
+    exchange(harness);
+    cr_assert(harness.view().remaining_budget == 1'000);
+    harness.pass(base::seconds(61));
+    cr_assert(harness.owner().program_count() == 1, "the child is forgotten");
+    const std::size_t sent = harness.all<action::send_to_owner>().size();
+    const reply_token again = harness.request(open_child_of(program::program(), child, 400));
+    cr_assert(harness.error_of(again).reason == "program_ended");
+    cr_assert(harness.all<action::send_to_owner>().size() == sent);
+}
+
 Test(budget, a_repeated_return_would_be_noticed) {
     owner_options broken;
     broken.disabled.transfer_once = true;
