--- a/src/pearbarrow/config/log_core.h
+++ b/src/pearbarrow/config/log_core.h
@@ -235,6 +235,8 @@
     void send_create(proposal& waiting, actions& out);
     void start_settling(proposal& waiting, base::instant now, actions& out);
     void settle_proposals(base::instant now, actions& out);
+    /// Whether an entry of this change may exist or come to exist.
+    static bool may_have_run(const proposal& waiting);
     bool settle_from_log(const proposal& waiting, actions& out);
     void expire_or_retry(base::instant now, actions& out);
     void finish(const proposal& waiting, absl::StatusOr<base::config_version> result, actions& out);
--- a/src/pearbarrow/config/log_proposals.cc
+++ b/src/pearbarrow/config/log_proposals.cc
@@ -128,11 +128,12 @@
         finish(waiting, conflict_status(waiting.content, entry->content), out);
         return true;
     }
-    if (target == current_->version() && current_->last_change_id() == waiting.content.id) {
+    const bool newest = target == current_->version();
+    if (newest && current_->last_change_id() == waiting.content.id) {
         finish(waiting, target, out);
         return true;
     }
-    if (waiting.in_doubt) {
+    if (may_have_run(waiting) && !newest) {
         finish(waiting,
                refusal(absl::StatusCode::kUnavailable,
                        "the entry was compacted before this node could read whose it was",
@@ -140,15 +141,22 @@
                out);
         return true;
     }
+    // A repeated request may have been accepted by its first try, in an entry that is gone.
     finish(waiting,
            refusal(absl::StatusCode::kAborted,
                    fmt::format("version {} is long taken; the newest is {}", target.value(),
                                current_->version().value()),
-                   "config_conflict", base::executed::no),
+                   "config_conflict", newest ? base::executed::no : base::executed::unknown),
            out);
     return true;
 }
 
+bool log_core::may_have_run(const proposal& waiting) {
+    // A request still on its way may yet create the entry.
+    const bool on_its_way = waiting.request != 0 && waiting.phase == proposal_phase::creating;
+    return waiting.in_doubt || on_its_way;
+}
+
 void log_core::settle_proposals(base::instant now, actions& out) {
     std::erase_if(proposals_,
                   [&](const proposal& waiting) { return settle_from_log(waiting, out); });
@@ -157,11 +165,8 @@
 void log_core::expire_or_retry(base::instant now, actions& out) {
     std::erase_if(proposals_, [&](proposal& waiting) {
         if (now >= waiting.deadline) {
-            // A request still on its way may yet create the entry.
-            const bool doubtful = waiting.in_doubt || (waiting.request != 0 &&
-                                                       waiting.phase == proposal_phase::creating);
             finish(waiting,
-                   doubtful
+                   may_have_run(waiting)
                        ? refusal(absl::StatusCode::kUnavailable,
                                  "no answer from the service; the change may be accepted yet: " +
                                      waiting.failure,
