--- a/src/pearbarrow/bench/history.cc
+++ b/src/pearbarrow/bench/history.cc
@@ -144,8 +144,10 @@
 }
 
 void read_leaving(const json& line, history& into) {
-    into.leaving.push_back(
-        {.backend = text_id<base::backend_id>(line, "backend"), .at = time_of(line)});
+    back_end_leaving mark{.backend = text_id<base::backend_id>(line, "backend"),
+                          .at = time_of(line)};
+    mark.until = line.value("until_us", mark.until);
+    into.leaving.push_back(mark);
 }
 
 void read_version(const json& line, history& into) {
--- a/src/pearbarrow/bench/history.h
+++ b/src/pearbarrow/bench/history.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -81,10 +82,11 @@
     std::string outcome;
 };
 
-/// From this moment on a back end is marked as leaving.
+/// A back end was marked as leaving from `at` to `until`.
 struct back_end_leaving {
     base::backend_id backend;
     std::int64_t at = 0;
+    std::int64_t until = std::numeric_limits<std::int64_t>::max();
 };
 
 /// A node named the configuration version in force at it.
