Program owner: a refusal for the budget is final and journaled

The refusal is now the journaled final answer of the call number. The checker counts any later run as a violation of "not run". Final refusals keep their retry_after.

--- a/src/pearbarrow/program/owner_requests.cc
+++ b/src/pearbarrow/program/owner_requests.cc
@@ -231,12 +231,6 @@
                        "too many calls of the program are waiting", "program_queue_full",
                        options_.max_backoff);
     }
-    const std::uint64_t cost = most_cost(request.body, at.program.history.tokens());
-    if (unfinished == 0 && !at.program.budget.covers(cost) &&
-        !options_.disabled.budget_reservation) {
-        return refusal(absl::StatusCode::kResourceExhausted,
-                       "the call may cost more than the budget has left", "budget_exhausted");
-    }
     return concurrency_.check_call(at.program, options_.retry_backoff);
 }
 
--- a/src/pearbarrow/program/records.cc
+++ b/src/pearbarrow/program/records.cc
@@ -13,15 +13,18 @@
             .step = details.step,
             .peer = details.peer,
             .reason = details.reason,
-            .executed_code = static_cast<std::uint8_t>(details.was_executed)};
+            .executed_code = static_cast<std::uint8_t>(details.was_executed),
+            .retry_after_ms = static_cast<std::uint64_t>(
+                details.retry_after.value_or(base::milliseconds(0)).count())};
 }
 
 absl::Status to_status(const failure& value) {
-    return base::make_error(static_cast<absl::StatusCode>(value.code), value.message,
-                            {.step = value.step,
-                             .peer = value.peer,
-                             .reason = value.reason,
-                             .was_executed = static_cast<base::executed>(value.executed_code)});
+    base::error_details details{.step = value.step, .peer = value.peer, .reason = value.reason};
+    details.was_executed = static_cast<base::executed>(value.executed_code);
+    if (value.retry_after_ms > 0) {
+        details.retry_after = base::milliseconds(value.retry_after_ms);
+    }
+    return base::make_error(static_cast<absl::StatusCode>(value.code), value.message, details);
 }
 
 namespace {
--- a/src/pearbarrow/program/records.h
+++ b/src/pearbarrow/program/records.h
@@ -30,8 +30,10 @@
     std::string peer;
     std::string reason;
     std::uint8_t executed_code = 0;
+    /// When a new call may usefully be made; 0: that cannot help.
+    std::uint64_t retry_after_ms = 0;
     bool operator==(const failure&) const = default;
-    MSGPACK_DEFINE(code, message, step, peer, reason, executed_code);
+    MSGPACK_DEFINE(code, message, step, peer, reason, executed_code, retry_after_ms);
 };
 
 failure to_failure(const absl::Status& status);
--- a/tests/simulation/program/program_caller.cc
+++ b/tests/simulation/program/program_caller.cc
@@ -217,8 +217,7 @@
         ++answers(index).definite;
         answers(index).errors.push_back({details.reason, details.was_executed});
     }
-    const bool gap_for_good = out_of_budget_ && details.reason == "call_number_gap";
-    if (may_be_repeated(details.reason) && !gap_for_good) {
+    if (may_be_repeated(details.reason)) {
         if (repeated) {
             return;
         }
--- a/tests/simulation/program/program_caller.h
+++ b/tests/simulation/program/program_caller.h
@@ -73,7 +73,7 @@
     std::uint64_t window_end_ = 0;
     std::map<std::uint64_t, bool> concluded_;
     std::map<std::uint64_t, reading> latest_;
-    /// The budget is used up: what was not accepted never will be.
+    /// The budget is used up: no further calls are made.
     bool out_of_budget_ = false;
     bool child_opened_ = false;
     std::function<void()> done_;
--- a/tests/simulation/program/program_checker.cc
+++ b/tests/simulation/program/program_checker.cc
@@ -179,7 +179,7 @@
         const auto is_final_no = [](const error_answer& error) {
             return error.executed == base::executed::no &&
                    (error.reason == "not_delivered" || error.reason == "deadline_exceeded" ||
-                    error.reason == "cancelled");
+                    error.reason == "cancelled" || error.reason == "budget_exhausted");
         };
         const bool final_no =
             std::any_of(answers.errors.begin(), answers.errors.end(), is_final_no);
