Gateway: status codes of back ends' failures, bounded name headers; TLS in pearbarrowctl

Cause: a call whose back end failed it answered 500, which reads as a fault of pearbarrow; names in headers had no bound of their own; a cluster with TLS could not be asked by pearbarrowctl.

Change: outcome_unknown, attempts_exhausted, parts_missing and output_too_large answer 502, idle_limit 409. X-Program-Class and X-Priority-Class have at most 256 bytes. pearbarrowctl takes the authorities that sign the server and its own certificate.

TLS of pearbarrowctl has not been run.

--- a/apps/pearbarrowctl.cc
+++ b/apps/pearbarrowctl.cc
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <spdlog/fmt/fmt.h>
@@ -41,6 +42,9 @@
 struct command_line {
     std::string server = "127.0.0.1:7001";
     std::string key_file;
+    std::string tls_authorities;
+    std::string tls_certificate;
+    std::string tls_key;
     std::string output = "table";
     std::string kind;
     std::string name;
@@ -336,7 +340,14 @@
     if (!key.has_value()) {
         return usage_error(fmt::format("--key-file {}: can't be read", given.key_file));
     }
-    control_client client({.server = *server, .key = *key});
+    if (given.tls_authorities.empty() && !given.tls_certificate.empty()) {
+        return usage_error("--tls-certificate needs --tls-authorities");
+    }
+    pearbarrow::operators::control_options options{.server = *server, .key = *key};
+    if (!given.tls_authorities.empty()) {
+        options.tls = {given.tls_certificate, given.tls_key, given.tls_authorities};
+    }
+    control_client client(std::move(options));
     for (const auto& entry : commands) {
         if (entry.app->parsed()) {
             return entry.run(client, given);
@@ -358,6 +369,15 @@
         ->envname("PEARBARROW_SERVER")
         ->capture_default_str();
     app.add_option("--key-file", given.key_file, "File that holds the operator's key");
+    app.add_option("--tls-authorities", given.tls_authorities,
+                   "PEM file of authorities that sign the server; without it plain text is spoken")
+        ->envname("PEARBARROW_TLS_AUTHORITIES");
+    auto* tls_certificate = app.add_option("--tls-certificate", given.tls_certificate,
+                                           "PEM file of the operator's certificate chain");
+    auto* tls_key =
+        app.add_option("--tls-key", given.tls_key, "PEM file of the certificate's private key");
+    tls_certificate->needs(tls_key);
+    tls_key->needs(tls_certificate);
     app.add_option("-o,--output", given.output, "Form of the output")
         ->check(CLI::IsMember({"json", "table"}))
         ->capture_default_str();
--- a/src/pearbarrow/gateway/api_key.cc
+++ b/src/pearbarrow/gateway/api_key.cc
@@ -35,7 +35,7 @@
     EVP_Digest(bytes.data(), bytes.size(), digest.data(), &length, EVP_sha256(), nullptr);
     constexpr std::string_view digits = "0123456789abcdef";
     std::string result;
-    result.reserve(length * 2);
+    result.reserve(std::size_t{2} * length);
     for (unsigned int index = 0; index < length; ++index) {
         result.push_back(digits[digest[index] >> 4U]);
         result.push_back(digits[digest[index] & 0xFU]);
--- a/src/pearbarrow/gateway/chat_request.cc
+++ b/src/pearbarrow/gateway/chat_request.cc
@@ -1,6 +1,8 @@
 #include "pearbarrow/gateway/chat_request.h"
 
+#include <algorithm>
 #include <array>
+#include <optional>
 #include <utility>
 
 #include <absl/strings/numbers.h>
@@ -151,6 +153,17 @@
     return value;
 }
 
+/// A header that holds a name; none when absent or too long.
+std::optional<std::string> name_header(const net::http_request& request, const std::string& name,
+                                       std::vector<field_problem>& problems) {
+    auto text = request.headers.find(name);
+    if (text.has_value() && text->size() > max_name_bytes) {
+        problems.push_back({name, fmt::format("must be at most {} bytes long", max_name_bytes)});
+        return std::nullopt;
+    }
+    return text;
+}
+
 /// "key=value,key=value" as the JSON object that `read_labels` takes.
 nlohmann::json labels_of_header(std::string_view text) {
     nlohmann::json labels = nlohmann::json::object();
@@ -175,8 +188,8 @@
     }
     request.deadline_ms = number_header(http, "X-Deadline-Ms", max_milliseconds, problems);
     request.program_class =
-        http.headers.find("X-Program-Class").value_or(std::string(default_program_class));
-    request.priority_class = http.headers.find("X-Priority-Class").value_or("");
+        name_header(http, "X-Program-Class", problems).value_or(std::string(default_program_class));
+    request.priority_class = name_header(http, "X-Priority-Class", problems).value_or("");
     request.labels =
         read_labels(labels_of_header(http.headers.find("X-Program-Labels").value_or("")),
                     "X-Program-Labels", problems);
--- a/src/pearbarrow/gateway/gateway.cc
+++ b/src/pearbarrow/gateway/gateway.cc
@@ -134,14 +134,13 @@
 
 void handle_resource(const caller_request_ptr& request) {
     const auto path = split_path(request->http().path());
-    if (path.size() < 2 || path[0] != "v1") {
-        refuse_path(request);
-    } else if (path[1] == "programs") {
+    const bool versioned = path.size() >= 2 && path[0] == "v1";
+    if (versioned && path[1] == "programs") {
         handle_under_programs(request, path);
-    } else if (path.size() == 3 && path[1] == "chat" && path[2] == "completions") {
+    } else if (versioned && path.size() == 3 && path[1] == "chat" && path[2] == "completions") {
         request->set_resource("chat_completions");
         is(request, "POST") ? chat_completions(request) : refuse_method(request, "POST");
-    } else if (path.size() == 2 && path[1] == "models") {
+    } else if (versioned && path.size() == 2 && path[1] == "models") {
         request->set_resource("models");
         is(request, "GET") ? list_models(request) : refuse_method(request, "GET");
     } else {
--- a/src/pearbarrow/gateway/gateway.h
+++ b/src/pearbarrow/gateway/gateway.h
@@ -46,7 +46,7 @@
     /// Requests under way at once; more get 503 with reason `gateway_overloaded`.
     std::size_t max_open_requests = 8'192;
     /// Bytes queued for one slow reader above which it is cut off. Its answer is kept by the owner.
-    std::size_t max_pending_bytes = 4 * 1'024 * 1'024;
+    std::size_t max_pending_bytes = std::size_t{4} * 1'024 * 1'024;
     /// Longest time for requests that run no call.
     base::milliseconds request_timeout{30'000};
     /// Longest time for a call whose request names no deadline.
--- a/src/pearbarrow/gateway/problem.cc
+++ b/src/pearbarrow/gateway/problem.cc
@@ -23,8 +23,11 @@
 constexpr std::array reason_statuses{
     reason_status{"budget_exhausted", 409},   reason_status{"turn_limit", 409},
     reason_status{"loop_detected", 409},      reason_status{"run_time_limit", 409},
+    reason_status{"idle_limit", 409},         reason_status{"cancelled", 409},
+    reason_status{"outcome_unknown", 502},    reason_status{"output_too_large", 502},
+    reason_status{"attempts_exhausted", 502}, reason_status{"parts_missing", 502},
     reason_status{"body_too_large", 413},     reason_status{"unsupported_media_type", 415},
-    reason_status{"method_not_allowed", 405}, reason_status{"cancelled", 409},
+    reason_status{"method_not_allowed", 405},
 };
 
 int status_of_code(absl::StatusCode code) {
@@ -80,6 +83,8 @@
             return "Too Many Requests";
         case 501:
             return "Not Implemented";
+        case 502:
+            return "Bad Gateway";
         case 503:
             return "Service Unavailable";
         case 504:
--- a/src/pearbarrow/gateway/request_json.h
+++ b/src/pearbarrow/gateway/request_json.h
@@ -16,7 +16,7 @@
 namespace pearbarrow::gateway {
 
 inline constexpr std::size_t max_messages = 4'096;
-inline constexpr std::size_t max_content_bytes = 4 * 1'024 * 1'024;
+inline constexpr std::size_t max_content_bytes = std::size_t{4} * 1'024 * 1'024;
 inline constexpr std::size_t max_name_bytes = 256;
 inline constexpr std::size_t max_labels = 64;
 inline constexpr std::size_t max_idempotency_key_bytes = 255;
--- a/src/pearbarrow/operator/control_client.cc
+++ b/src/pearbarrow/operator/control_client.cc
@@ -94,7 +94,7 @@
 }
 
 control_client::control_client(control_options options)
-    : options_(std::move(options)), client_(net::make_http_client(loop_)) {}
+    : options_(std::move(options)), client_(net::make_http_client(loop_, {.tls = options_.tls})) {}
 
 control_client::~control_client() = default;
 
--- a/src/pearbarrow/operator/control_client.h
+++ b/src/pearbarrow/operator/control_client.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -21,6 +22,8 @@
     base::milliseconds timeout{10'000};
     /// Tries of a request whose answer was lost; each carries the same `Idempotency-Key`.
     int tries = 3;
+    /// Set: the server is asked over TLS and must be signed by one of the authorities named here.
+    std::optional<net::tls_files> tls;
 };
 
 /// How a command ended: the exit codes of pearbarrowctl.
--- a/src/pearbarrow/operator/operator_api.cc
+++ b/src/pearbarrow/operator/operator_api.cc
@@ -106,7 +106,8 @@
     void get_object(const exchange_ptr& exchange, const std::string& kind, const std::string& name);
     void list_objects(const exchange_ptr& exchange);
     void config(const exchange_ptr& exchange);
-    void look_again(const std::shared_ptr<waiter>& waiting);
+    /// By value: the copy outlives the timer that holds the original.
+    void look_again(std::shared_ptr<waiter> waiting);
     void metrics(const exchange_ptr& exchange);
     void ready(const exchange_ptr& exchange);
 
@@ -410,8 +411,7 @@
     }
 }
 
-void operator_api::state::look_again(const std::shared_ptr<waiter>& waiting) {
-    const auto keep_alive = waiting;
+void operator_api::state::look_again(std::shared_ptr<waiter> waiting) {
     const auto nodes = backend.nodes();
     const auto behind = nodes_behind(nodes, waiting->version);
     const auto own = backend.status().version;
--- a/src/pearbarrow/settings/node_settings.cc
+++ b/src/pearbarrow/settings/node_settings.cc
@@ -18,7 +18,7 @@
 
 constexpr std::size_t max_name_bytes = 63;
 constexpr std::size_t max_path_bytes = 4'096;
-constexpr std::size_t max_file_bytes = 1'024 * 1'024;
+constexpr std::size_t max_file_bytes = std::size_t{1'024} * 1'024;
 constexpr std::size_t key_hash_digits = 64;
 constexpr std::uint64_t max_shards = 65'536;
 constexpr std::size_t kibibyte = 1'024;
--- a/src/pearbarrow/settings/node_settings.h
+++ b/src/pearbarrow/settings/node_settings.h
@@ -61,16 +61,16 @@
 /// `[limits]`: bounds on what one node holds.
 struct limit_settings {
     std::size_t max_connections = 4'096;
-    std::size_t max_header_bytes = 16 * 1'024;
-    std::size_t max_body_bytes = 8 * 1'024 * 1'024;
+    std::size_t max_header_bytes = std::size_t{16} * 1'024;
+    std::size_t max_body_bytes = std::size_t{8} * 1'024 * 1'024;
     /// Bytes queued for one caller that reads slowly, above which its connection is cut.
-    std::size_t max_pending_bytes = 4 * 1'024 * 1'024;
-    std::size_t max_frame_bytes = 16 * 1'024 * 1'024;
-    std::size_t max_peer_queue_bytes = 64 * 1'024 * 1'024;
+    std::size_t max_pending_bytes = std::size_t{4} * 1'024 * 1'024;
+    std::size_t max_frame_bytes = std::size_t{16} * 1'024 * 1'024;
+    std::size_t max_peer_queue_bytes = std::size_t{64} * 1'024 * 1'024;
     /// Histories of recently used programs kept in memory by program owners.
-    std::size_t history_cache_bytes = 64 * 1'024 * 1'024;
+    std::size_t history_cache_bytes = std::size_t{64} * 1'024 * 1'024;
     /// Block cache and write buffers of the journal's storage.
-    std::size_t storage_cache_bytes = 32 * 1'024 * 1'024;
+    std::size_t storage_cache_bytes = std::size_t{32} * 1'024 * 1'024;
     /// Requests of callers under way at once at this node's gateway.
     std::size_t max_open_requests = 8'192;
 };
--- a/tests/unit/gateway/bad_input_test.cc
+++ b/tests/unit/gateway/bad_input_test.cc
@@ -156,6 +156,10 @@
             answer.json()["error"]["message"].get<std::string>().find(field) != std::string::npos,
             "%s is not named: %s", field.c_str(), answer.body.c_str());
     }
+    auto long_name = fixture.call("POST", "/v1/chat/completions",
+                                  R"({"model":"m","messages":[{"role":"user","content":"x"}]})");
+    long_name.headers.add("X-Program-Class", std::string(300, 'c'));
+    expect_refused(fixture, fixture.ask(long_name), 400, "invalid_field");
     auto header = fixture.call("POST", "/v1/chat/completions",
                                R"({"model":"m","messages":[{"role":"user","content":"x"}]})");
     header.headers.add("X-Call-Number", "zero");
--- a/tests/unit/gateway/gateway_fixture.h
+++ b/tests/unit/gateway/gateway_fixture.h
@@ -110,7 +110,8 @@
 };
 
 struct gateway_fixture {
-    explicit gateway_fixture(std::size_t max_pending_bytes = 1'024 * 1'024) : router(loop) {
+    explicit gateway_fixture(std::size_t max_pending_bytes = std::size_t{1'024} * 1'024)
+        : router(loop) {
         gateway_options options;
         options.node = base::node_id("gateway-1");
         options.draw_program_id = [] { return base::program_id(drawn_program); };
@@ -121,7 +122,7 @@
         options.metrics = &metrics;
         gateway = std::make_unique<caller_gateway>(router, directory, clock, std::move(options));
         server = net::make_http_server(
-            loop, {.listen = net::testing::loopback, .max_body_bytes = 64 * 1'024},
+            loop, {.listen = net::testing::loopback, .max_body_bytes = std::size_t{64} * 1'024},
             gateway->handler());
         started = server->start();
         client = net::make_http_client(loop);
--- a/tests/unit/gateway/native_api_test.cc
+++ b/tests/unit/gateway/native_api_test.cc
@@ -187,7 +187,7 @@
 }
 
 Test(native, a_slow_reader_is_cut_off_and_nobody_else) {
-    constexpr std::size_t bound = 64 * 1024;
+    constexpr std::size_t bound = std::size_t{64} * 1024;
     gateway_fixture fixture(bound);
     net::testing::raw_client slow(fixture.server->local_endpoint(), 4'096);
     slow.send("POST " + calls + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + key_of_a +
@@ -195,7 +195,7 @@
               streamed_call);
     const auto routed = fixture.wait_for_route(1);
     cr_assert_not_null(routed);
-    const std::string block(32 * 1024, 'x');
+    const std::string block(std::size_t{32} * 1024, 'x');
     constexpr int most_blocks = 4'096;
     int sent = 0;
     const auto feeder = fixture.loop.every(std::chrono::milliseconds(1), [&] {
--- a/tests/unit/gateway/parts_test.cc
+++ b/tests/unit/gateway/parts_test.cc
@@ -74,6 +74,10 @@
     const auto budget =
         base::make_error(StatusCode::kResourceExhausted, "spent", {.reason = "budget_exhausted"});
     cr_expect_eq(http_status_of(budget), 409, "repeating it can't help");
+    const auto unknown =
+        base::make_error(StatusCode::kUnknown, "lost",
+                         {.reason = "outcome_unknown", .was_executed = base::executed::unknown});
+    cr_expect_eq(http_status_of(unknown), 502);
 }
 
 Test(problem, carries_step_peer_executed_and_retry) {
