Tests: expect_text without std::source_location

Change: the compiler's built-in file and line take its place; one widening multiplication is mended.

--- a/tests/unit/expect_text.h
+++ b/tests/unit/expect_text.h
@@ -2,7 +2,6 @@
 /// arguments, which dangle when these are temporaries.
 #pragma once
 
-#include <source_location>
 #include <string>
 #include <string_view>
 
@@ -10,12 +9,12 @@
 
 namespace pearbarrow::testing {
 
-/// Expects equal texts and shows both, with the line of the caller, when they differ.
+/// Expects equal texts and shows both, with the line of the caller, when they differ. (clang-tidy
+/// 14 does not know std::source_location.)
 inline void expect_text(std::string_view actual, std::string_view expected,
-                        std::source_location where = std::source_location::current()) {
-    cr_expect(actual == expected, "%s:%u: got '%s', expected '%s'", where.file_name(),
-              static_cast<unsigned>(where.line()), std::string(actual).c_str(),
-              std::string(expected).c_str());
+                        const char* file = __builtin_FILE(), unsigned line = __builtin_LINE()) {
+    cr_expect(actual == expected, "%s:%u: got '%s', expected '%s'", file, line,
+              std::string(actual).c_str(), std::string(expected).c_str());
 }
 
 }  // namespace pearbarrow::testing
--- a/tests/unit/settings/node_settings_test.cc
+++ b/tests/unit/settings/node_settings_test.cc
@@ -159,7 +159,7 @@
     }
     const auto nothing = settings::check("");
     cr_expect_eq(nothing.problems.size(), 4, "node, cluster, zone and region are missing");
-    const auto too_large = settings::check(std::string(2 * 1024 * 1024, '#'));
+    const auto too_large = settings::check(std::string(std::size_t{2} * 1024 * 1024, '#'));
     cr_expect_eq(too_large.problems.size(), 1);
 }
 
