--- a/src/pearbarrow/program/owner_readers.cc
+++ b/src/pearbarrow/program/owner_readers.cc
@@ -118,7 +118,7 @@
                                                   "too_many_readers", options_.retry_backoff));
         return;
     }
-    at.runtime.history_requests.push_back(std::move(request));
+    at.runtime.history_requests.push_back(request);
     const program_history* known = history(at);
     if (known == nullptr) {
         request_history(at);
--- a/src/pearbarrow/program/shard_owner.cc
+++ b/src/pearbarrow/program/shard_owner.cc
@@ -1,13 +1,11 @@
 #include "pearbarrow/program/shard_owner.h"
 
-#include <utility>
-
 #include "pearbarrow/program/owner_state.h"
 
 namespace pearbarrow::program {
 
 shard_owner::shard_owner(owner_options options)
-    : state_(std::make_unique<owner_state>(std::move(options))) {}
+    : state_(std::make_unique<owner_state>(options)) {}
 shard_owner::~shard_owner() = default;
 shard_owner::shard_owner(shard_owner&&) noexcept = default;
 shard_owner& shard_owner::operator=(shard_owner&&) noexcept = default;
