--- a/src/pearbarrow/program/shard_owner.cc
+++ b/src/pearbarrow/program/shard_owner.cc
@@ -4,8 +4,7 @@
 
 namespace pearbarrow::program {
 
-shard_owner::shard_owner(owner_options options)
-    : state_(std::make_unique<owner_state>(options)) {}
+shard_owner::shard_owner(owner_options options) : state_(std::make_unique<owner_state>(options)) {}
 shard_owner::~shard_owner() = default;
 shard_owner::shard_owner(shard_owner&&) noexcept = default;
 shard_owner& shard_owner::operator=(shard_owner&&) noexcept = default;
