--- a/src/pearbarrow/bench/simulate_cache.cc
+++ b/src/pearbarrow/bench/simulate_cache.cc
@@ -13,7 +13,7 @@
         }
         const std::uint32_t ready = std::min(found->second.ready, part.tokens);
         matched += ready;
-        if (ready < found->second.full) {
+        if (ready < part.tokens) {
             break;
         }
     }
@@ -117,7 +117,6 @@
         }
         const std::uint32_t added = part.tokens - std::min(part.tokens, value.tokens);
         value.tokens += added;
-        value.full = std::max(value.full, part.tokens);
         used_ += added;
         parent = part.key;
     }
@@ -144,7 +143,6 @@
         }
         value.idle_since = now;
         value.last_use = ++use_counter_;
-        value.full = value.ready;
         if (value.ready < value.tokens) {
             shrink(part->key, value, value.tokens - value.ready);
             if (!entries_.contains(part->key)) {
@@ -171,11 +169,11 @@
     pinned_ += found->second.tokens;
     pins_.emplace(until, key);
     while (pinned_ > pin_limit_ && pins_.size() > 1) {
-        break_oldest_pin(now);
+        break_oldest_pin();
     }
 }
 
-bool prefix_cache::break_oldest_pin(sim_time now) {
+bool prefix_cache::break_oldest_pin() {
     if (pins_.empty()) {
         return false;
     }
@@ -188,7 +186,7 @@
 
 void prefix_cache::expire_pins(sim_time now) {
     while (!pins_.empty() && pins_.begin()->first <= now) {
-        break_oldest_pin(now);
+        break_oldest_pin();
     }
 }
 
--- a/src/pearbarrow/bench/simulate_cache.h
+++ b/src/pearbarrow/bench/simulate_cache.h
@@ -51,7 +51,7 @@
     void pin(std::uint64_t key, sim_time until, sim_time now);
     void expire_pins(sim_time now);
     /// Ends the pin that lapses first. False without pins.
-    bool break_oldest_pin(sim_time now);
+    bool break_oldest_pin();
     /// Frees a program's own prefix, unless it is running.
     void abandon(std::uint64_t key, sim_time now);
     /// Everything is lost. Only while nothing is referenced.
@@ -67,7 +67,6 @@
         /// Room taken, and the part of it that has been computed.
         std::uint32_t tokens = 0;
         std::uint32_t ready = 0;
-        std::uint32_t full = 0;
         std::uint32_t references = 0;
         std::uint32_t children = 0;
         std::uint64_t parent = 0;
--- a/src/pearbarrow/bench/simulate_engine.cc
+++ b/src/pearbarrow/bench/simulate_engine.cc
@@ -71,7 +71,7 @@
         if (preempt_worse_than(candidate, now)) {
             continue;
         }
-        if (!running_.empty() || !cache_.break_oldest_pin(now)) {
+        if (!running_.empty() || !cache_.break_oldest_pin()) {
             return false;
         }
     }
--- a/src/pearbarrow/bench/simulate_experiment.cc
+++ b/src/pearbarrow/bench/simulate_experiment.cc
@@ -177,6 +177,7 @@
     reader.read("report_lag_seconds", value.report_lag_seconds);
     reader.read("cache_event_lag_seconds", value.cache_event_lag_seconds);
     reader.read("cache_event_loss", value.cache_event_loss);
+    reader.read("context_limit", value.context_limit);
     reader.read("starvation_seconds", value.starvation_seconds);
     reader.read("baselines_release", value.baselines_release);
     for_each_table(reader, "class",
--- a/src/pearbarrow/bench/simulate_experiment.h
+++ b/src/pearbarrow/bench/simulate_experiment.h
@@ -104,6 +104,8 @@
     double cache_event_lag_seconds = 1;
     /// Part of the cache events that never arrive.
     double cache_event_loss = 0.05;
+    /// A program ends when its next prompt and answer would be longer than this many tokens.
+    std::uint32_t context_limit = 100'000;
     /// A call that waits longer for its engine to begin counts its program as starved.
     double starvation_seconds = 60;
     /// With the baselines, too, engines drop the prefix of a program that has ended.
--- a/src/pearbarrow/bench/simulate_workload.cc
+++ b/src/pearbarrow/bench/simulate_workload.cc
@@ -96,16 +96,23 @@
         result_.programs.push_back(program);
         std::vector<planned_call> calls;
         double next_input = spec.first_input.draw(random);
+        double context = spec.system_tokens + spec.document_tokens;
         for (std::uint32_t number = 0; number < count; ++number) {
             planned_call call;
             call.input_tokens = static_cast<std::uint32_t>(next_input);
             call.output_tokens = std::max(1U, static_cast<std::uint32_t>(spec.output.draw(random)));
-            if (number + 1 < count) {
+            context += call.input_tokens + call.output_tokens;
+            const double room = setup_.context_limit - context - spec.output.high;
+            if (number + 1 < count && room > 0) {
                 next_input = draw_pause(spec, index, tenant, at, random, call);
+                next_input = std::min(next_input, room);
             } else if (spec.without_model) {
                 call.pause_seconds = spec.tool_seconds.draw(random);
             }
             calls.push_back(std::move(call));
+            if (room <= 0) {
+                break;
+            }
         }
         result_.programs[index].calls = std::move(calls);
         return index;
--- a/src/pearbarrow/placement/call_queue.cc
+++ b/src/pearbarrow/placement/call_queue.cc
@@ -44,12 +44,12 @@
 
 void call_queue::link(waiting_call& call) {
     all_.insert(call.key);
-    lanes_[call.permitted].emplace(call.key, &call);
+    lanes_[{call.permitted, call.opens_program}].emplace(call.key, &call);
 }
 
 void call_queue::unlink(waiting_call& call) {
     all_.erase(call.key);
-    const auto found = lanes_.find(call.permitted);
+    const auto found = lanes_.find({call.permitted, call.opens_program});
     found->second.erase(call.key);
     if (found->second.empty()) {
         lanes_.erase(found);
@@ -113,9 +113,9 @@
 }
 
 call_queue::cursor::cursor(const call_queue& queue, engine_mask open) : queue_(queue) {
-    for (const auto& [mask, calls] : queue.lanes_) {
-        if ((mask & open) != 0) {
-            positions_.push_back({mask, std::nullopt});
+    for (const auto& [lane, calls] : queue.lanes_) {
+        if ((lane.permitted & open) != 0) {
+            positions_.push_back({lane, std::nullopt});
         }
     }
 }
@@ -124,8 +124,9 @@
     const waiting_call* first = nullptr;
     position* from = nullptr;
     for (position& candidate : positions_) {
-        const auto found = queue_.lanes_.find(candidate.mask);
-        if ((candidate.mask & open) == 0 || found == queue_.lanes_.end()) {
+        const auto found = queue_.lanes_.find(candidate.lane);
+        if ((candidate.lane.permitted & open) == 0 || found == queue_.lanes_.end() ||
+            (skip_openers_ && candidate.lane.opens_program)) {
             continue;
         }
         const lane& calls = found->second;
--- a/src/pearbarrow/placement/call_queue.h
+++ b/src/pearbarrow/placement/call_queue.h
@@ -48,9 +48,18 @@
     std::optional<base::instant> deadline;
     /// Engines that rules, model and context length permit.
     engine_mask permitted = 0;
+    /// The first call of a program that has no parent.
+    bool opens_program = false;
 };
 
 class call_queue {
+    struct lane_key {
+        engine_mask permitted = 0;
+        bool opens_program = false;
+
+        auto operator<=>(const lane_key&) const = default;
+    };
+
   public:
     /// Returns false when the attempt is waiting already.
     bool insert(waiting_call call);
@@ -79,14 +88,17 @@
         cursor(const call_queue& queue, engine_mask open);
         /// The next call, or null at the end. `open` may shrink between steps.
         const waiting_call* next(engine_mask open);
+        /// Passes over all calls that open a program from here on.
+        void skip_openers() { skip_openers_ = true; }
 
       private:
         const call_queue& queue_;
         struct position {
-            engine_mask mask = 0;
+            lane_key lane;
             std::optional<queue_key> last;
         };
         std::vector<position> positions_;
+        bool skip_openers_ = false;
     };
 
   private:
@@ -94,7 +106,7 @@
     using ordered =
         __gnu_pbds::tree<queue_key, Mapped, std::less<queue_key>, __gnu_pbds::rb_tree_tag,
                          __gnu_pbds::tree_order_statistics_node_update>;
-    /// Calls that may use the same engines.
+    /// Calls that may use the same engines, those that open a program apart.
     using lane = std::map<queue_key, waiting_call*>;
 
     void link(waiting_call& call);
@@ -102,7 +114,7 @@
 
     absl::flat_hash_map<base::attempt_id, std::unique_ptr<waiting_call>> calls_;
     ordered<__gnu_pbds::null_type> all_;
-    std::map<engine_mask, lane> lanes_;
+    std::map<lane_key, lane> lanes_;
     /// By arrival; only calls not yet past the starvation bound.
     std::set<std::pair<base::instant, std::uint64_t>> arrivals_;
     std::map<std::uint64_t, waiting_call*> by_sequence_;
--- a/src/pearbarrow/placement/cell_scheduler.cc
+++ b/src/pearbarrow/placement/cell_scheduler.cc
@@ -39,6 +39,7 @@
     engines_.set(event.engines);
     rules_.set(event.configuration, event.region, std::move(labels));
     directory_.set_engines(limits);
+    working_set_.set_engines(limits.size());
     for (const base::attempt_id& attempt : queue_.attempts()) {
         const waiting_call* call = queue_.find(attempt);
         const program_rules& rules = rules_.find(call->offer);
@@ -67,6 +68,7 @@
         call.deadline = now + base::milliseconds(offer.deadline_ms);
     }
     call.permitted = permitted_engines(offer, rules);
+    call.opens_program = offer.calls_done == 0 && offer.depth == 0;
     shares_.add_active(offer.tenant, rules.tenant_weight, 1);
     call.key = key_for(offer, rules, now);
     gather(call, true, now);
@@ -107,6 +109,7 @@
     }
     if (finished.program_ended) {
         handle(program_ended_event{finished.program}, now);
+        return;
     }
     dispatch(now);
 }
@@ -128,6 +131,8 @@
     const std::uint32_t shared = directory_.shared_tokens(call.offer.prefixes, *call.engine);
     directory_.record_program(finished.program, *call.engine, finished.history_tokens, shared,
                               now + call.pin_lease);
+    working_set_.put(finished.program, *call.engine,
+                     finished.history_tokens - std::min(shared, finished.history_tokens), now);
     if (paused_.size() < most_paused_programs) {
         paused_[finished.program] = {now, call.offer.program_class, finished.next_tool};
     }
@@ -180,7 +185,14 @@
 
 void cell_scheduler::state::handle(const program_ended_event& event, base::instant now) {
     directory_.forget_program(event.program);
-    const auto found = paused_.find(event.program);
+    working_set_.remove(event.program);
+    learn_end(event.program);
+    // Memory that the program held may let another one open.
+    dispatch(now);
+}
+
+void cell_scheduler::state::learn_end(const base::program_id& program) {
+    const auto found = paused_.find(program);
     if (found == paused_.end()) {
         return;
     }
@@ -195,6 +207,7 @@
     if (now - last_housekeeping_ >= housekeeping_interval) {
         last_housekeeping_ = now;
         engines_.check_overdue(now);
+        working_set_.expire(now - options_.working_set_pause);
         absl::erase_if(paused_,
                        [&](const auto& entry) { return now - entry.second.since > longest_pause; });
     }
@@ -239,10 +252,17 @@
         }
         const bool starved = call->key.band == 0;
         const engine_mask permitted = call->permitted;
-        if (try_call(*call, now)) {
+        const attempt_result result = try_call(*call, now);
+        if (result == attempt_result::moved) {
             open = engines_.open();
             continue;
         }
+        if (result == attempt_result::waits_for_memory) {
+            // Programs under way must go on, or the memory never becomes free; but no other
+            // program may be opened before this one.
+            cursor.skip_openers();
+            continue;
+        }
         ++passed_over;
         if (starved) {
             // Nothing may take the room that a starved call waits for.
@@ -251,7 +271,8 @@
     }
 }
 
-bool cell_scheduler::state::try_call(const waiting_call& call, base::instant now) {
+cell_scheduler::state::attempt_result cell_scheduler::state::try_call(const waiting_call& call,
+                                                                      base::instant now) {
     const program_rules& rules = rules_.find(call.offer);
     const bool over = options_.tenant_fairness && call.key.band != 0 &&
                       shares_.over_share(call.offer.tenant, now);
@@ -259,27 +280,28 @@
         queue_key key = call.key;
         key.over_share = 1;
         queue_.change_key(call.offer.attempt, key);
-        return true;
+        return attempt_result::moved;
     }
     gather(call, false, now);
     const quick_outcome outcome = decide_quickly(inputs_);
     if (outcome.kind == decision_kind::waiting) {
         if (outcome.reason == reason::waiting_for_tenant_limit) {
             hold_back(call);
-            return true;
+            return attempt_result::moved;
         }
-        return false;
+        return outcome.reason == reason::waiting_for_memory ? attempt_result::waits_for_memory
+                                                            : attempt_result::waits;
     }
     const base::attempt_id attempt = call.offer.attempt;
     const double weight = rules.tenant_weight;
     waiting_call taken = *dequeue(attempt);
     if (outcome.kind == decision_kind::granted) {
         grant(std::move(taken), *outcome.chosen, now);
-        return true;
+        return attempt_result::moved;
     }
     refuse(taken.offer, decide(inputs_));
     shares_.add_active(taken.offer.tenant, weight, -1);
-    return true;
+    return attempt_result::moved;
 }
 
 cell_load cell_scheduler::state::load() const {
--- a/src/pearbarrow/placement/cell_scheduler.h
+++ b/src/pearbarrow/placement/cell_scheduler.h
@@ -55,7 +55,7 @@
     /// A paused program's prefix is kept while the chance of its return is above this, a second.
     double least_return_rate = 0.02;
     /// How long a call may wait for the engine that holds its prefix.
-    base::milliseconds affinity_wait{2'000};
+    base::milliseconds affinity_wait{10'000};
     /// Calls that one pass over the queue looks at beyond those it grants.
     std::uint32_t scan_limit = 16;
     queue_order order = queue_order::stretch;
@@ -63,7 +63,15 @@
     double stretch_factor = 4;
 
     bool prefix_affinity = true;
-    bool retention = true;
+    /// Pins of paused programs' prefixes. Off: they cost more than they saved (see scheduling.md).
+    bool retention = false;
+    /// New programs wait while the prefixes of programs under way fill an engine's memory. Off: no
+    /// gain measured (see scheduling.md).
+    bool working_set_limit = false;
+    /// Part of an engine's token limit that programs under way may fill before new ones wait.
+    double working_set_part = 1.0;
+    /// A program that has paused for longer no longer counts as under way on its engine.
+    base::milliseconds working_set_pause{30'000};
     bool tenant_fairness = true;
     bool early_refusal = true;
 };
--- a/src/pearbarrow/placement/decision.cc
+++ b/src/pearbarrow/placement/decision.cc
@@ -160,7 +160,22 @@
                    queue_us > 0 ? bounded_retry(queue_us / us_per_ms) : 0);
 }
 
+/// Whether a program may be opened on the engine without driving out the prefixes of others.
+bool has_memory(const decision_inputs& inputs, const candidate_input& candidate) {
+    return !inputs.opens_program || candidate.working_set_limit == 0 ||
+           candidate.working_set == 0 ||
+           candidate.working_set + tokens_needed(inputs) -
+                   std::min(candidate.cached_tokens, inputs.prompt_tokens) <=
+               candidate.working_set_limit;
+}
+
+bool can_start(const decision_inputs& inputs, const candidate_input& candidate) {
+    return candidate.in_flight < candidate.in_flight_limit && fits(inputs, candidate) &&
+           has_memory(inputs, candidate);
+}
+
 verdict choose(const decision_inputs& inputs) {
+    bool memory_lacks = false;
     std::optional<std::size_t> best;
     std::optional<std::size_t> best_open;
     double best_us = std::numeric_limits<double>::infinity();
@@ -175,18 +190,23 @@
             best = index;
             best_us = expected;
         }
-        const bool open =
-            candidate.in_flight < candidate.in_flight_limit && fits(inputs, candidate);
+        const bool open = can_start(inputs, candidate);
+        memory_lacks = memory_lacks || !has_memory(inputs, candidate);
         if (open && expected < best_open_us) {
             best_open = index;
             best_open_us = expected;
         }
     }
+    if (!best_open && memory_lacks) {
+        return waiting(reason::waiting_for_memory);
+    }
     if (!best_open) {
         return waiting(inputs.ahead > 0 ? reason::waiting_behind_others
                                         : reason::waiting_for_capacity);
     }
-    const bool may_wait = !inputs.starved && inputs.waited_ms < inputs.affinity_wait_ms;
+    // A program's first call has no prefix of its own to wait for.
+    const bool may_wait =
+        !inputs.starved && !inputs.opens_program && inputs.waited_ms < inputs.affinity_wait_ms;
     if (may_wait && *best != *best_open && inputs.candidates[*best].cached_tokens > 0 &&
         best_us * wait_advantage < best_open_us) {
         return waiting(reason::waiting_for_cached_prefix);
@@ -265,9 +285,7 @@
     for (const candidate_input& candidate : inputs.candidates) {
         if (candidate.eligible) {
             outcome.scores.push_back(
-                {candidate.backend,
-                 candidate.in_flight < candidate.in_flight_limit && fits(inputs, candidate),
-                 expected_us(inputs, candidate)});
+                {candidate.backend, can_start(inputs, candidate), expected_us(inputs, candidate)});
         }
     }
     return outcome;
--- a/src/pearbarrow/placement/decision.h
+++ b/src/pearbarrow/placement/decision.h
@@ -25,6 +25,7 @@
 inline constexpr std::string_view placed_least_wait = "placed_least_wait";
 inline constexpr std::string_view waiting_for_capacity = "waiting_for_capacity";
 inline constexpr std::string_view waiting_for_cached_prefix = "waiting_for_cached_prefix";
+inline constexpr std::string_view waiting_for_memory = "waiting_for_memory";
 inline constexpr std::string_view waiting_behind_others = "waiting_behind_others";
 inline constexpr std::string_view queue_full = "queue_full";
 inline constexpr std::string_view deadline_unreachable = "deadline_unreachable";
@@ -55,6 +56,10 @@
     std::uint32_t cached_tokens = 0;
     /// Of these, tokens that calls in flight hold already (shared prefixes, counted once).
     std::uint32_t shared_tokens = 0;
+    /// Tokens of programs under way on the engine, running or in a short pause, and the bound above
+    /// which no new program is opened there; 0: no bound.
+    std::uint64_t working_set = 0;
+    std::uint64_t working_set_limit = 0;
     /// Prefill and decode speeds as learned from finished calls.
     double prefill_us_per_token = 0;
     double decode_us_per_token = 0;
@@ -68,9 +73,9 @@
     bool report_known = false;
 
     MSGPACK_DEFINE(backend, eligible, exclusion, in_flight, in_flight_limit, tokens_in_flight,
-                   token_limit, prefill_backlog, cached_tokens, shared_tokens, prefill_us_per_token,
-                   decode_us_per_token, decode_us_per_sequence, slowdown, expected_wait_us,
-                   report_age_ms, report_known);
+                   token_limit, prefill_backlog, cached_tokens, shared_tokens, working_set,
+                   working_set_limit, prefill_us_per_token, decode_us_per_token,
+                   decode_us_per_sequence, slowdown, expected_wait_us, report_age_ms, report_known);
 };
 
 /// Everything that `decide` looks at.
@@ -88,6 +93,8 @@
     std::uint32_t max_output_tokens = 0;
     /// Output tokens that calls of this class turned out to need.
     double expected_output_tokens = 0;
+    /// The first call of a program that has no parent.
+    bool opens_program = false;
     /// 0 when the call has no deadline.
     std::uint64_t deadline_left_ms = 0;
     bool has_deadline = false;
@@ -119,11 +126,12 @@
     std::vector<candidate_input> candidates;
 
     MSGPACK_DEFINE(configuration, attempt, program, tenant, program_class, matched_rules, priority,
-                   prompt_tokens, max_output_tokens, expected_output_tokens, deadline_left_ms,
-                   has_deadline, waited_ms, attained_tokens, expected_remaining_us, order_key,
-                   starved, queue_length, queue_limit, ahead, grants_per_second, affinity_wait_ms,
-                   tenant_tokens_in_flight, tenant_token_limit, tenant_queued, tenant_queue_limit,
-                   latency_weight, cache_weight, on_arrival, early_refusal, candidates);
+                   prompt_tokens, max_output_tokens, expected_output_tokens, opens_program,
+                   deadline_left_ms, has_deadline, waited_ms, attained_tokens,
+                   expected_remaining_us, order_key, starved, queue_length, queue_limit, ahead,
+                   grants_per_second, affinity_wait_ms, tenant_tokens_in_flight, tenant_token_limit,
+                   tenant_queued, tenant_queue_limit, latency_weight, cache_weight, on_arrival,
+                   early_refusal, candidates);
 };
 
 /// The expected time from now to the end of the call on one engine; lower is better.
--- a/src/pearbarrow/placement/explanation.cc
+++ b/src/pearbarrow/placement/explanation.cc
@@ -24,6 +24,10 @@
     if (code == reason::waiting_for_capacity) {
         return "no engine that may run it has room";
     }
+    if (code == reason::waiting_for_memory) {
+        return "programs under way fill the engines' memory; a new one would drive out their "
+               "prefixes";
+    }
     if (code == reason::waiting_behind_others) {
         return fmt::format("no engine has room, and {} calls go first", inputs.ahead);
     }
@@ -78,11 +82,12 @@
                                 : std::string("no load report");
     return fmt::format(
         "{}: expected {:.0f} ms{}, cached {} of {} tokens, {} of {} in flight, "
-        "{} of {} tokens held, slowdown {:.2f}, {}",
+        "{} of {} tokens held, {} by programs under way, slowdown {:.2f}, {}",
         candidate.backend.value(), score == nullptr ? 0.0 : score->expected_us / 1000,
         score != nullptr && score->can_start ? "" : " (no room now)", candidate.cached_tokens,
         inputs.prompt_tokens, candidate.in_flight, candidate.in_flight_limit,
-        candidate.tokens_in_flight, candidate.token_limit, candidate.slowdown, age);
+        candidate.tokens_in_flight, candidate.token_limit, candidate.working_set,
+        candidate.slowdown, age);
 }
 
 const candidate_score* find_score(const decision_record& record, const base::backend_id& backend) {
@@ -128,6 +133,7 @@
                            changed.tokens_in_flight = 0;
                            changed.prefill_backlog = 0;
                            changed.expected_wait_us = 0;
+                           changed.working_set = 0;
                        });
         }
     }
@@ -160,6 +166,8 @@
                            {"token_limit", candidate.token_limit},
                            {"prefill_backlog", candidate.prefill_backlog},
                            {"cached_tokens", candidate.cached_tokens},
+                           {"working_set", candidate.working_set},
+                           {"working_set_limit", candidate.working_set_limit},
                            {"slowdown", candidate.slowdown},
                            {"expected_wait_us", candidate.expected_wait_us}};
     if (!candidate.eligible) {
--- a/src/pearbarrow/placement/scheduler_grants.cc
+++ b/src/pearbarrow/placement/scheduler_grants.cc
@@ -137,6 +137,7 @@
     inputs.prompt_tokens = offer.prompt_tokens;
     inputs.max_output_tokens = offer.max_output_tokens;
     inputs.expected_output_tokens = statistics.expected_output_tokens(offer.max_output_tokens);
+    inputs.opens_program = call.opens_program;
     inputs.has_deadline = call.deadline.has_value();
     inputs.deadline_left_ms = 0;
     if (call.deadline && *call.deadline > now) {
@@ -187,6 +188,12 @@
             candidate.exclusion = engine.draining ? "draining" : "unreachable";
         }
         engines_.fill(index, now, options_.report_horizon, take_over, candidate);
+        candidate.working_set = working_set_.tokens(index);
+        candidate.working_set_limit =
+            options_.working_set_limit && !offer.model.value().empty()
+                ? static_cast<std::uint64_t>(options_.working_set_part *
+                                             static_cast<double>(engine.token_limit))
+                : 0;
         candidate.cached_tokens = std::min(cached_[index], offer.prompt_tokens);
         if (take_over && candidate.cached_tokens == 0 && engine.backend == offer.last_engine &&
             options_.prefix_affinity) {
@@ -266,6 +273,12 @@
         now);
     add_tenant_tokens(offer.tenant, static_cast<std::int64_t>(call.held_tokens));
     remember_prefixes(offer, engine, now);
+    if (!offer.model.value().empty()) {
+        const std::uint32_t shared = directory_.shared_tokens(offer.prefixes, engine);
+        working_set_.put(offer.program, engine,
+                         offer.prompt_tokens - std::min(shared, offer.prompt_tokens) + output,
+                         std::nullopt);
+    }
     for (std::size_t index = 0; index < engines_.size(); ++index) {
         if (index != engine) {
             directory_.set_tokens_left(offer.program, index, 0);
--- a/src/pearbarrow/placement/scheduler_state.h
+++ b/src/pearbarrow/placement/scheduler_state.h
@@ -19,6 +19,7 @@
 #include "pearbarrow/placement/record_store.h"
 #include "pearbarrow/placement/rule_table.h"
 #include "pearbarrow/placement/tenant_shares.h"
+#include "pearbarrow/placement/working_set.h"
 
 namespace pearbarrow::placement {
 
@@ -59,11 +60,13 @@
     queue_key key_for(const wire::placement_offer& offer, const program_rules& rules,
                       base::instant now);
     void learn_pause(const wire::placement_offer& offer, base::instant now);
+    void learn_end(const base::program_id& program);
     void refuse_passed_deadlines(base::instant now);
     /// Walks the queue and grants what can start.
     void dispatch(base::instant now);
-    /// Decides on one call of the queue. False: it stays, and nothing behind it may pass.
-    bool try_call(const waiting_call& call, base::instant now);
+    enum class attempt_result : std::uint8_t { moved, waits, waits_for_memory };
+    /// Decides on one call of the queue.
+    attempt_result try_call(const waiting_call& call, base::instant now);
 
     /// Writes all inputs of a decision about the call into `inputs_`.
     void gather(const waiting_call& call, bool on_arrival, base::instant now);
@@ -93,6 +96,7 @@
     call_queue queue_;
     prefix_directory directory_;
     tenant_shares shares_;
+    working_set working_set_;
     grant_rate rate_;
     record_store records_;
     std::map<std::string, class_statistics> classes_;
--- a/tests/unit/placement/cell_scheduler_test.cc
+++ b/tests/unit/placement/cell_scheduler_test.cc
@@ -228,6 +228,31 @@
     cr_assert_eq(std::get<grant_action>(actions.front()).attempt.value(), "long");
 }
 
+Test(cell_scheduler, new_programs_wait_while_those_under_way_fill_the_memory) {
+    for (const bool limited : {true, false}) {
+        scheduler_fixture cell({.working_set_limit = limited});
+        cell_engine engine = cell.engine("a");
+        engine.in_flight_limit = 8;
+        engine.token_limit = 3000;
+        cell.set_engines({engine});
+        for (const char* name : {"1", "2"}) {
+            placed(cell, name, name);
+            cell.finish(name, name, "a");
+        }
+        // Both programs pause; a third one's prefix would drive theirs out.
+        const std::string opened = placed(cell, "3", "3");
+        cr_assert_eq(opened, limited ? "" : "a");
+        auto going_on = cell.offer("4", "1");
+        going_on.calls_done = 1;
+        going_on.prompt_tokens = 1300;
+        cr_assert_eq(scheduler_fixture::result(cell.give(going_on)), "a", "goes on past it");
+        if (limited) {
+            cell.advance(base::seconds(31));
+            cr_assert_eq(scheduler_fixture::result(cell.feed(tick_event{})), "a");
+        }
+    }
+}
+
 Test(cell_scheduler, a_heavy_tenant_goes_behind_a_light_one) {
     for (const bool fair : {true, false}) {
         scheduler_fixture cell({.order = queue_order::arrival, .tenant_fairness = fair});
