--- a/src/pearbarrow/wire/methods.h
+++ b/src/pearbarrow/wire/methods.h
@@ -1,4 +1,6 @@
 /// Numbers of the methods that nodes call on each other. A number is never reused.
+///
+/// Names differ from those of the message types that they carry, since both are in this namespace.
 #pragma once
 
 #include <cstdint>
@@ -18,14 +20,14 @@
 inline constexpr method_number journal_status = 16;
 
 /// Program owner, called by gateways and by owners of parent and child programs.
-inline constexpr method_number program_request = 20;
+inline constexpr method_number route_program_request = 20;
 
 /// Dispatcher of a cell, called by program owners.
-inline constexpr method_number placement_offer = 30;
-inline constexpr method_number placement_finished = 31;
-inline constexpr method_number placement_explain = 32;
-inline constexpr method_number placement_withdraw = 33;
-inline constexpr method_number placement_register = 34;
+inline constexpr method_number place_offer = 30;
+inline constexpr method_number place_finished = 31;
+inline constexpr method_number place_explain = 32;
+inline constexpr method_number place_withdraw = 33;
+inline constexpr method_number place_register = 34;
 
 /// Configuration log, called by every node.
 inline constexpr method_number config_fetch = 40;
