Hollow nodes and engines: many light members in one process

Cause: the planned size (380 nodes, 600 engines) has to be tried on one machine.

Change: `pearbarrow-emulator hollow` runs nodes made of the node's own membership service, configuration service and choice of owners, each over its own sockets, and engines that only answer load reports. They join as draining members without a disk, so that no node gives them work; nothing in the daemon knows of them.

Ruled out: a flag "hollow" among the members' metadata, which every node would carry for a test's sake.

--- a/apps/pearbarrow_emulator.cc
+++ b/apps/pearbarrow_emulator.cc
@@ -1,4 +1,4 @@
-/// Stand-ins of engines, tool services and the platform: one subcommand each.
+/// Stand-ins of engines, tool services, the platform and whole nodes: one subcommand each.
 #include <cstdio>
 #include <functional>
 #include <memory>
@@ -15,6 +15,7 @@
 #include "pearbarrow/emulator/engine_server.h"
 #include "pearbarrow/emulator/faults.h"
 #include "pearbarrow/emulator/history_writer.h"
+#include "pearbarrow/emulator/hollow_fleet.h"
 #include "pearbarrow/emulator/platform_server.h"
 #include "pearbarrow/emulator/relay_server.h"
 #include "pearbarrow/emulator/tool_server.h"
@@ -66,6 +67,11 @@
     std::string control = "127.0.0.1:0";
 };
 
+struct hollow_flags {
+    emulator::hollow_options options;
+    std::int64_t start_gap = 5;
+};
+
 int fail(const absl::Status& status) {
     base::log(base::log_level::error, "emulator_failed", base::log_fields(status));
     return exit_failure;
@@ -180,6 +186,20 @@
     return serve_with_faults(loop, common, server);
 }
 
+int run_hollow(const common_flags& common, hollow_flags flags) {
+    // Each node logs each change of each member: far too much of many nodes in one process.
+    base::configure_logging("warning", {{"name", common.name}});
+    flags.options.start_gap = base::milliseconds(flags.start_gap);
+    flags.options.random_seed = common.seed;
+    net::event_loop loop;
+    const base::system_clock_source clock;
+    emulator::hollow_fleet fleet(loop, clock, flags.options);
+    if (const auto status = fleet.start(); !status.ok()) {
+        return fail(status);
+    }
+    return serve_with_faults(loop, common, fleet);
+}
+
 int run_relay(const common_flags& common, const relay_flags& flags) {
     const auto listen = net::parse_endpoint(common.listen);
     const auto target = net::parse_endpoint(flags.target);
@@ -261,27 +281,49 @@
     command.add_option("--machine", flags.machines, "node=address=zone; may repeat");
 }
 
+void add_hollow_flags(CLI::App& command, hollow_flags& flags) {
+    auto& options = flags.options;
+    command.add_option("--cluster", options.cluster, "cluster to join");
+    command.add_option("--nodes", options.nodes, "hollow nodes in this process");
+    command.add_option("--first", options.first_index, "number of the first node");
+    command.add_option("--prefix", options.prefix, "names of nodes: the prefix and a number");
+    command.add_option("--zone", options.zones, "zones, taken in turn; may repeat");
+    command.add_option("--region", options.region, "region of all nodes");
+    command.add_option("--join", options.seeds, "datagram address of a node; may repeat");
+    command.add_option("--key-value", options.key_value,
+                       "address of the platform's key-value service; may repeat");
+    command.add_option("--shards", options.shard_count, "shards whose owners are computed");
+    command.add_option("--start-gap-ms", flags.start_gap, "pause between the starts of two nodes");
+    command.add_option("--engines", options.engines, "hollow engines in this process");
+    command.add_option("--engine-model", options.engine_model, "model that these report");
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
-    CLI::App app{"Stand-ins of engines, tool services and the platform"};
+    CLI::App app{"Stand-ins of engines, tool services, the platform and whole nodes"};
     app.require_subcommand(1);
     common_flags common;
     engine_flags engine;
     tool_flags tool;
     platform_flags platform;
     relay_flags relay;
+    hollow_flags hollow;
     auto* engine_command = app.add_subcommand("engine", "a model engine");
     auto* tool_command = app.add_subcommand("tool", "a tool service");
     auto* platform_command =
         app.add_subcommand("platform", "key-value service, machine list, weight store");
     auto* relay_command = app.add_subcommand("relay", "a TCP relay that injects faults");
-    for (auto* command : {engine_command, tool_command, platform_command, relay_command}) {
+    auto* hollow_command =
+        app.add_subcommand("hollow", "many light nodes and engines, for runs at scale");
+    for (auto* command :
+         {engine_command, tool_command, platform_command, relay_command, hollow_command}) {
         add_common_flags(*command, common);
     }
     add_engine_flags(*engine_command, engine);
     add_tool_flags(*tool_command, tool);
     add_platform_flags(*platform_command, platform);
+    add_hollow_flags(*hollow_command, hollow);
     relay_command->add_option("--target", relay.target, "IP:PORT to forward to")->required();
     relay_command->add_option("--control", relay.control, "IP:PORT of the control endpoint");
     CLI11_PARSE(app, argc, argv);
@@ -295,5 +337,8 @@
     if (platform_command->parsed()) {
         return run_platform(common, platform);
     }
+    if (hollow_command->parsed()) {
+        return run_hollow(common, hollow);
+    }
     return run_relay(common, relay);
 }
