--- a/src/pearbarrow/bench/simulate_policy.cc
+++ b/src/pearbarrow/bench/simulate_policy.cc
@@ -23,8 +23,8 @@
   public:
     pearbarrow_policy(const experiment& setup, const policy_options& options)
         : setup_(setup), options_(options) {
-        const std::size_t cells =
-            (setup.engines.size() + options.cell_size - 1) / options.cell_size;
+        const std::size_t cells = std::max<std::size_t>(
+            1, (setup.engines.size() + options.cell_size - 1) / options.cell_size);
         cells_.reserve(cells);
         for (std::size_t cell = 0; cell < cells; ++cell) {
             cells_.emplace_back(options.cell);
--- a/src/pearbarrow/placement/prefix_directory.cc
+++ b/src/pearbarrow/placement/prefix_directory.cc
@@ -145,6 +145,26 @@
     }
 }
 
+std::vector<std::size_t> prefix_directory::forget_elsewhere(const base::program_id& program,
+                                                            std::size_t kept) {
+    std::vector<std::size_t> engines;
+    const key name = key_of(program);
+    const auto found = holdings_.find(name);
+    if (found == holdings_.end()) {
+        return engines;
+    }
+    for (const holding& entry : found->second) {
+        if (entry.engine != kept) {
+            engines.push_back(entry.engine);
+        }
+    }
+    std::sort(engines.begin(), engines.end());
+    for (const std::size_t engine : engines) {
+        drop(name, engine);
+    }
+    return engines;
+}
+
 void prefix_directory::clear_engine(std::size_t engine) {
     while (!engines_[engine].order.empty()) {
         drop(engines_[engine].order.begin()->second, engine);
--- a/src/pearbarrow/placement/prefix_directory.h
+++ b/src/pearbarrow/placement/prefix_directory.h
@@ -41,6 +41,8 @@
 
     void set_tokens_left(const base::program_id& program, std::size_t engine, std::uint32_t tokens);
     void forget_program(const base::program_id& program);
+    /// Engines other than `kept` that hold something of the program, ascending; forgets them.
+    std::vector<std::size_t> forget_elsewhere(const base::program_id& program, std::size_t kept);
     void clear_engine(std::size_t engine);
     std::uint64_t tokens_held(std::size_t engine) const { return engines_[engine].held; }
     std::size_t size() const { return holdings_.size(); }
--- a/src/pearbarrow/placement/scheduler_grants.cc
+++ b/src/pearbarrow/placement/scheduler_grants.cc
@@ -217,13 +217,11 @@
     return std::chrono::duration_cast<base::milliseconds>(wait);
 }
 
-std::vector<base::backend_id> cell_scheduler::state::stale_holders(
-    const wire::placement_offer& offer, std::size_t chosen) const {
+std::vector<base::backend_id> cell_scheduler::state::drop_stale_holders(
+    const wire::placement_offer& offer, std::size_t chosen) {
     std::vector<base::backend_id> holders;
-    for (std::size_t index = 0; index < engines_.size(); ++index) {
-        if (index != chosen && directory_.program_tokens(offer.program, index) > 0) {
-            holders.push_back(engines_.at(index).backend);
-        }
+    for (const std::size_t engine : directory_.forget_elsewhere(offer.program, chosen)) {
+        holders.push_back(engines_.at(engine).backend);
     }
     return holders;
 }
@@ -247,7 +245,7 @@
     action.grant = base::grant_id(next_grant_++);
     action.engine_priority = engine_priority(taken.key);
     action.pin_lease = pin_lease(offer);
-    action.stale_holders = stale_holders(offer, engine);
+    action.stale_holders = drop_stale_holders(offer, engine);
     action.decision = {1, inputs_, decide(inputs_)};
 
     running_call call;
@@ -279,11 +277,6 @@
                          offer.prompt_tokens - std::min(shared, offer.prompt_tokens) + output,
                          std::nullopt);
     }
-    for (std::size_t index = 0; index < engines_.size(); ++index) {
-        if (index != engine) {
-            directory_.set_tokens_left(offer.program, index, 0);
-        }
-    }
     rate_.add_grant();
     records_.add(action.decision);
     call.offer = std::move(taken.offer);
--- a/src/pearbarrow/placement/scheduler_state.h
+++ b/src/pearbarrow/placement/scheduler_state.h
@@ -75,8 +75,9 @@
     void grant(waiting_call call, std::size_t engine, base::instant now);
     void refuse(const wire::placement_offer& offer, const decision_outcome& outcome);
     base::milliseconds pin_lease(const wire::placement_offer& offer);
-    std::vector<base::backend_id> stale_holders(const wire::placement_offer& offer,
-                                                std::size_t engine) const;
+    /// Forgets what other engines hold of the program, and names them.
+    std::vector<base::backend_id> drop_stale_holders(const wire::placement_offer& offer,
+                                                     std::size_t chosen);
     void finish_use(const running_call& call, const wire::placement_finished& finished,
                     base::instant now);
     void remember_prefixes(const wire::placement_offer& offer, std::size_t engine,
