--- a/src/pearbarrow/node/shard_host.cc
+++ b/src/pearbarrow/node/shard_host.cc
@@ -69,15 +69,16 @@
         if (found.empty()) {
             return;
         }
-        program::event::retained_read event{found.mapped(), item.status};
-        if (item.status.ok()) {
-            std::vector<std::string> payloads;
-            for (const wire::journal_entry& entry : item.entries) {
-                payloads.push_back(entry.payload);
-            }
-            event.payloads = std::move(payloads);
+        if (!item.status.ok()) {
+            feed(program::event::retained_read{found.mapped(), item.status});
+            return;
+        }
+        std::vector<std::string> payloads;
+        payloads.reserve(item.entries.size());
+        for (const wire::journal_entry& entry : item.entries) {
+            payloads.push_back(entry.payload);
         }
-        feed(std::move(event));
+        feed(program::event::retained_read{found.mapped(), std::move(payloads)});
     };
     callbacks.on_confirmed = [this](std::uint64_t token) {
         const auto found = waiting_for_confirmation_.extract(token);
