Load: settled refusals use the next number; nodes keep their ports

A refusal that is journaled settles the call's number, yet the driver sent that number again; a restarted node listened on another port, so callers never found it. Change: the driver goes on with the next number after a settled refusal; test nodes listen on ports below the kernel's range for outgoing connections and keep them. A function with the simulator's name is renamed.

--- a/src/pearbarrow/bench/load_call.cc
+++ b/src/pearbarrow/bench/load_call.cc
@@ -1,6 +1,8 @@
 #include "pearbarrow/bench/load_call.h"
 
 #include <algorithm>
+#include <set>
+#include <string>
 #include <utility>
 
 #include <spdlog/fmt/fmt.h>
@@ -26,6 +28,12 @@
     return text == "yes" ? base::executed::yes : base::executed::unknown;
 }
 
+/// Steps whose refusals are the journaled answer of the call's number (docs/design/programs.md).
+bool settles_number(const json& problem) {
+    static const std::set<std::string> steps{"place", "reserve", "run", "generate", "invoke"};
+    return steps.contains(problem.value("step", ""));
+}
+
 }  // namespace
 
 load_call::load_call(load_context& context, load_request request, done_handler done)
@@ -120,7 +128,14 @@
     outcome_.status = status_;
     outcome_.reason = problem.value("reason", "");
     outcome_.executed = executed_of(problem);
-    const bool may_come_back = problem.contains("retry_after_ms") && !out_of_patience();
+    const base::milliseconds wait =
+        std::clamp(base::milliseconds(problem.value("retry_after_ms", std::int64_t{0})),
+                   shortest_pause, longest_pause);
+    const bool helps_to_repeat = problem.contains("retry_after_ms") && !out_of_patience();
+    const bool is_settled = settles_number(problem);
+    const bool may_come_back = helps_to_repeat && !is_settled;
+    outcome_.may_use_next_number = helps_to_repeat && is_settled;
+    outcome_.next_call_after = wait;
     context_.history.write(to_json(call_refused{.program = request_.program,
                                                 .call = request_.call,
                                                 .at = context_.clock.unix_microseconds(),
@@ -133,8 +148,7 @@
         return;
     }
     ++outcome_.refusals;
-    const base::milliseconds wait(problem.at("retry_after_ms").get<std::int64_t>());
-    send_again_after(std::clamp(wait, shortest_pause, longest_pause));
+    send_again_after(wait);
 }
 
 void load_call::interrupted(const std::string& detail) {
--- a/src/pearbarrow/bench/load_call.h
+++ b/src/pearbarrow/bench/load_call.h
@@ -45,6 +45,10 @@
     int status = 0;
     std::string reason;
     base::executed executed = base::executed::unknown;
+    /// The refusal settled this call's number, but a call of the next number may succeed after
+    /// `next_call_after`.
+    bool may_use_next_number = false;
+    base::milliseconds next_call_after{0};
     base::microseconds first_part{0};
     base::microseconds total{0};
     int interruptions = 0;
--- a/src/pearbarrow/bench/load_program.cc
+++ b/src/pearbarrow/bench/load_program.cc
@@ -64,7 +64,7 @@
     }
     --calls_left_;
     call_ = base::call_number(call_.value() + 1);
-    const bool is_model_call = call_.value() % 2 == 1;
+    const bool is_model_call = calls_left_ % 2 == 0;
     const bool repeatable = is_model_call || shape_.single_run_tool.empty() ||
                             (!shape_.repeatable_tool.empty() && context_.random.chance(0.5));
     const load_request request =
@@ -118,8 +118,18 @@
 }
 
 void load_program::called(const load_request& request, load_outcome outcome) {
+    auto pause =
+        base::microseconds(context_.random.below(2 * shape_.think_time.count() * 1000 + 1));
     if (outcome.answered) {
         add_to_conversation(request, outcome.output);
+    } else if (outcome.may_use_next_number && repeats_left_ > 0) {
+        // The refused turn is no part of the history: the next number asks anew.
+        --repeats_left_;
+        ++calls_left_;
+        pause = outcome.next_call_after;
+        if (request.body.contains("model")) {
+            conversation_.pop_back();
+        }
     } else {
         outcome_.all_answered = false;
         outcome_.failure =
@@ -128,9 +138,7 @@
         calls_left_ = 0;
     }
     outcome_.calls.push_back(std::move(outcome));
-    const auto think =
-        base::microseconds(context_.random.below(2 * shape_.think_time.count() * 1000 + 1));
-    timer_ = context_.loop.after(think, [this] {
+    timer_ = context_.loop.after(pause, [this] {
         current_.reset();
         next_call();
     });
--- a/src/pearbarrow/bench/load_program.h
+++ b/src/pearbarrow/bench/load_program.h
@@ -76,6 +76,8 @@
     base::program_id program_;
     std::string open_key_;
     std::uint64_t calls_left_ = 0;
+    /// Refused calls that may still be asked anew under the next number.
+    int repeats_left_ = 20;
     base::call_number call_;
     std::vector<backend::chat_message> conversation_;
     std::unique_ptr<load_call> current_;
--- a/src/pearbarrow/bench/load_run.cc
+++ b/src/pearbarrow/bench/load_run.cc
@@ -118,9 +118,9 @@
 
     load_summary summarize_run() {
         summary_.seconds = to_milliseconds(clock_.now() - started_at_) / 1000.0;
-        summary_.program_latency = summarize(std::move(program_times_));
-        summary_.call_latency = summarize(std::move(call_times_));
-        summary_.time_to_first_part = summarize(std::move(first_part_times_));
+        summary_.program_latency = summarize_latencies(std::move(program_times_));
+        summary_.call_latency = summarize_latencies(std::move(call_times_));
+        summary_.time_to_first_part = summarize_latencies(std::move(first_part_times_));
         return std::move(summary_);
     }
 
@@ -142,7 +142,7 @@
 
 }  // namespace
 
-latency_summary summarize(std::vector<double> milliseconds) {
+latency_summary summarize_latencies(std::vector<double> milliseconds) {
     latency_summary summary;
     if (milliseconds.empty()) {
         return summary;
--- a/src/pearbarrow/bench/load_run.h
+++ b/src/pearbarrow/bench/load_run.h
@@ -41,7 +41,7 @@
     double most = 0;
 };
 
-latency_summary summarize(std::vector<double> milliseconds);
+latency_summary summarize_latencies(std::vector<double> milliseconds);
 nlohmann::json to_json(const latency_summary& summary);
 
 struct load_summary {
--- a/tests/process/fleet.py
+++ b/tests/process/fleet.py
@@ -10,6 +10,7 @@
 import json
 import os
 import queue
+import random
 import shutil
 import signal
 import socket
@@ -333,6 +334,21 @@
         return probe.getsockname()[1]
 
 
+def free_tcp_port():
+    """A free port below those that the kernel gives to outgoing connections.
+
+    A node that starts again needs the same port, so no connection may take it meanwhile.
+    """
+    while True:
+        port = random.randrange(10_000, 30_000)
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
+
+
 def key_digest(key):
     return hashlib.sha256(key.encode()).hexdigest()
 
@@ -352,6 +368,7 @@
     if seeds:
         lines.append("seeds = [" + ", ".join(f'"{seed}"' for seed in seeds) + "]")
     lines += ["[listen]", f'datagram = "{datagram}"']
+    lines += [f'{name} = "127.0.0.1:{free_tcp_port()}"' for name in ("caller", "operator", "peer")]
     if platform:
         lines += [
             "[platform]",
