Scheduling simulator: grants made when a program ends are carried out

Cause: under load, the scheduler grants a waiting call when a program's end frees memory. The simulator's adapter dropped the actions of that event: the call was lost, its place and memory on the engine stayed taken to the end of the run. Change: placement_policy::program_ended has an output like the other events. The test of bad experiment files writes to the temporary folder. Ruled out: engines' cache and queue (all empty when the run ended). The new test fails without the mend (6 programs never ended).

--- a/src/pearbarrow/bench/simulate_baselines.cc
+++ b/src/pearbarrow/bench/simulate_baselines.cc
@@ -94,7 +94,8 @@
                               result.prompt_tokens + result.output_tokens, 0, to_instant(now));
 }
 
-void prefix_affinity_policy::program_ended(std::uint32_t program, sim_time now) {
+void prefix_affinity_policy::program_ended(std::uint32_t program, sim_time now,
+                                           policy_output& output) {
     directory_.forget_program(name_of(program));
 }
 
--- a/src/pearbarrow/bench/simulate_baselines.h
+++ b/src/pearbarrow/bench/simulate_baselines.h
@@ -56,7 +56,7 @@
   public:
     prefix_affinity_policy(const experiment& setup, std::uint32_t balance_difference);
     void finished(const call_result& result, sim_time now, policy_output& output) override;
-    void program_ended(std::uint32_t program, sim_time now) override;
+    void program_ended(std::uint32_t program, sim_time now, policy_output& output) override;
     void evicted(std::uint32_t engine, std::uint32_t program, std::uint32_t tokens_left,
                  sim_time now) override;
 
--- a/src/pearbarrow/bench/simulate_commands.cc
+++ b/src/pearbarrow/bench/simulate_commands.cc
@@ -5,6 +5,7 @@
 #include <iostream>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,10 @@
     bool json = false;
     bool find_capacity = false;
     bool baselines_release = false;
+    /// Override the experiment's rhythm of arrivals where set.
+    std::optional<double> burst_factor;
+    std::optional<double> burst_part;
+    std::optional<double> burst_period_seconds;
     policy_options options;
     std::uint32_t starvation_ms = 0;
     std::uint32_t affinity_wait_ms = 0;
@@ -93,12 +98,24 @@
     }
 }
 
+void apply_overrides(const simulate_flags& flags, experiment& setup) {
+    setup.baselines_release = setup.baselines_release || flags.baselines_release;
+    setup.burst_factor = flags.burst_factor.value_or(setup.burst_factor);
+    setup.burst_part = flags.burst_part.value_or(setup.burst_part);
+    setup.burst_period_seconds = flags.burst_period_seconds.value_or(setup.burst_period_seconds);
+    if (setup.burst_factor <= 0 || setup.burst_part <= 0 || setup.burst_period_seconds <= 0 ||
+        setup.burst_factor * setup.burst_part > 1) {
+        std::cerr << "bursts: positive, and factor times part at most 1\n";
+        std::exit(bad_input);
+    }
+}
+
 void simulate(simulate_flags flags) {
     auto setup = read_experiment(flags.experiment);
     if (!setup.ok()) {
         stop(setup.status());
     }
-    setup->baselines_release = setup->baselines_release || flags.baselines_release;
+    apply_overrides(flags, *setup);
     apply_flags(flags);
     if (flags.find_capacity) {
         std::cout << find_capacity(*setup, flags.seeds) << "\n";
@@ -166,6 +183,10 @@
                       "Print the programs a second that least_loaded sustains");
     command->add_flag("--baselines-release", flags->baselines_release,
                       "Baselines, too, give back the prefix of an ended program");
+    command->add_option("--burst-factor", flags->burst_factor, "In place of the experiment's own");
+    command->add_option("--burst-part", flags->burst_part, "In place of the experiment's own");
+    command->add_option("--burst-period-seconds", flags->burst_period_seconds,
+                        "In place of the experiment's own");
     command->add_option("--balance-difference", flags->options.balance_difference,
                         "prefix_affinity: calls by which engines may differ");
     add_policy_flags(*command, *flags);
--- a/src/pearbarrow/bench/simulate_loop.cc
+++ b/src/pearbarrow/bench/simulate_loop.cc
@@ -337,7 +337,9 @@
 }
 
 void simulation_loop::program_gone(std::uint32_t program) {
-    policy_.program_ended(program, now_);
+    policy_output output;
+    policy_.program_ended(program, now_, output);
+    carry_out(output);
     if (!policy_.releases()) {
         return;
     }
--- a/src/pearbarrow/bench/simulate_policy.cc
+++ b/src/pearbarrow/bench/simulate_policy.cc
@@ -76,12 +76,11 @@
         apply(cell_of_engine(result.engine), placement::finished_event{finished}, now, output);
     }
 
-    void program_ended(std::uint32_t program, sim_time now) override {
+    void program_ended(std::uint32_t program, sim_time now, policy_output& output) override {
         const auto home = homes_.find(program);
         const std::size_t cell = home == homes_.end() ? 0 : home->second;
-        cells_[cell].apply(
-            placement::program_ended_event{base::program_id(std::to_string(program))},
-            to_instant(now));
+        apply(cell, placement::program_ended_event{base::program_id(std::to_string(program))}, now,
+              output);
         homes_.erase(program);
     }
 
--- a/src/pearbarrow/bench/simulate_policy.h
+++ b/src/pearbarrow/bench/simulate_policy.h
@@ -66,7 +66,7 @@
     virtual ~placement_policy() = default;
     virtual void offer(const call_view& call, sim_time now, policy_output& output) = 0;
     virtual void finished(const call_result& result, sim_time now, policy_output& output) = 0;
-    virtual void program_ended(std::uint32_t program, sim_time now) {}
+    virtual void program_ended(std::uint32_t program, sim_time now, policy_output& output) {}
     virtual void tick(sim_time now, policy_output& output) {}
     virtual void report(std::uint32_t engine, std::uint32_t running, std::uint32_t waiting,
                         std::uint64_t incarnation, sim_time age, sim_time now) {}
--- a/tests/unit/bench/simulate_test.cc
+++ b/tests/unit/bench/simulate_test.cc
@@ -1,6 +1,11 @@
+#include <unistd.h>
+
+#include <filesystem>
 #include <fstream>
 #include <string>
 
+#include <spdlog/fmt/fmt.h>
+
 #include "pearbarrow/bench/simulate_cache.h"
 #include "pearbarrow/bench/simulate_engine.h"
 #include "pearbarrow/bench/simulate_run.h"
@@ -72,11 +77,27 @@
     cr_assert_eq(result->unfinished, 0);
 }
 
+/// Far beyond capacity, with little memory: calls wait in the dispatcher's queue when programs end.
+Test(simulate, no_call_is_lost_when_a_queue_has_formed) {
+    experiment setup = small_experiment();
+    for (engine_spec& engine : setup.engines) {
+        engine.cache_tokens = 16'000;
+    }
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        const auto result = run_simulation(setup, "pearbarrow", {}, 3, seed);
+        cr_assert_gt(result->calls, 0);
+        cr_assert_eq(result->unfinished, 0, "seed %lu: %lu programs never ended", seed,
+                     result->unfinished);
+    }
+}
+
 Test(simulate, unknown_policies_and_bad_experiments_are_refused) {
     cr_assert(!run_simulation(small_experiment(), "magic", {}, 1, 1).ok());
-    const std::string path = "bad_experiment_test.toml";
+    const std::filesystem::path path = std::filesystem::temp_directory_path() /
+                                       fmt::format("bad_experiment_test_{}.toml", getpid());
     std::ofstream(path) << "name = 'x'\ncapacty = 3\n";
-    const auto read = read_experiment(path);
+    const auto read = read_experiment(path.string());
+    std::filesystem::remove(path);
     cr_assert(!read.ok());
     cr_assert(read.status().message().find("capacty is not known") != std::string::npos);
 }
