Proof runs: real fault orders, cut links, tight budgets, foreign reads

Cause: the driver's orders to the stand-ins had the wrong form and their refusal was not looked at, so three scenarios of the first runs had injected nothing at the back ends and the platform. Change: each fault order must be obeyed or the scenario fails; scenarios for stalled and cut links through the relay, killed engines, a tool that keeps no keys, a cut beside a kill; callers with budgets that end in a refusal, left programs, reads of another tenant's history; the checker judges the latter. Ruled out: a weaker reading of "violations 0" from the earlier runs: they are void for those three scenarios.

--- a/src/pearbarrow/bench/checker.cc
+++ b/src/pearbarrow/bench/checker.cc
@@ -43,6 +43,7 @@
     check_report check() {
         check_order();
         check_conversations();
+        check_foreign_reads();
         check_budgets();
         check_memory();
         check_answers();
@@ -103,6 +104,20 @@
         }
     }
 
+    /// Another tenant's program looks like one that does not exist.
+    void check_foreign_reads() {
+        constexpr int not_found = 404;
+        constexpr int first_server_error = 500;
+        for (const auto& record : run_.foreign_reads) {
+            count(invariant::history_kept);
+            if (record.status != not_found && record.status < first_server_error) {
+                broken(
+                    invariant::history_kept, {record.program, {}},
+                    fmt::format("tenant {} got status {}", record.reader.value(), record.status));
+            }
+        }
+    }
+
     void check_budgets() {
         std::map<base::program_id, std::uint64_t> spent;
         for (const auto& record : run_.runs) {
--- a/src/pearbarrow/bench/history.cc
+++ b/src/pearbarrow/bench/history.cc
@@ -176,6 +176,13 @@
                         .detail = line.at("detail").get<std::string>()});
 }
 
+void read_foreign_read(const json& line, history& into) {
+    into.foreign_reads.push_back({.program = program_of(line),
+                                  .reader = text_id<base::tenant_id>(line, "reader"),
+                                  .at = time_of(line),
+                                  .status = line.at("status").get<int>()});
+}
+
 using line_reader = void (*)(const json&, history&);
 
 const std::map<std::string, line_reader>& readers() {
@@ -252,6 +259,14 @@
             {"detail", record.detail}};
 }
 
+json to_json(const foreign_read& record) {
+    return {{"event", "foreign_read"},
+            {"program", record.program.value()},
+            {"reader", record.reader.value()},
+            {"at_us", record.at},
+            {"status", record.status}};
+}
+
 absl::Status add_history_line(std::string_view line, history& into) {
     try {
         const json parsed = json::parse(line);
--- a/src/pearbarrow/bench/history.h
+++ b/src/pearbarrow/bench/history.h
@@ -26,7 +26,7 @@
     std::int64_t at = 0;
 };
 
-/// A caller ended a program and was told so.
+/// A caller ended a program and was told so, or left it to its idle limit.
 struct program_ended {
     base::program_id program;
     std::int64_t at = 0;
@@ -117,6 +117,14 @@
     std::string detail;
 };
 
+/// Another tenant asked for a program's history.
+struct foreign_read {
+    base::program_id program;
+    base::tenant_id reader;
+    std::int64_t at = 0;
+    int status = 0;
+};
+
 struct history {
     std::vector<program_opened> opened;
     std::vector<program_ended> ended;
@@ -129,6 +137,7 @@
     std::vector<change_accepted> changes;
     std::vector<memory_held> held;
     std::vector<request_cut> cut;
+    std::vector<foreign_read> foreign_reads;
 };
 
 nlohmann::json to_json(const program_opened& record);
@@ -138,6 +147,7 @@
 nlohmann::json to_json(const call_refused& record);
 nlohmann::json to_json(const version_seen& record);
 nlohmann::json to_json(const request_cut& record);
+nlohmann::json to_json(const foreign_read& record);
 
 /// Adds one line to `into`. Lines of kinds that no checker reads are passed over.
 /// kInvalidArgument when the line is not JSON or lacks a member.
--- a/src/pearbarrow/bench/load_command.cc
+++ b/src/pearbarrow/bench/load_command.cc
@@ -53,6 +53,9 @@
     if (options.shape.most_turns < options.shape.fewest_turns) {
         fail("--most-turns is less than --fewest-turns");
     }
+    if (options.shape.foreign_read_share > 0 && options.tenants.size() < 2) {
+        fail("--foreign-read-share needs the keys of two tenants");
+    }
     options.duration = base::milliseconds(static_cast<std::int64_t>(flags.seconds * 1000));
     options.patience = base::milliseconds(flags.patience_ms);
     options.deadline = base::milliseconds(flags.deadline_ms);
@@ -86,6 +89,13 @@
     command->add_option("--prompt-words", shape.prompt_words, "Words of each question");
     command->add_option("--output-tokens", shape.output_tokens, "Tokens of each answer, at most");
     command->add_option("--budget", shape.token_budget, "Token budget of a program");
+    command->add_option("--tight-budget-share", shape.tight_budget_share,
+                        "Share of programs whose budget is too small");
+    command->add_option("--abandoned-share", shape.abandoned_share,
+                        "Share of programs that are left without an end");
+    command->add_option("--foreign-read-share", shape.foreign_read_share,
+                        "Share of calls after which another tenant tries to read the history; "
+                        "needs two keys");
     command->add_option("--think-ms", flags->think_ms, "Mean pause between calls");
     command->add_option("--patience-ms", flags->patience_ms, "Longest time spent on one call");
     command->add_option("--deadline-ms", flags->deadline_ms, "Deadline that each call states");
--- a/src/pearbarrow/bench/load_program.cc
+++ b/src/pearbarrow/bench/load_program.cc
@@ -14,16 +14,27 @@
 
 constexpr int most_tries = 200;
 constexpr base::milliseconds pause_between_tries{150};
+/// Enough for a call or two of the usual shape.
+constexpr std::uint64_t tight_budget = 350;
+/// An abandoned program is ended by its owner after this; longer than any pause of a living one.
+constexpr base::milliseconds idle_limit{8'000};
 
 }  // namespace
 
 load_program::load_program(load_context& context, const load_shape& shape, load_tenant tenant,
-                           done_handler done)
-    : context_(context), shape_(shape), tenant_(std::move(tenant)), done_(std::move(done)) {}
+                           load_tenant stranger, done_handler done)
+    : context_(context),
+      shape_(shape),
+      tenant_(std::move(tenant)),
+      stranger_(std::move(stranger)),
+      done_(std::move(done)) {}
 
 void load_program::start() {
     started_at_ = context_.clock.now();
     open_key_ = context_.random.hex_id();
+    is_tight_ = context_.random.chance(shape_.tight_budget_share);
+    outcome_.abandoned = context_.random.chance(shape_.abandoned_share);
+    token_budget_ = is_tight_ ? tight_budget : shape_.token_budget;
     const std::uint64_t span = shape_.most_turns - shape_.fewest_turns + 1;
     calls_left_ = 2 * (shape_.fewest_turns + context_.random.below(span)) - 1;
     open();
@@ -31,7 +42,8 @@
 
 void load_program::open() {
     const json body = {{"program_class", shape_.program_class},
-                       {"token_budget", shape_.token_budget}};
+                       {"token_budget", token_budget_},
+                       {"limits", {{"idle_ms", idle_limit.count()}}}};
     net::http_call call;
     call.method = "POST";
     call.target = "/v1/programs";
@@ -52,14 +64,14 @@
     program_ = base::program_id(view.at("id").get<std::string>());
     context_.history.write(to_json(program_opened{.tenant = tenant_.tenant,
                                                   .program = program_,
-                                                  .token_budget = shape_.token_budget,
+                                                  .token_budget = token_budget_,
                                                   .at = context_.clock.unix_microseconds()}));
     next_call();
 }
 
 void load_program::next_call() {
     if (calls_left_ == 0) {
-        end();
+        outcome_.abandoned ? abandon() : end();
         return;
     }
     --calls_left_;
@@ -132,12 +144,15 @@
         }
     } else {
         outcome_.all_answered = false;
+        outcome_.refused_as_meant = is_tight_ && outcome.reason == "budget_exhausted" &&
+                                    outcome.executed == base::executed::no;
         outcome_.failure =
             fmt::format("call {}: {} {}", call_.value(), outcome.status, outcome.reason);
         // What the model would see next is not known to this caller: the program ends here.
         calls_left_ = 0;
     }
     outcome_.calls.push_back(std::move(outcome));
+    try_foreign_read();
     timer_ = context_.loop.after(pause, [this] {
         current_.reset();
         next_call();
@@ -165,6 +180,34 @@
     });
 }
 
+void load_program::abandon() {
+    // The owner's idle limit ends it: its memory must be given back all the same.
+    context_.history.write(
+        to_json(program_ended{.program = program_, .at = context_.clock.unix_microseconds()}));
+    finish();
+}
+
+void load_program::try_foreign_read() {
+    if (!context_.random.chance(shape_.foreign_read_share)) {
+        return;
+    }
+    net::http_call call;
+    call.server = context_.nodes[context_.random.below(context_.nodes.size())];
+    call.method = "GET";
+    call.target = fmt::format("/v1/programs/{}/history", program_.value());
+    call.headers.add("Authorization", "Bearer " + stranger_.api_key);
+    context_.client.fetch(
+        std::move(call), [&context = context_, program = program_,
+                          reader = stranger_.tenant](absl::StatusOr<net::http_response> response) {
+            if (response.ok()) {
+                context.history.write(to_json(foreign_read{.program = program,
+                                                           .reader = reader,
+                                                           .at = context.clock.unix_microseconds(),
+                                                           .status = response->status}));
+            }
+        });
+}
+
 void load_program::fetch_anywhere(net::http_call call, int tries_left,
                                   std::function<void(const net::http_response&)> answered) {
     call.server = context_.nodes[context_.random.below(context_.nodes.size())];
--- a/src/pearbarrow/bench/load_run.cc
+++ b/src/pearbarrow/bench/load_run.cc
@@ -69,8 +69,9 @@
         }
         const std::uint64_t number = ++started_programs_;
         const auto& tenant = options_.tenants[number % options_.tenants.size()];
+        const auto& stranger = options_.tenants[(number + 1) % options_.tenants.size()];
         auto program = std::make_unique<load_program>(
-            context_, options_.shape, tenant,
+            context_, options_.shape, tenant, stranger,
             [this, number](load_program_outcome outcome) { ended(number, std::move(outcome)); });
         auto* started = program.get();
         running_.emplace(number, std::move(program));
@@ -88,14 +89,23 @@
 
     void add(const load_program_outcome& outcome) {
         ++summary_.programs;
-        const bool whole = outcome.opened && outcome.ended && outcome.all_answered;
-        whole ? ++summary_.programs_whole : ++summary_.programs_failed;
-        if (whole) {
+        const bool is_over = outcome.opened && (outcome.ended || outcome.abandoned);
+        if (is_over && outcome.all_answered) {
+            ++summary_.programs_whole;
             program_times_.push_back(to_milliseconds(outcome.total));
+        } else if (is_over && outcome.refused_as_meant) {
+            ++summary_.programs_refused;
+            return add_calls(outcome);
+        } else {
+            ++summary_.programs_failed;
         }
         if (!outcome.failure.empty() && summary_.failures.size() < most_failures_shown) {
             summary_.failures.push_back(outcome.failure);
         }
+        add_calls(outcome);
+    }
+
+    void add_calls(const load_program_outcome& outcome) {
         for (const auto& call : outcome.calls) {
             add(call);
         }
@@ -166,6 +176,7 @@
 nlohmann::json to_json(const load_summary& summary) {
     return {{"programs", summary.programs},
             {"programs_whole", summary.programs_whole},
+            {"programs_refused", summary.programs_refused},
             {"programs_failed", summary.programs_failed},
             {"calls", summary.calls},
             {"calls_answered", summary.calls_answered},
--- a/src/pearbarrow/bench/load_run.h
+++ b/src/pearbarrow/bench/load_run.h
@@ -47,6 +47,8 @@
 struct load_summary {
     std::uint64_t programs = 0;
     std::uint64_t programs_whole = 0;
+    /// Ended after the refusal that they were meant to meet.
+    std::uint64_t programs_refused = 0;
     std::uint64_t programs_failed = 0;
     std::uint64_t calls = 0;
     std::uint64_t calls_answered = 0;
--- a/tests/process/fleet.py
+++ b/tests/process/fleet.py
@@ -189,6 +189,7 @@
         self._own_folder = folder is None
         self.folder = folder or tempfile.mkdtemp(prefix="pearbarrow-")
         self.processes = []
+        self.relays = []
 
     def __enter__(self):
         return self
@@ -224,12 +225,20 @@
         process = self.spawn(
             name,
             "pearbarrow-emulator",
-            [command, "--listen", "127.0.0.1:0", "--name", name, "--history", history, *arguments],
+            [command, "--listen", f"127.0.0.1:{free_tcp_port()}", "--name", name, "--history", history,
+             *arguments],
         )
         process.history_path = history
         process.address = process.wait_event("listening")["address"]
         return process
 
+    def restart_stand_in(self, process):
+        """Starts an ended stand-in again at its address, with nothing kept."""
+        started = self.spawn(process.name, "pearbarrow-emulator", process.command[1:])
+        started.history_path = process.history_path
+        started.address = started.wait_event("listening")["address"]
+        return started
+
     def start_nodes(self, zones, platform=None, **options):
         """Starts one node a zone, each with a data folder, and waits until all are ready."""
         names = [f"node-{index + 1}" for index in range(len(zones))]
@@ -242,13 +251,26 @@
             node.wait_ready()
         return nodes
 
+    def start_relay(self, name, target):
+        """A relay in front of `target`; its `control` address takes orders to cut and stall."""
+        process = self.spawn(name, "pearbarrow-emulator",
+                             ["relay", "--listen", "127.0.0.1:0", "--target", target])
+        event = process.wait_event("listening")
+        process.address, process.control = event["address"], event["control"]
+        self.relays.append(process)
+        return process
+
     def start_node(self, name, zone, datagram="127.0.0.1:0", platform=None, seeds=None, disk=True,
-                   shard_count=8, extra=""):
+                   shard_count=8, extra="", behind_relays=False):
         data_folder = os.path.join(self.folder, name + ".data") if disk else None
+        peer = f"127.0.0.1:{free_tcp_port()}"
+        if behind_relays:
+            relay = self.start_relay(name + "-relay", peer)
+            extra += f'\n[advertise]\npeer = "{relay.address}"\n'
         settings = node_settings(
             name=name, zone=zone, datagram=datagram, platform=platform,
             seeds=self.seeds if seeds is None else seeds,
-            data_folder=data_folder, shard_count=shard_count, extra=extra,
+            data_folder=data_folder, shard_count=shard_count, extra=extra, peer=peer,
         )
         path = os.path.join(self.folder, name + ".toml")
         with open(path, "w", encoding="utf-8") as file:
@@ -353,7 +375,7 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
-def node_settings(name, zone, datagram, platform, seeds, data_folder, shard_count, extra):
+def node_settings(name, zone, datagram, platform, seeds, data_folder, shard_count, extra, peer):
     """The text of a node's settings file."""
     lines = [
         f'node = "{name}"',
@@ -368,7 +390,8 @@
     if seeds:
         lines.append("seeds = [" + ", ".join(f'"{seed}"' for seed in seeds) + "]")
     lines += ["[listen]", f'datagram = "{datagram}"']
-    lines += [f'{name} = "127.0.0.1:{free_tcp_port()}"' for name in ("caller", "operator", "peer")]
+    lines += [f'{use} = "127.0.0.1:{free_tcp_port()}"' for use in ("caller", "operator")]
+    lines += [f'peer = "{peer}"']
     if platform:
         lines += [
             "[platform]",
--- a/tests/process/prove.py
+++ b/tests/process/prove.py
@@ -41,11 +41,12 @@
         self.history_path = os.path.join(fleet.folder, "operators.history.jsonl")
         self.over = threading.Event()
 
-    def start(self):
+    def start(self, with_relays):
         self.platform = self.fleet.start_platform()
         self.engines = [self.fleet.start_engine(f"engine-{i}") for i in (1, 2)]
         self.tool = self.fleet.start_tool("tools-1")
-        self.nodes = self.fleet.start_nodes(ZONES, self.platform)
+        self.nodes = self.fleet.start_nodes(ZONES, self.platform, behind_relays=with_relays)
+        self.relays = self.fleet.relays
         objects = fleets.standard_objects(self.engines, [self.tool], TENANTS)
         version = self.nodes[0].apply(objects)
         for node in self.nodes:
@@ -88,6 +89,8 @@
         command = [os.path.join(self.fleet.binaries, "pearbarrow-bench"), "load",
                    "--seconds", str(self.seconds), "--history", path, "--class", "agent",
                    "--repeatable-tool", "lookup", "--single-run-tool", "hold",
+                   "--tight-budget-share", "0.15", "--abandoned-share", "0.1",
+                   "--foreign-read-share", "0.2",
                    "--seed", str(self.random.randrange(1 << 30)), *extra]
         for node in self.nodes:
             command += ["--node", node.caller]
@@ -109,6 +112,17 @@
                         blocks=entry.get("blocks", 0))
 
 
+def set_faults(stand_in, *rules):
+    """Puts exactly these fault rules in force at a stand-in."""
+    order(stand_in.address, "/admin/faults", {"faults": list(rules)})
+
+
+def order(address, path, body):
+    status, _, answer = fleets.request(address, "POST", path, body)
+    if status != 200:
+        raise fleets.FleetError(f"{path} answered {status}: {answer}")
+
+
 def wait_ready(node):
     fleets.wait_for(lambda: fleets.request(node.operator, "GET", "/readyz")[0] == 200,
                     fleets.START_SECONDS, f"{node.name} to be ready")
@@ -171,19 +185,68 @@
 
 
 def trouble_back_ends(scene):
-    """Lost answers, failures, hangs and slowness of engines and tools."""
-    faults = [
-        (scene.tool, {"lost_answer_probability": 0.2}), (scene.tool, {"fail_probability": 0.2}),
-        (scene.tool, {"hang_probability": 0.1}), (scene.engines[0], {"slowdown": 4.0}),
+    """Lost answers, failures, hangs and slowness of engines and tools, one at a time."""
+    tool_path, model_path = "/v1/tools", "/v1/chat"
+    rules = [
+        (scene.tool, {"kind": "lose_answer", "path": tool_path, "probability": 0.5}),
+        (scene.tool, {"kind": "drop", "path": tool_path, "probability": 0.5}),
+        (scene.tool, {"kind": "refuse", "path": tool_path, "probability": 0.5}),
+        (scene.tool, {"kind": "hang_after", "path": tool_path, "probability": 0.1}),
+        (scene.engines[0], {"kind": "cut_stream", "path": model_path, "probability": 0.5}),
+        (scene.engines[0], {"kind": "drop", "path": model_path, "probability": 0.5}),
+        (scene.engines[1], {"kind": "refuse", "path": model_path, "probability": 0.5}),
+        (scene.engines[1], {"kind": "delay", "delay_ms": 300, "probability": 0.5}),
     ]
-    calm = {"lost_answer_probability": 0, "fail_probability": 0, "hang_probability": 0}
+    while scene.pause_between(0.3, 0.8):
+        back_end, rule = scene.random.choice(rules)
+        scene.fault()
+        set_faults(back_end, rule)
+        scene.over.wait(scene.random.uniform(0.5, 1.5))
+        set_faults(back_end)
+
+
+def forgetful_tool(scene):
+    """A tool that cannot tell repeats apart loses answers while nodes are killed."""
+    order(scene.tool.address, "/admin/tool", {"keeps_keys": False})
+    set_faults(scene.tool, {"kind": "lose_answer", "path": "/v1/tools", "probability": 0.15})
+    crash_nodes(scene)
+    set_faults(scene.tool)
+
+
+def crash_engines(scene):
+    """SIGKILL of an engine; it comes back empty at the same address."""
+    while scene.pause_between(1.0, 2.0):
+        index = scene.random.randrange(len(scene.engines))
+        scene.fault()
+        scene.engines[index].kill()
+        scene.over.wait(scene.random.uniform(0.2, 2.0))
+        scene.engines[index] = scene.fleet.restart_stand_in(scene.engines[index])
+
+
+def cut_links(scene):
+    """Connections towards one node break or stall, one way or both, while it still answers probes."""
+    modes = ["cut", "stall_to_target", "stall_to_client", "stall_both"]
     while scene.pause_between(0.5, 1.5):
-        back_end, fault = scene.random.choice(faults)
+        relay = scene.random.choice(scene.relays)
         scene.fault()
-        fleets.request(back_end.address, "POST", "/admin/faults", fault)
-        scene.over.wait(scene.random.uniform(0.5, 2.0))
-        restore = {"slowdown": 1.0} if "slowdown" in fault else calm
-        fleets.request(back_end.address, "POST", "/admin/faults", restore)
+        order(relay.control, "/admin/faults", {"mode": scene.random.choice(modes)})
+        scene.over.wait(scene.random.uniform(0.5, 4.0))
+        order(relay.control, "/admin/faults", {"mode": "pass"})
+
+
+def cut_and_crash(scene):
+    """A link stalls while another node is killed."""
+    while scene.pause_between(1.0, 2.5):
+        index = scene.random.randrange(len(scene.nodes))
+        scene.fault()
+        order(scene.relays[index].control, "/admin/faults", {"mode": "stall_both"})
+        victim = scene.nodes[(index + 1) % len(scene.nodes)]
+        scene.over.wait(scene.random.uniform(0.0, 1.0))
+        scene.fault()
+        victim.kill()
+        scene.over.wait(scene.random.uniform(0.2, 1.5))
+        order(scene.relays[index].control, "/admin/faults", {"mode": "pass"})
+        scene.replace(victim).wait_ready()
 
 
 def race_operators(scene):
@@ -207,12 +270,11 @@
         thread.start()
     while scene.pause_between(0.5, 1.5):
         scene.fault()
-        fault = scene.random.choice([{"outage": True}, {"lost_answer_probability": 0.5},
-                                     {"delay_ms": 400}])
-        fleets.request(scene.platform.address, "POST", "/admin/faults", fault)
+        set_faults(scene.platform, scene.random.choice([
+            {"kind": "drop"}, {"kind": "lose_answer", "path": "/v3/kv/txn", "probability": 0.5},
+            {"kind": "delay", "delay_ms": 400}, {"kind": "hang", "path": "/v3/kv"}]))
         scene.over.wait(scene.random.uniform(0.5, 3.0))
-        fleets.request(scene.platform.address, "POST", "/admin/faults",
-                       {"outage": False, "lost_answer_probability": 0, "delay_ms": 0})
+        set_faults(scene.platform)
     for thread in operators:
         thread.join()
 
@@ -222,8 +284,8 @@
     while scene.pause_between(1.0, 2.0):
         engine = scene.random.choice(scene.engines)
         scene.fault()
-        body = {"name": engine.name, "draining": True}
-        status, _, answer = scene.nodes[0].operate("POST", "drain/backend", body)
+        body = {"target": "back_end", "name": engine.name, "draining": True}
+        status, _, answer = scene.nodes[0].operate("POST", "drain", body)
         if status != 200:
             raise fleets.FleetError(f"drain answered {status}: {answer}")
         marked_at = now_us()
@@ -231,15 +293,15 @@
         # The mark holds until the drain is taken back: one interval for each drain.
         scene.record(event="back_end_leaving", backend=engine.name, at_us=marked_at,
                      until_us=now_us())
-        scene.nodes[0].operate("POST", "drain/backend", {"name": engine.name, "draining": False})
+        scene.nodes[0].operate("POST", "drain", {**body, "draining": False})
 
 
 def platform_outage(scene):
     """The platform is away for the whole run while a node is killed."""
     scene.fault()
-    fleets.request(scene.platform.address, "POST", "/admin/faults", {"outage": True})
+    set_faults(scene.platform, {"kind": "drop"})
     crash_nodes(scene)
-    fleets.request(scene.platform.address, "POST", "/admin/faults", {"outage": False})
+    set_faults(scene.platform)
 
 
 SCENARIOS = {
@@ -248,10 +310,15 @@
     "crash-and-freeze": crash_and_freeze,
     "rolling-restart": restart_in_turn,
     "back-end-trouble": trouble_back_ends,
+    "forgetful-tool": forgetful_tool,
+    "crash-engines": crash_engines,
+    "cut-links": cut_links,
+    "cut-and-crash": cut_and_crash,
     "racing-operators": race_operators,
     "drain-back-end": drain_back_end,
     "platform-outage": platform_outage,
 }
+BEHIND_RELAYS = {"cut-links", "cut-and-crash"}
 PLANNED_ONLY = {"rolling-restart", "drain-back-end", "racing-operators"}
 
 
@@ -260,7 +327,7 @@
     folder = tempfile.mkdtemp(prefix=f"pearbarrow-prove-{name}-")
     with fleets.Fleet(build_dir, folder) as fleet:
         scene = Scene(fleet, f"{seed}/{name}", seconds)
-        scene.start()
+        scene.start(name in BEHIND_RELAYS)
         failures = []
 
         def inject():
@@ -340,7 +407,7 @@
                                                        options.seed, options.at_once)
         violations = report["violations"]
         print(f"{name:<18} seed {options.seed} faults {faults:>3}  programs "
-              f"{summary['programs_whole']}/{summary['programs']}  calls "
+              f"{summary['programs_whole']}+{summary['programs_refused']}/{summary['programs']}  calls "
               f"{summary['calls_answered']}/{summary['calls']} unknown {summary['calls_unknown']}  "
               f"interrupted {summary['interruptions']}  violations {len(violations)}", flush=True)
         for failure in summary["failures"][:3]:
--- a/tests/unit/bench/checker_test.cc
+++ b/tests/unit/bench/checker_test.cc
@@ -94,6 +94,14 @@
     expect_caught(run, invariant::history_kept);
 }
 
+Test(checker, catches_a_history_shown_to_another_tenant) {
+    history run = right_history();
+    run.foreign_reads.push_back({program, base::tenant_id("rival"), 50, 404});
+    cr_assert(check_history(run).violations.empty());
+    run.foreign_reads.push_back({program, base::tenant_id("rival"), 60, 200});
+    expect_caught(run, invariant::history_kept);
+}
+
 Test(checker, catches_a_passed_budget) {
     history run = right_history();
     run.opened[0].token_budget = 39;
