Placement: inputs of a decision are gathered in two steps, records are shared

Cause: with 16 engines a round (a call ends, the next is granted, an offer comes in) cost about 58 us at 1,000 waiting. Up to 16 calls are looked at for each grant; for each, all names and texts of the record were copied, rules, class and tenant looked up by name, and loads and speeds of all engines worked out anew. Change: gather_numbers writes what decide_quickly needs; complete adds names, texts and figures that don't change the outcome, only for a call that is granted, refused or explained. Engines' loads are filled once for each time and state of the engine table. A waiting call keeps its rules and its class's statistics. Shared and cached prefixes are found in one pass. Action and memory of recent decisions share one record. Explain and verify see the same records as before.

--- a/src/pearbarrow/bench/simulate_baselines.cc
+++ b/src/pearbarrow/bench/simulate_baselines.cc
@@ -63,18 +63,18 @@
 }
 
 std::uint32_t prefix_affinity_policy::choose(const call_view& call, sim_time now) {
-    cached_.assign(in_flight_.size(), 0);
-    directory_.fill(name_of(call.program), call.marks, cached_);
+    held_.assign(in_flight_.size(), {});
+    directory_.fill(name_of(call.program), call.marks, held_);
     const auto [idlest, busiest] = std::minmax_element(in_flight_.begin(), in_flight_.end());
     const bool unbalanced =
         *busiest - *idlest > balance_difference_ && *busiest > balance_ratio * *idlest;
     std::uint32_t chosen = least_loaded();
     if (!unbalanced) {
-        for (std::uint32_t engine = 0; engine < cached_.size(); ++engine) {
-            const bool longer = cached_[engine] > cached_[chosen];
-            const bool idler =
-                cached_[engine] == cached_[chosen] && in_flight_[engine] < in_flight_[chosen];
-            if (cached_[engine] >= least_match * call.prompt_tokens && (longer || idler)) {
+        for (std::uint32_t engine = 0; engine < held_.size(); ++engine) {
+            const bool longer = held_[engine].cached > held_[chosen].cached;
+            const bool idler = held_[engine].cached == held_[chosen].cached &&
+                               in_flight_[engine] < in_flight_[chosen];
+            if (held_[engine].cached >= least_match * call.prompt_tokens && (longer || idler)) {
                 chosen = engine;
             }
         }
--- a/src/pearbarrow/bench/simulate_baselines.h
+++ b/src/pearbarrow/bench/simulate_baselines.h
@@ -65,7 +65,7 @@
 
     std::uint32_t balance_difference_;
     placement::prefix_directory directory_;
-    std::vector<std::uint32_t> cached_;
+    std::vector<placement::prefix_directory::held_tokens> held_;
 };
 
 }  // namespace pearbarrow::bench
--- a/src/pearbarrow/bench/simulate_decisions.cc
+++ b/src/pearbarrow/bench/simulate_decisions.cc
@@ -67,7 +67,7 @@
         std::swap(running[random.below(running.size())], running.back());
         wire::placement_finished finished;
         finished.attempt = running.back().attempt;
-        finished.program = running.back().decision.inputs.program;
+        finished.program = running.back().decision->inputs.program;
         finished.backend = running.back().backend;
         finished.history_tokens = 2'000;
         finished.output_tokens = 200;
--- a/src/pearbarrow/bench/simulate_policy.cc
+++ b/src/pearbarrow/bench/simulate_policy.cc
@@ -167,7 +167,7 @@
             ++decisions_;
             if (auto* refused = std::get_if<placement::refuse_action>(&action)) {
                 output.refused.emplace_back(number_of(refused->attempt.value()),
-                                            refused->decision.outcome.reason);
+                                            refused->decision->outcome.reason);
                 continue;
             }
             auto& granted = std::get<placement::grant_action>(action);
--- a/src/pearbarrow/placement/call_queue.cc
+++ b/src/pearbarrow/placement/call_queue.cc
@@ -68,6 +68,12 @@
     link(call);
 }
 
+void call_queue::change_rules(const base::attempt_id& attempt, program_rules rules) {
+    if (const auto found = calls_.find(attempt); found != calls_.end()) {
+        found->second->rules = std::move(rules);
+    }
+}
+
 void call_queue::change_permitted(const base::attempt_id& attempt, engine_mask permitted) {
     const auto found = calls_.find(attempt);
     if (found == calls_.end()) {
--- a/src/pearbarrow/placement/call_queue.h
+++ b/src/pearbarrow/placement/call_queue.h
@@ -17,12 +17,12 @@
 
 #include "pearbarrow/base/clock.h"
 #include "pearbarrow/base/ids.h"
+#include "pearbarrow/placement/program_rules.h"
 #include "pearbarrow/wire/placement_messages.h"
 
 namespace pearbarrow::placement {
 
-/// Set of engines of a cell, one bit each.
-using engine_mask = std::uint64_t;
+class class_statistics;
 
 /// Position of a call; smaller goes first.
 struct queue_key {
@@ -50,6 +50,10 @@
     engine_mask permitted = 0;
     /// The first call of a program that has no parent.
     bool opens_program = false;
+    /// What the configuration says of the program, as of the last change.
+    program_rules rules;
+    /// Of the program's class; outlives the call.
+    class_statistics* statistics = nullptr;
 };
 
 class call_queue {
@@ -72,6 +76,7 @@
     std::size_t ahead_of(const queue_key& key) const { return all_.order_of_key(key); }
     /// Moves a call to a new position.
     void change_key(const base::attempt_id& attempt, queue_key key);
+    void change_rules(const base::attempt_id& attempt, program_rules rules);
     /// Changes the engines that a call may use.
     void change_permitted(const base::attempt_id& attempt, engine_mask permitted);
 
--- a/src/pearbarrow/placement/cell_scheduler.cc
+++ b/src/pearbarrow/placement/cell_scheduler.cc
@@ -43,6 +43,7 @@
     for (const base::attempt_id& attempt : queue_.attempts()) {
         const waiting_call* call = queue_.find(attempt);
         const program_rules& rules = rules_.find(call->offer);
+        queue_.change_rules(attempt, rules);
         queue_.change_permitted(attempt, permitted_engines(call->offer, rules));
         if (call->key.band != 0) {
             queue_.change_key(attempt, key_for(call->offer, rules, call->waiting_since));
@@ -69,11 +70,14 @@
     }
     call.permitted = permitted_engines(offer, rules);
     call.opens_program = offer.calls_done == 0 && offer.depth == 0;
+    call.rules = rules;
+    call.statistics = &classes_[offer.program_class];
     shares_.add_active(offer.tenant, rules.tenant_weight, 1);
     call.key = key_for(offer, rules, now);
-    gather(call, true, now);
+    gather_numbers(call, true, now);
     const quick_outcome outcome = decide_quickly(inputs_);
     if (outcome.kind == decision_kind::refused) {
+        complete(call);
         refuse(offer, decide(inputs_));
         shares_.add_active(offer.tenant, rules.tenant_weight, -1);
         return;
@@ -273,7 +277,6 @@
 
 cell_scheduler::state::attempt_result cell_scheduler::state::try_call(const waiting_call& call,
                                                                       base::instant now) {
-    const program_rules& rules = rules_.find(call.offer);
     const bool over = options_.tenant_fairness && call.key.band != 0 &&
                       shares_.over_share(call.offer.tenant, now);
     if (over && call.key.over_share == 0) {
@@ -282,7 +285,7 @@
         queue_.change_key(call.offer.attempt, key);
         return attempt_result::moved;
     }
-    gather(call, false, now);
+    gather_numbers(call, false, now);
     const quick_outcome outcome = decide_quickly(inputs_);
     if (outcome.kind == decision_kind::waiting) {
         if (outcome.reason == reason::waiting_for_tenant_limit) {
@@ -292,8 +295,9 @@
         return outcome.reason == reason::waiting_for_memory ? attempt_result::waits_for_memory
                                                             : attempt_result::waits;
     }
+    complete(call);
     const base::attempt_id attempt = call.offer.attempt;
-    const double weight = rules.tenant_weight;
+    const double weight = call.rules.tenant_weight;
     waiting_call taken = *dequeue(attempt);
     if (outcome.kind == decision_kind::granted) {
         grant(std::move(taken), *outcome.chosen, now);
--- a/src/pearbarrow/placement/cell_scheduler.h
+++ b/src/pearbarrow/placement/cell_scheduler.h
@@ -163,14 +163,16 @@
     base::milliseconds pin_lease{0};
     /// Engines that hold an outdated prefix of the program: the owner may release it there.
     std::vector<base::backend_id> stale_holders;
-    decision_record decision;
+    /// Never null; shared with the scheduler's own memory of recent decisions.
+    std::shared_ptr<const decision_record> decision;
 };
 /// Send the reply with the refusal. `status` carries step, reason and retry_after.
 struct refuse_action {
     base::attempt_id attempt;
     base::node_id owner;
     absl::Status status;
-    decision_record decision;
+    /// Never null.
+    std::shared_ptr<const decision_record> decision;
 };
 using cell_action = std::variant<grant_action, refuse_action>;
 
--- a/src/pearbarrow/placement/engine_table.cc
+++ b/src/pearbarrow/placement/engine_table.cc
@@ -18,6 +18,7 @@
 }  // namespace
 
 void engine_table::set(std::vector<cell_engine> engines) {
+    ++version_;
     std::vector<entry> next(engines.size());
     std::vector<std::optional<std::size_t>> moved(engines_.size());
     std::map<base::backend_id, std::size_t> names;
@@ -71,6 +72,7 @@
 }
 
 void engine_table::count(const running_call& call, int sign) {
+    ++version_;
     if (!call.engine) {
         return;
     }
@@ -85,6 +87,7 @@
 }
 
 void engine_table::add(running_call call, base::instant now) {
+    ++version_;
     if (runs(call.offer.attempt)) {
         return;
     }
@@ -114,6 +117,7 @@
 }
 
 void engine_table::learn(const running_call& call, double actual_us) {
+    ++version_;
     if (!call.engine || call.nominal_us <= 0) {
         return;
     }
@@ -127,6 +131,7 @@
 }
 
 void engine_table::check_overdue(base::instant now) {
+    ++version_;
     struct lateness {
         std::uint32_t late = 0;
         double ratio = 0;
@@ -161,6 +166,7 @@
 }
 
 void engine_table::report(const engine_report_event& event, base::instant now) {
+    ++version_;
     const auto index = find(event.backend);
     if (!index) {
         return;
@@ -175,6 +181,7 @@
 }
 
 void engine_table::set_state(std::size_t index, bool draining, bool unreachable) {
+    ++version_;
     engines_[index].configured.draining = draining;
     engines_[index].configured.unreachable = unreachable;
 }
--- a/src/pearbarrow/placement/engine_table.h
+++ b/src/pearbarrow/placement/engine_table.h
@@ -57,6 +57,8 @@
     bool restarted(const engine_report_event& event) const;
     void set_state(std::size_t index, bool draining, bool unreachable);
 
+    /// Changes with everything that `fill` writes, but for the passing of time.
+    std::uint64_t version() const { return version_; }
     /// Writes load, speeds and report age; leaves the fields about the call itself alone.
     /// `count_reported`: calls that only the load report knows count as in flight.
     void fill(std::size_t index, base::instant now, base::milliseconds report_horizon,
@@ -82,6 +84,7 @@
     std::vector<entry> engines_;
     std::map<base::backend_id, std::size_t> by_name_;
     absl::flat_hash_map<base::attempt_id, running_call> calls_;
+    std::uint64_t version_ = 0;
 };
 
 }  // namespace pearbarrow::placement
--- a/src/pearbarrow/placement/prefix_directory.cc
+++ b/src/pearbarrow/placement/prefix_directory.cc
@@ -94,19 +94,23 @@
 
 void prefix_directory::fill(const base::program_id& program,
                             const std::vector<wire::prefix_mark>& marks,
-                            std::vector<std::uint32_t>& per_engine) const {
-    const auto add = [&](key name) {
-        const auto found = holdings_.find(name);
+                            std::vector<held_tokens>& per_engine) const {
+    if (const auto own = holdings_.find(key_of(program)); own != holdings_.end()) {
+        for (const holding& entry : own->second) {
+            held_tokens& held = per_engine[entry.engine];
+            held.cached = std::max(held.cached, entry.tokens);
+        }
+    }
+    for (const wire::prefix_mark& mark : marks) {
+        const auto found = holdings_.find(key_of(mark));
         if (found == holdings_.end()) {
-            return;
+            continue;
         }
         for (const holding& entry : found->second) {
-            per_engine[entry.engine] = std::max(per_engine[entry.engine], entry.tokens);
+            held_tokens& held = per_engine[entry.engine];
+            held.cached = std::max(held.cached, entry.tokens);
+            held.shared = std::max(held.shared, entry.tokens);
         }
-    };
-    add(key_of(program));
-    for (const wire::prefix_mark& mark : marks) {
-        add(key_of(mark));
     }
 }
 
--- a/src/pearbarrow/placement/prefix_directory.h
+++ b/src/pearbarrow/placement/prefix_directory.h
@@ -31,10 +31,16 @@
 
     /// Tokens of the program's own sequence believed to be on the engine; 0 if none.
     std::uint32_t program_tokens(const base::program_id& program, std::size_t engine) const;
-    /// Adds to `per_engine` (one slot each) the tokens cached for the program or by a mark: the
-    /// larger of both.
+    /// What an engine holds of a prompt, in tokens.
+    struct held_tokens {
+        /// Of the program's own sequence or of a mark, whichever is longer.
+        std::uint32_t cached = 0;
+        /// Of the longest mark alone.
+        std::uint32_t shared = 0;
+    };
+    /// Raises the slots of `per_engine` (one for each engine) to what the engines hold.
     void fill(const base::program_id& program, const std::vector<wire::prefix_mark>& marks,
-              std::vector<std::uint32_t>& per_engine) const;
+              std::vector<held_tokens>& per_engine) const;
     /// Longest of the marks that the engine holds, in tokens.
     std::uint32_t shared_tokens(const std::vector<wire::prefix_mark>& marks,
                                 std::size_t engine) const;
--- a/src/pearbarrow/placement/record_store.h
+++ b/src/pearbarrow/placement/record_store.h
@@ -3,7 +3,9 @@
 
 #include <cstddef>
 #include <deque>
+#include <memory>
 #include <optional>
+#include <utility>
 
 #include <absl/container/flat_hash_map.h>
 
@@ -16,12 +18,12 @@
   public:
     explicit record_store(std::size_t limit) : limit_(limit) {}
 
-    void add(const decision_record& record) {
+    void add(std::shared_ptr<const decision_record> record) {
         if (limit_ == 0) {
             return;
         }
-        const base::attempt_id& attempt = record.inputs.attempt;
-        if (records_.insert_or_assign(attempt, record).second) {
+        const base::attempt_id attempt = record->inputs.attempt;
+        if (records_.insert_or_assign(attempt, std::move(record)).second) {
             order_.push_back(attempt);
         }
         if (order_.size() > limit_) {
@@ -31,12 +33,12 @@
     }
     std::optional<decision_record> find(const base::attempt_id& attempt) const {
         const auto found = records_.find(attempt);
-        return found == records_.end() ? std::nullopt : std::optional(found->second);
+        return found == records_.end() ? std::nullopt : std::optional(*found->second);
     }
 
   private:
     std::size_t limit_;
-    absl::flat_hash_map<base::attempt_id, decision_record> records_;
+    absl::flat_hash_map<base::attempt_id, std::shared_ptr<const decision_record>> records_;
     std::deque<base::attempt_id> order_;
 };
 
--- a/src/pearbarrow/placement/rule_table.h
+++ b/src/pearbarrow/placement/rule_table.h
@@ -10,26 +10,11 @@
 
 #include "pearbarrow/base/ids.h"
 #include "pearbarrow/config/configuration.h"
-#include "pearbarrow/placement/call_queue.h"
+#include "pearbarrow/placement/program_rules.h"
 #include "pearbarrow/wire/placement_messages.h"
 
 namespace pearbarrow::placement {
 
-struct program_rules {
-    /// Engines that scheduling rules permit.
-    engine_mask permitted = 0;
-    /// Rules that gave the answer, one for each kind of pool in the cell, sorted by name.
-    std::vector<std::string> matched;
-    std::int32_t priority = 0;
-    double latency_weight = 1;
-    double cache_weight = 0.5;
-    double tenant_weight = 1;
-    /// Tightest bounds of tenant, class and matching `limit` objects; 0 for none. A dispatcher
-    /// counts only what passes through its own cell.
-    std::uint64_t token_limit = 0;
-    std::uint32_t queue_limit = 0;
-};
-
 class rule_table {
   public:
     /// `engine_labels` has the pool labels of each engine of the cell, in the cell's order.
--- a/src/pearbarrow/placement/scheduler_grants.cc
+++ b/src/pearbarrow/placement/scheduler_grants.cc
@@ -122,21 +122,18 @@
 }
 
 void cell_scheduler::state::gather(const waiting_call& call, bool on_arrival, base::instant now) {
+    gather_numbers(call, on_arrival, now);
+    complete(call);
+}
+
+void cell_scheduler::state::gather_numbers(const waiting_call& call, bool on_arrival,
+                                           base::instant now) {
     const wire::placement_offer& offer = call.offer;
-    const program_rules& rules = rules_.find(offer);
-    const class_statistics& statistics = classes_[offer.program_class];
-    const tenant_state& tenant = tenants_[offer.tenant];
     decision_inputs& inputs = inputs_;
-    inputs.configuration = rules_.version();
-    inputs.attempt = offer.attempt;
-    inputs.program = offer.program;
-    inputs.tenant = offer.tenant;
-    inputs.program_class = offer.program_class;
-    inputs.matched_rules = rules.matched;
-    inputs.priority = rules.priority;
     inputs.prompt_tokens = offer.prompt_tokens;
     inputs.max_output_tokens = offer.max_output_tokens;
-    inputs.expected_output_tokens = statistics.expected_output_tokens(offer.max_output_tokens);
+    inputs.expected_output_tokens =
+        call.statistics->expected_output_tokens(offer.max_output_tokens);
     inputs.opens_program = call.opens_program;
     inputs.has_deadline = call.deadline.has_value();
     inputs.deadline_left_ms = 0;
@@ -146,64 +143,115 @@
     }
     inputs.waited_ms = static_cast<std::uint64_t>(
         std::chrono::duration_cast<base::milliseconds>(now - call.waiting_since).count());
-    inputs.attained_tokens = offer.attained_tokens;
-    inputs.expected_remaining_us = statistics.expected_remaining_us(offer.calls_done);
-    inputs.order_key = call.key.order;
     inputs.starved = call.key.band == 0;
-    inputs.queue_length = static_cast<std::uint32_t>(queue_.size());
-    inputs.queue_limit = options_.queue_limit;
-    inputs.ahead = static_cast<std::uint32_t>(queue_.ahead_of(call.key));
+    // Without a deadline the place in the queue changes nothing but the reason for waiting.
+    inputs.ahead =
+        call.deadline ? static_cast<std::uint32_t>(queue_.ahead_of(call.key)) : inputs.ahead;
     inputs.grants_per_second = rate_.per_second();
     inputs.affinity_wait_ms =
         options_.prefix_affinity ? static_cast<std::uint64_t>(options_.affinity_wait.count()) : 0;
-    inputs.tenant_tokens_in_flight = tenant.tokens_in_flight;
-    inputs.tenant_token_limit = rules.token_limit;
-    inputs.tenant_queued = tenant.queued;
-    inputs.tenant_queue_limit = rules.queue_limit;
-    inputs.latency_weight = rules.latency_weight;
-    inputs.cache_weight = rules.cache_weight;
-    inputs.on_arrival = on_arrival;
+    inputs.latency_weight = call.rules.latency_weight;
+    inputs.cache_weight = call.rules.cache_weight;
     inputs.early_refusal = options_.early_refusal;
+    gather_limits(call, on_arrival);
     gather_candidates(call, now);
 }
 
-void cell_scheduler::state::gather_candidates(const waiting_call& call, base::instant now) {
+void cell_scheduler::state::gather_limits(const waiting_call& call, bool on_arrival) {
+    decision_inputs& inputs = inputs_;
+    inputs.on_arrival = on_arrival;
+    inputs.queue_length = static_cast<std::uint32_t>(queue_.size());
+    inputs.queue_limit = options_.queue_limit;
+    inputs.tenant_token_limit = call.rules.token_limit;
+    inputs.tenant_queue_limit = call.rules.queue_limit;
+    inputs.tenant_tokens_in_flight = 0;
+    inputs.tenant_queued = 0;
+    const auto tenant = tenants_.find(call.offer.tenant);
+    if (tenant != tenants_.end()) {
+        inputs.tenant_tokens_in_flight = tenant->second.tokens_in_flight;
+        inputs.tenant_queued = tenant->second.queued;
+    }
+}
+
+void cell_scheduler::state::complete(const waiting_call& call) {
     const wire::placement_offer& offer = call.offer;
-    cached_.assign(engines_.size(), 0);
-    if (options_.prefix_affinity) {
-        directory_.fill(offer.program, offer.prefixes, cached_);
+    decision_inputs& inputs = inputs_;
+    inputs.configuration = rules_.version();
+    inputs.attempt = offer.attempt;
+    inputs.program = offer.program;
+    inputs.tenant = offer.tenant;
+    inputs.program_class = offer.program_class;
+    inputs.matched_rules = call.rules.matched;
+    inputs.priority = call.rules.priority;
+    inputs.attained_tokens = offer.attained_tokens;
+    inputs.expected_remaining_us = call.statistics->expected_remaining_us(offer.calls_done);
+    inputs.order_key = call.key.order;
+    inputs.ahead = static_cast<std::uint32_t>(queue_.ahead_of(call.key));
+    for (std::size_t index = 0; index < engines_.size(); ++index) {
+        inputs.candidates[index].backend = engines_.at(index).backend;
     }
-    inputs_.candidates.resize(engines_.size());
-    const bool take_over = taking_over(now);
+    name_exclusions(call);
+}
+
+void cell_scheduler::state::name_exclusions(const waiting_call& call) {
     for (std::size_t index = 0; index < engines_.size(); ++index) {
         const cell_engine& engine = engines_.at(index);
         candidate_input& candidate = inputs_.candidates[index];
-        candidate.backend = engine.backend;
-        const bool permitted = (call.permitted >> index & 1) != 0;
-        candidate.eligible = permitted && !engine.draining && !engine.unreachable;
-        candidate.exclusion.clear();
-        if (!permitted) {
+        if ((call.permitted >> index & 1) == 0) {
             candidate.exclusion = exclusion(call, index);
         } else if (!candidate.eligible) {
             candidate.exclusion = engine.draining ? "draining" : "unreachable";
+        } else {
+            candidate.exclusion.clear();
         }
-        engines_.fill(index, now, options_.report_horizon, take_over, candidate);
+    }
+}
+
+void cell_scheduler::state::fill_engines(base::instant now) {
+    const std::pair<base::instant, std::uint64_t> wanted{now, engines_.version()};
+    if (filled_for_ == wanted) {
+        return;
+    }
+    filled_for_ = wanted;
+    inputs_.candidates.resize(engines_.size());
+    const bool take_over = taking_over(now);
+    for (std::size_t index = 0; index < engines_.size(); ++index) {
+        engines_.fill(index, now, options_.report_horizon, take_over, inputs_.candidates[index]);
+    }
+}
+
+void cell_scheduler::state::gather_candidates(const waiting_call& call, base::instant now) {
+    const wire::placement_offer& offer = call.offer;
+    held_.assign(engines_.size(), {});
+    if (options_.prefix_affinity) {
+        directory_.fill(offer.program, offer.prefixes, held_);
+    }
+    fill_engines(now);
+    const bool take_over = taking_over(now);
+    const engine_mask usable = engines_.usable() & call.permitted;
+    for (std::size_t index = 0; index < engines_.size(); ++index) {
+        const cell_engine& engine = engines_.at(index);
+        candidate_input& candidate = inputs_.candidates[index];
+        candidate.eligible = (usable >> index & 1) != 0;
         candidate.working_set = working_set_.tokens(index);
         candidate.working_set_limit =
             options_.working_set_limit && !offer.model.value().empty()
                 ? static_cast<std::uint64_t>(options_.working_set_part *
                                              static_cast<double>(engine.token_limit))
                 : 0;
-        candidate.cached_tokens = std::min(cached_[index], offer.prompt_tokens);
+        candidate.cached_tokens = std::min(held_[index].cached, offer.prompt_tokens);
         if (take_over && candidate.cached_tokens == 0 && engine.backend == offer.last_engine &&
             options_.prefix_affinity) {
             candidate.cached_tokens = std::min(offer.history_tokens, offer.prompt_tokens);
         }
-        candidate.shared_tokens = 0;
-        if (candidate.eligible && !offer.prefixes.empty() && candidate.in_flight > 0) {
-            candidate.shared_tokens =
-                std::min(directory_.shared_tokens(offer.prefixes, index), offer.prompt_tokens);
-        }
+        // Memory is shared only with calls that run there.
+        candidate.shared_tokens = candidate.eligible && candidate.in_flight > 0
+                                      ? std::min(held_[index].shared, offer.prompt_tokens)
+                                      : 0;
+    }
+    if (usable == 0) {
+        // The reasons decide between refusing and waiting.
+        name_exclusions(call);
     }
 }
 
@@ -246,7 +294,8 @@
     action.engine_priority = engine_priority(taken.key);
     action.pin_lease = pin_lease(offer);
     action.stale_holders = drop_stale_holders(offer, engine);
-    action.decision = {1, inputs_, decide(inputs_)};
+    action.decision =
+        std::make_shared<const decision_record>(decision_record{1, inputs_, decide(inputs_)});
 
     running_call call;
     call.engine = engine;
@@ -289,7 +338,7 @@
     refuse_action action;
     action.attempt = offer.attempt;
     action.owner = offer.owner;
-    action.decision = {1, inputs_, outcome};
+    action.decision = std::make_shared<const decision_record>(decision_record{1, inputs_, outcome});
     base::error_details details{.step = "place", .peer = {}, .reason = outcome.reason};
     details.was_executed = base::executed::no;
     if (outcome.retry_after_ms > 0) {
@@ -355,7 +404,7 @@
         reply.engine_priority = granted->engine_priority;
         reply.pin_lease_ms = static_cast<std::uint64_t>(granted->pin_lease.count());
         reply.stale_holders = granted->stale_holders;
-        reply.decision = encode_record(granted->decision);
+        reply.decision = encode_record(*granted->decision);
         return reply;
     }
     const auto& refused = std::get<refuse_action>(action);
@@ -367,7 +416,7 @@
     if (details.retry_after) {
         reply.retry_after_ms = static_cast<std::uint64_t>(details.retry_after->count());
     }
-    reply.decision = encode_record(refused.decision);
+    reply.decision = encode_record(*refused.decision);
     return reply;
 }
 
--- a/src/pearbarrow/placement/scheduler_state.h
+++ b/src/pearbarrow/placement/scheduler_state.h
@@ -70,7 +70,16 @@
 
     /// Writes all inputs of a decision about the call into `inputs_`.
     void gather(const waiting_call& call, bool on_arrival, base::instant now);
+    /// Writes only what `decide_quickly` needs. `complete` must follow before the inputs are
+    /// recorded, while the call is still where it was.
+    void gather_numbers(const waiting_call& call, bool on_arrival, base::instant now);
+    void gather_limits(const waiting_call& call, bool on_arrival);
     void gather_candidates(const waiting_call& call, base::instant now);
+    /// Writes loads and speeds of all engines, unless they stand in `inputs_` already.
+    void fill_engines(base::instant now);
+    void name_exclusions(const waiting_call& call);
+    /// Adds names, texts and figures that don't change the outcome.
+    void complete(const waiting_call& call);
     std::string_view exclusion(const waiting_call& call, std::size_t engine) const;
     void grant(waiting_call call, std::size_t engine, base::instant now);
     void refuse(const wire::placement_offer& offer, const decision_outcome& outcome);
@@ -109,7 +118,9 @@
     base::instant last_housekeeping_;
     /// Reused for every decision, so that deciding allocates next to nothing.
     decision_inputs inputs_;
-    std::vector<std::uint32_t> cached_;
+    std::vector<prefix_directory::held_tokens> held_;
+    /// When, and for which state of the engines, `inputs_` was filled last.
+    std::optional<std::pair<base::instant, std::uint64_t>> filled_for_;
     std::vector<cell_action> actions_;
 };
 
--- a/tests/unit/placement/cell_scheduler_test.cc
+++ b/tests/unit/placement/cell_scheduler_test.cc
@@ -334,7 +334,7 @@
                 if (const auto* granted = std::get_if<grant_action>(&action)) {
                     running[granted->attempt.value()] = granted->backend.value();
                     trace += granted->attempt.value() + granted->backend.value() + ";";
-                    cr_assert(verify(granted->decision).ok());
+                    cr_assert(verify(*granted->decision).ok());
                 }
             }
             for (const char* engine : {"a", "b", "c"}) {
--- a/tests/unit/placement/decision_test.cc
+++ b/tests/unit/placement/decision_test.cc
@@ -14,7 +14,7 @@
     cell.feed(engine_state_event{base::backend_id("b"), true, false});
     cell.give(cell.offer("0", "p0"));
     const auto actions = cell.give(cell.offer("1", "p1"));
-    return std::get<grant_action>(actions.front()).decision;
+    return *std::get<grant_action>(actions.front()).decision;
 }
 
 bool contains(const std::string& text, const std::string& part) {
--- a/tests/unit/placement/rules_test.cc
+++ b/tests/unit/placement/rules_test.cc
@@ -49,7 +49,7 @@
     cr_assert_eq(scheduler_fixture::result(cell.give(offer_of("1", "pairing"))), "n");
     const auto actions = cell.give(offer_of("2", "ledger"));
     cr_assert_eq(scheduler_fixture::result(actions), "s");
-    const decision_record& record = std::get<grant_action>(actions.front()).decision;
+    const decision_record& record = *std::get<grant_action>(actions.front()).decision;
     cr_assert_eq(record.inputs.matched_rules, std::vector<std::string>{"back-office"});
     cr_assert_eq(record.inputs.configuration.value(), 7);
     cr_assert_eq(scheduler_fixture::result(cell.give(offer_of("3", "haggle"))),
--- a/tests/unit/placement/scheduler_fixture.h
+++ b/tests/unit/placement/scheduler_fixture.h
@@ -61,7 +61,7 @@
         if (const auto* grant = std::get_if<grant_action>(&actions.front())) {
             return grant->backend.value();
         }
-        return std::get<refuse_action>(actions.front()).decision.outcome.reason;
+        return std::get<refuse_action>(actions.front()).decision->outcome.reason;
     }
 
     cell_scheduler scheduler;
