Operators read any call's decisions; configured bounds and tool terms stand above callers

explain and verify answered 404: the operators' request carried no tenant, and the owner refuses every mismatch. It is now a request of its own, operator_explain, which carries nothing else and no tenant; an empty tenant in any other request still finds nothing. The explanation also shows the call's state and reason.

Bounds of tenant, class and matching limit objects on turns, equal calls, run time, idle time and budget are in force at the owner, for open programs too. A tool's configured repeatable and cost replace what the caller says, are journaled with the accepted call and hold at the next owner: a caller could mark a hold as repeatable and have it run twice. The hash of the body stays that of the caller's, so that repeats after a change of the configuration still match; comparing the changed body was ruled out for that.

--- a/src/pearbarrow/node/operator_service.cc
+++ b/src/pearbarrow/node/operator_service.cc
@@ -286,7 +286,7 @@
 void operator_service::fetch_records(const operators::call_reference& call, record_answer done) {
     wire::program_request request;
     request.program = call.program;
-    request.explain = wire::explain_call_request{call.call};
+    request.operator_explain = wire::operator_explain_request{call.call};
     auto route = std::make_shared<std::unique_ptr<gateway::program_route>>();
     gateway::program_route_callbacks callbacks;
     callbacks.on_done = [route,
@@ -296,7 +296,7 @@
         } else if (!reply->explain.has_value()) {
             done(bad_request("the owner's reply holds no decisions", "malformed_message"));
         } else {
-            done(reply->explain->decision_records);
+            done(*reply->explain);
         }
     };
     *route = router_.start(std::move(request), explain_timeout, std::move(callbacks));
@@ -304,52 +304,54 @@
 
 void operator_service::explain(operators::call_reference call,
                                operators::answer<operators::call_explanation> done) {
-    fetch_records(call, [call, done = std::move(done)](
-                            const absl::StatusOr<std::vector<std::string>>& records) {
-        if (!records.ok()) {
-            done(records.status());
-            return;
-        }
-        operators::call_explanation explanation;
-        explanation.call = call;
-        for (const std::string& bytes : *records) {
-            const auto record = placement::decode_record(bytes);
-            if (record.ok()) {
-                explanation.decisions.push_back(parse_json(placement::explain_json(*record)));
+    fetch_records(
+        call, [call, done = std::move(done)](const absl::StatusOr<wire::explain_view>& view) {
+            if (!view.ok()) {
+                done(view.status());
+                return;
             }
-        }
-        done(std::move(explanation));
-    });
+            operators::call_explanation explanation;
+            explanation.call = call;
+            explanation.state = view->state;
+            explanation.reason = view->reason;
+            for (const std::string& bytes : view->decision_records) {
+                const auto record = placement::decode_record(bytes);
+                if (record.ok()) {
+                    explanation.decisions.push_back(parse_json(placement::explain_json(*record)));
+                }
+            }
+            done(std::move(explanation));
+        });
 }
 
 void operator_service::verify(operators::call_reference call,
                               operators::answer<operators::call_verification> done) {
-    fetch_records(call, [call, done = std::move(done)](
-                            const absl::StatusOr<std::vector<std::string>>& records) {
-        if (!records.ok()) {
-            done(records.status());
-            return;
-        }
-        operators::call_verification verification;
-        verification.call = call;
-        verification.verified = !records->empty();
-        for (const std::string& bytes : *records) {
-            auto record = placement::decode_record(bytes);
-            if (!record.ok()) {
-                verification.verified = false;
-                continue;
-            }
-            operators::verified_decision item;
-            item.decision = record->inputs.attempt.value();
-            item.matches = placement::verify(*record).ok();
-            item.recorded = parse_json(outcome_json(*record));
-            record->outcome = placement::redecide(*record);
-            item.recomputed = parse_json(outcome_json(*record));
-            verification.verified = verification.verified && item.matches;
-            verification.decisions.push_back(std::move(item));
-        }
-        done(std::move(verification));
-    });
+    fetch_records(call,
+                  [call, done = std::move(done)](const absl::StatusOr<wire::explain_view>& view) {
+                      if (!view.ok()) {
+                          done(view.status());
+                          return;
+                      }
+                      operators::call_verification verification;
+                      verification.call = call;
+                      verification.verified = !view->decision_records.empty();
+                      for (const std::string& bytes : view->decision_records) {
+                          auto record = placement::decode_record(bytes);
+                          if (!record.ok()) {
+                              verification.verified = false;
+                              continue;
+                          }
+                          operators::verified_decision item;
+                          item.decision = record->inputs.attempt.value();
+                          item.matches = placement::verify(*record).ok();
+                          item.recorded = parse_json(outcome_json(*record));
+                          record->outcome = placement::redecide(*record);
+                          item.recomputed = parse_json(outcome_json(*record));
+                          verification.verified = verification.verified && item.matches;
+                          verification.decisions.push_back(std::move(item));
+                      }
+                      done(std::move(verification));
+                  });
 }
 
 std::vector<operators::node_report> operator_service::nodes() const {
--- a/src/pearbarrow/node/operator_service.h
+++ b/src/pearbarrow/node/operator_service.h
@@ -44,7 +44,7 @@
     operators::cluster_status status() const override;
 
   private:
-    using record_answer = operators::answer<std::vector<std::string>>;
+    using record_answer = operators::answer<wire::explain_view>;
 
     void propose(config::change change, operators::apply_result counted,
                  operators::answer<operators::apply_result> done);
--- a/src/pearbarrow/node/shard_host.cc
+++ b/src/pearbarrow/node/shard_host.cc
@@ -146,6 +146,8 @@
         }
     }
     feed(std::move(event));
+    feed(program::event::configuration_changed{
+        services_.configuration.current(), base::region_name(services_.context.settings.region)});
 }
 
 void shard_host::start_term(const journal::recovered& recovered) {
@@ -168,8 +170,9 @@
     for (const wire::journal_entry& entry : recovered.records) {
         event.payloads.push_back(entry.payload);
     }
-    feed(std::move(event));
+    // The bounds first: a program is not to be ended by a default that the configuration widens.
     configuration_changed();
+    feed(std::move(event));
     release_held();
 }
 
--- a/src/pearbarrow/operator/control_output.cc
+++ b/src/pearbarrow/operator/control_output.cc
@@ -142,6 +142,11 @@
 std::string explanation_text(const nlohmann::json& explanation) {
     auto text = fmt::format("call {} of program {}\n", cell(explanation, "call"),
                             cell(explanation, "program"));
+    if (!explanation.value("state", "").empty()) {
+        text += fmt::format(
+            "state: {}{}\n", cell(explanation, "state"),
+            explanation.contains("reason") ? ", reason: " + explanation.value("reason", "") : "");
+    }
     std::size_t number = 0;
     for (const auto& decision : member(explanation, "decisions")) {
         text += fmt::format("decision {}\n", ++number);
--- a/src/pearbarrow/operator/operator_backend.h
+++ b/src/pearbarrow/operator/operator_backend.h
@@ -141,6 +141,10 @@
 struct call_explanation {
     call_reference call;
     std::vector<nlohmann::json> decisions;
+    /// `waiting_for_order`, `waiting_for_placement`, `running`, `done` or `failed`.
+    std::string state;
+    /// Reason code of a call that failed; else empty.
+    std::string reason;
 };
 
 /// One decision computed again from its recorded inputs.
--- a/src/pearbarrow/operator/operator_json.cc
+++ b/src/pearbarrow/operator/operator_json.cc
@@ -182,6 +182,10 @@
 nlohmann::json to_json(const call_explanation& explanation) {
     auto body = call_json(explanation.call);
     body["decisions"] = explanation.decisions;
+    body["state"] = explanation.state;
+    if (!explanation.reason.empty()) {
+        body["reason"] = explanation.reason;
+    }
     return body;
 }
 
--- a/src/pearbarrow/program/limits.cc
+++ b/src/pearbarrow/program/limits.cc
@@ -5,15 +5,47 @@
 
 namespace pearbarrow::program {
 
-wire::program_limits limits_of(const program_state& program, const wire::program_limits& defaults) {
-    wire::program_limits limits = program.request.limits;
-    limits.idle_ms = limits.idle_ms == 0 ? defaults.idle_ms : limits.idle_ms;
-    limits.run_time_ms = limits.run_time_ms == 0 ? defaults.run_time_ms : limits.run_time_ms;
-    limits.turns = limits.turns == 0 ? defaults.turns : limits.turns;
-    limits.equal_calls = limits.equal_calls == 0 ? defaults.equal_calls : limits.equal_calls;
+namespace {
+
+std::uint64_t chosen(std::uint64_t own, std::optional<std::uint64_t> configured,
+                     std::uint64_t fallback) {
+    if (!configured.has_value()) {
+        return own == 0 ? fallback : own;
+    }
+    return own == 0 ? *configured : std::min(own, *configured);
+}
+
+std::optional<std::uint64_t> in_milliseconds(const std::optional<base::milliseconds>& span) {
+    if (!span.has_value()) {
+        return std::nullopt;
+    }
+    return static_cast<std::uint64_t>(span->count());
+}
+
+}  // namespace
+
+wire::program_limits limits_of(const program_state& program, const config::limits& configured,
+                               const wire::program_limits& defaults) {
+    const wire::program_limits& own = program.request.limits;
+    wire::program_limits limits;
+    limits.idle_ms = chosen(own.idle_ms, in_milliseconds(configured.idle_time), defaults.idle_ms);
+    limits.run_time_ms =
+        chosen(own.run_time_ms, in_milliseconds(configured.run_time), defaults.run_time_ms);
+    limits.turns = chosen(own.turns, configured.turns, defaults.turns);
+    limits.equal_calls = chosen(own.equal_calls, configured.repeated_calls, defaults.equal_calls);
     return limits;
 }
 
+absl::Status check_budget(std::uint64_t token_budget, const config::limits& configured) {
+    if (!configured.budget.has_value() || token_budget <= *configured.budget) {
+        return absl::OkStatus();
+    }
+    return refusal(absl::StatusCode::kInvalidArgument,
+                   "the budget is above the " + std::to_string(*configured.budget) +
+                       " that the configuration allows",
+                   "budget_above_limit");
+}
+
 absl::Status refusal(absl::StatusCode code, std::string_view message, std::string_view reason,
                      base::milliseconds retry_after) {
     base::error_details details{.step = "admit", .reason = std::string(reason)};
--- a/src/pearbarrow/program/limits.h
+++ b/src/pearbarrow/program/limits.h
@@ -8,14 +8,20 @@
 
 #include <absl/status/status.h>
 
+#include "pearbarrow/config/bounds.h"
 #include "pearbarrow/program/owner_options.h"
 #include "pearbarrow/program/program_state.h"
 #include "pearbarrow/program/shard_events.h"
 
 namespace pearbarrow::program {
 
-/// The program's own limits, with the owner's defaults where it names none.
-wire::program_limits limits_of(const program_state& program, const wire::program_limits& defaults);
+/// The program's own limits, at most the configured ones; where it names none, the configured one,
+/// else the owner's default.
+wire::program_limits limits_of(const program_state& program, const config::limits& configured,
+                               const wire::program_limits& defaults);
+
+/// Refuses with `budget_above_limit` what a configured bound forbids.
+absl::Status check_budget(std::uint64_t token_budget, const config::limits& configured);
 
 /// Refuses with `turn_limit` or `loop_detected` (the last `equal_calls` calls have the same hash).
 absl::Status check_program_limits(const program_state& program, std::uint64_t body_hash,
--- a/src/pearbarrow/program/owner_ending.cc
+++ b/src/pearbarrow/program/owner_ending.cc
@@ -106,7 +106,7 @@
     if (!at.program.open() || at.runtime.ending) {
         return;
     }
-    const wire::program_limits limits = limits_of(at.program, options_.limits);
+    const wire::program_limits limits = limits_in_force(at.program);
     const base::instant run_out = at.runtime.opened_at + base::milliseconds(limits.run_time_ms);
     if (now_ >= run_out) {
         begin_end(at, "run_time_limit");
@@ -124,7 +124,8 @@
         begin_end(at, "idle_limit");
         return;
     }
-    const bool wakes_before = at.runtime.idle_wake && *at.runtime.idle_wake > now_;
+    const bool wakes_before =
+        at.runtime.idle_wake && *at.runtime.idle_wake > now_ && *at.runtime.idle_wake <= idle_out;
     if (!wakes_before) {
         at.runtime.idle_wake = idle_out;
         wake_at(at.program.id, idle_out);
--- a/src/pearbarrow/program/owner_readers.cc
+++ b/src/pearbarrow/program/owner_readers.cc
@@ -200,7 +200,9 @@
             continue;
         }
         wire::explain_view view;
-        view.decision_records.push_back(result.decision);
+        if (!result.decision.empty()) {
+            view.decision_records.push_back(result.decision);
+        }
         view.state = result.failed ? "failed" : "done";
         view.reason = result.failed ? result.failed->reason : "";
         reply(token, {.program = {}, .call = {}, .history = {}, .explain = view});
--- a/src/pearbarrow/program/owner_requests.cc
+++ b/src/pearbarrow/program/owner_requests.cc
@@ -73,6 +73,10 @@
         open_child(token, request);
         return;
     }
+    if (request.operator_explain) {
+        explain_to_operator(token, request);
+        return;
+    }
     const auto at = find(request.program);
     const bool same_tenant =
         at && (at->program.tenant == request.tenant || options_.disabled.tenant_check);
@@ -136,7 +140,11 @@
         return;
     }
     absl::Status allowed =
-        concurrency_.check_open(request.tenant, request.open->program_class, options_.max_backoff);
+        check_budget(request.open->token_budget, configured_bounds(request.tenant, *request.open));
+    if (allowed.ok()) {
+        allowed = concurrency_.check_open(request.tenant, request.open->program_class,
+                                          options_.max_backoff);
+    }
     if (allowed.ok() && programs_.size() >= options_.max_programs) {
         allowed = refusal(absl::StatusCode::kResourceExhausted, "the shard holds too many programs",
                           "too_many_programs", options_.max_backoff);
@@ -220,7 +228,7 @@
 }
 
 absl::Status owner_state::admit(program_context at, const wire::submit_call_request& request) {
-    const wire::program_limits limits = limits_of(at.program, options_.limits);
+    const wire::program_limits limits = limits_in_force(at.program);
     absl::Status status = check_program_limits(at.program, hash_of(request.body), limits);
     if (!status.ok()) {
         return status;
@@ -298,6 +306,14 @@
                                       .deadline_ms = static_cast<std::uint64_t>(deadline.count()),
                                       .priority_class = request.priority_class,
                                       .idempotency_key = request.idempotency_key};
+    if (request.body.tool && configuration_ != nullptr) {
+        // A tool that nobody configured is not believed to be repeatable either.
+        const config::tool_terms terms =
+            config::terms_of(*configuration_, request.body.tool->tool)
+                .value_or(config::tool_terms{.repeatable = false,
+                                             .cost = request.body.tool->declared_cost});
+        record.accepted->tool_terms = tool_terms_record{terms.repeatable, terms.cost};
+    }
     append(at.program, std::move(record));
     call_runtime active;
     active.accepted_at = now_;
@@ -327,6 +343,23 @@
     reply_view(token, at.program.id);
 }
 
+void owner_state::explain_to_operator(reply_token token, const wire::program_request& request) {
+    const bool more = request.submit || request.attach || request.cancel || request.end ||
+                      request.get || request.history || request.return_budget || request.explain;
+    if (more || !request.tenant.value().empty()) {
+        reply_error(token, refusal(absl::StatusCode::kPermissionDenied,
+                                   "an operator reads decision records and nothing else",
+                                   "not_an_operator"));
+        return;
+    }
+    const auto at = find(request.program);
+    if (!at) {
+        when_committed([this, token] { reply_error(token, program_not_found(), true); });
+        return;
+    }
+    explain(token, *at, request.operator_explain->number);
+}
+
 void owner_state::explain(reply_token token, program_context at, base::call_number number) {
     const call_state* call = at.program.find_call(number);
     if (call == nullptr) {
--- a/src/pearbarrow/program/owner_state.cc
+++ b/src/pearbarrow/program/owner_state.cc
@@ -37,6 +37,7 @@
     const bool any_time = std::holds_alternative<event::request_received>(event) ||
                           std::holds_alternative<event::journal_recovered>(event) ||
                           std::holds_alternative<event::concurrency_limits_changed>(event) ||
+                          std::holds_alternative<event::configuration_changed>(event) ||
                           std::holds_alternative<event::ownership_lost>(event);
     if (serving || any_time) {
         std::visit([this](const auto& specific) { on(specific); }, event);
@@ -79,6 +80,33 @@
     concurrency_.set_limits(event.limits);
 }
 
+void owner_state::on(const event::configuration_changed& event) {
+    configuration_ = event.configuration;
+    region_ = event.region;
+    for (const base::program_id& id : live_programs()) {
+        if (const auto at = find(id)) {
+            check_limits(*at);
+        }
+    }
+}
+
+config::limits owner_state::configured_bounds(const base::tenant_id& tenant,
+                                              const wire::open_program_request& request) const {
+    if (configuration_ == nullptr) {
+        return {};
+    }
+    config::label_set labels;
+    for (const wire::label& label : request.labels) {
+        labels.set(label.key, label.value);
+    }
+    return config::tightest(
+        config::bounds_on(*configuration_, tenant, request.program_class, region_, labels));
+}
+
+wire::program_limits owner_state::limits_in_force(const program_state& program) const {
+    return limits_of(program, configured_bounds(program.tenant, program.request), options_.limits);
+}
+
 void owner_state::on(const event::ownership_lost& event) {
     lost_ = true;
     new_owner_ = event.hint;
--- a/src/pearbarrow/program/owner_state.h
+++ b/src/pearbarrow/program/owner_state.h
@@ -60,7 +60,13 @@
     void on(const event::journal_availability& event);
     void on(const event::ownership_lost& event);
     void on(const event::concurrency_limits_changed& event);
+    void on(const event::configuration_changed& event);
     void on(const event::tick& event);
+    /// The configured bounds on a program of that tenant, class and labels.
+    config::limits configured_bounds(const base::tenant_id& tenant,
+                                     const wire::open_program_request& request) const;
+    /// The limits in force for a program.
+    wire::program_limits limits_in_force(const program_state& program) const;
     void emit(shard_action action) { actions_.push_back(std::move(action)); }
     /// Applies the record to the state and appends it to the journal.
     void append(program_state& program, program_record record);
@@ -104,6 +110,7 @@
     absl::Status admit(program_context at, const wire::submit_call_request& request);
     void cancel(reply_token token, program_context at, base::call_number number);
     void explain(reply_token token, program_context at, base::call_number number);
+    void explain_to_operator(reply_token token, const wire::program_request& request);
     void open_program(const base::program_id& id, const base::tenant_id& tenant,
                       const wire::open_program_request& request);
 
@@ -210,6 +217,9 @@
     std::map<base::program_id, program_runtime> runtimes_;
     history_cache histories_;
     concurrency concurrency_;
+    /// Null until the shell tells it: then callers' claims about tools are believed.
+    config::configuration_ptr configuration_;
+    base::region_name region_;
 
     append_sequence last_appended_ = 0;
     append_sequence committed_ = 0;
--- a/src/pearbarrow/program/owner_transfers.cc
+++ b/src/pearbarrow/program/owner_transfers.cc
@@ -56,6 +56,12 @@
                                        "the parent program has ended", "program_ended"));
             return;
         }
+        absl::Status allowed =
+            check_budget(open.token_budget, configured_bounds(request.tenant, open));
+        if (!allowed.ok()) {
+            reply_error(token, std::move(allowed));
+            return;
+        }
         if (!at->program.budget.covers(open.token_budget)) {
             reply_error(token,
                         refusal(absl::StatusCode::kResourceExhausted,
--- a/src/pearbarrow/program/program_state.cc
+++ b/src/pearbarrow/program/program_state.cc
@@ -107,6 +107,11 @@
     call.body_hash = hash_of(accepted.body);
     call.idempotency_key = accepted.idempotency_key;
     call.body = accepted.body;
+    // The hash stays that of the body that came: a repeat of the call carries the caller's claims.
+    if (call.body->tool && accepted.tool_terms) {
+        call.body->tool->repeatable = accepted.tool_terms->repeatable;
+        call.body->tool->declared_cost = accepted.tool_terms->cost;
+    }
     call.deadline_ms = accepted.deadline_ms;
     call.priority_class = accepted.priority_class;
     if (!program.calls.emplace(accepted.number, std::move(call)).second) {
--- a/src/pearbarrow/program/records.h
+++ b/src/pearbarrow/program/records.h
@@ -45,6 +45,14 @@
     MSGPACK_DEFINE(tenant, request);
 };
 
+/// What the configuration said of a call's tool when the call was accepted. It stands above what
+/// the caller claimed, also at a later owner.
+struct tool_terms_record {
+    bool repeatable = false;
+    std::uint64_t cost = 0;
+    MSGPACK_DEFINE(repeatable, cost);
+};
+
 /// The call will run when its turn comes. Written under the call's retention key.
 struct accepted_record {
     base::call_number number;
@@ -52,7 +60,8 @@
     std::uint64_t deadline_ms = 0;
     std::string priority_class;
     std::string idempotency_key;
-    MSGPACK_DEFINE(number, body, deadline_ms, priority_class, idempotency_key);
+    std::optional<tool_terms_record> tool_terms;
+    MSGPACK_DEFINE(number, body, deadline_ms, priority_class, idempotency_key, tool_terms);
 };
 
 /// The attempt may be sent to the back end once this record is committed.
--- a/src/pearbarrow/program/shard_events.h
+++ b/src/pearbarrow/program/shard_events.h
@@ -12,6 +12,7 @@
 
 #include "pearbarrow/base/clock.h"
 #include "pearbarrow/base/ids.h"
+#include "pearbarrow/config/configuration.h"
 #include "pearbarrow/wire/program_messages.h"
 
 namespace pearbarrow::program {
@@ -191,6 +192,13 @@
     std::vector<concurrency_limit> limits;
 };
 
+/// The operators' configuration: bounds on programs and the terms of tools. Fed before
+/// `journal_recovered` and after each change.
+struct configuration_changed {
+    config::configuration_ptr configuration;
+    base::region_name region;
+};
+
 /// Time passes; wanted every 50 ms or so.
 struct tick {};
 
@@ -203,6 +211,6 @@
                  event::model_part, event::model_finished, event::model_failed, event::model_lost,
                  event::tool_finished, event::tool_failed, event::tool_lost, event::tool_status,
                  event::cache_released, event::owner_answered, event::retained_read,
-                 event::concurrency_limits_changed, event::tick>;
+                 event::concurrency_limits_changed, event::configuration_changed, event::tick>;
 
 }  // namespace pearbarrow::program
--- a/src/pearbarrow/wire/program_messages.h
+++ b/src/pearbarrow/wire/program_messages.h
@@ -174,6 +174,13 @@
     MSGPACK_DEFINE(number);
 };
 
+/// An operator's reading of a call's decision records. The tenant is not checked and must be empty.
+/// Only the operators' service of a node sends it; no request of a caller is turned into it.
+struct operator_explain_request {
+    base::call_number number;
+    MSGPACK_DEFINE(number);
+};
+
 /// One request to a program's owner. Exactly one of the optional parts is set.
 struct program_request {
     base::tenant_id tenant;
@@ -190,8 +197,9 @@
     std::optional<open_child_request> open_child;
     std::optional<return_budget_request> return_budget;
     std::optional<explain_call_request> explain;
+    std::optional<operator_explain_request> operator_explain;
     MSGPACK_DEFINE(tenant, program, open, submit, attach, cancel, end, get, history, open_child,
-                   return_budget, explain);
+                   return_budget, explain, operator_explain);
 };
 
 /// The program whose shard's owner must get `request`.
--- a/tests/unit/program/calls_test.cc
+++ b/tests/unit/program/calls_test.cc
@@ -121,6 +121,39 @@
     cr_assert(leaking.error_of(leak).reason.empty(), "the probe must notice a missing check");
 }
 
+Test(calls, operators_read_decisions_and_nothing_else_of_any_tenant) {
+    owner_harness harness;
+    harness.open();
+    harness.submit(1, model_body("secret"));
+    harness.generate(harness.last<action::start_model_attempt>().attempt, "answer");
+    wire::program_request request{.tenant = {}, .program = program::program()};
+    request.operator_explain = wire::operator_explain_request{base::call_number(1)};
+    const auto reply = harness.reply_of(harness.request(request));
+    cr_assert(reply.explain->decision_records == std::vector<std::string>{"decision"});
+    cr_assert(reply.explain->state == "done" && !reply.history && !reply.call && !reply.program);
+
+    request.tenant = tenant();
+    cr_assert(harness.error_of(harness.request(request)).reason == "not_an_operator");
+    request.tenant = {};
+    request.history = wire::get_history_request{};
+    cr_assert(harness.error_of(harness.request(request)).reason == "not_an_operator",
+              "an operator's access must carry nothing else");
+    request.history.reset();
+    request.program = program::program("unknown");
+    cr_assert(harness.error_of(harness.request(request)).reason == "program_not_found");
+}
+
+Test(calls, an_empty_tenant_is_no_operator) {
+    owner_harness harness;
+    harness.open();
+    harness.submit(1, model_body("secret"));
+    harness.generate(harness.last<action::start_model_attempt>().attempt, "answer");
+    cr_assert(harness.error_of(harness.request(history_request({}))).reason == "program_not_found");
+    wire::program_request request{.tenant = {}, .program = program::program()};
+    request.explain = wire::explain_call_request{base::call_number(1)};
+    cr_assert(harness.error_of(harness.request(request)).reason == "program_not_found");
+}
+
 Test(calls, histories_survive_take_over_and_eviction_unmixed) {
     owner_options options;
     options.history_cache_bytes = 1;
