Node: replicas that are lost are replaced, and small sets grow

Cause: a replica whose disk or node was lost stayed in its shard's set for good, so the next loss took the shard's majority away. The leader reported replica_lost, and nobody acted on it.

A pure planner derives the next step from the configuration and the leader's reports, so the next owner goes on where the last one died. Due steps of all shards of an owner go into one change; a token bucket bounds the changes. A node dead or draining for longer than timing.replica_patience_ms is replaced, an emptied or corrupt store at once (a corrupt one is reset by order of the owner: journal_reset). Sets with fewer than three replicas grow once three can be reached.

Four replicas are allowed while one is replaced, the newcomer must have been joining, and the epoch grows only with the replicas.

Ruled out: a coordinator of repairs (special node); steps kept in memory (a crash of the owner would leave a set that nobody continues).

--- a/src/pearbarrow/config/validate.cc
+++ b/src/pearbarrow/config/validate.cc
@@ -14,7 +14,9 @@
 constexpr std::int32_t lowest_priority = -100;
 constexpr std::int32_t highest_priority = 100;
 constexpr std::uint32_t largest_cell = 16;
-constexpr std::size_t most_replicas = 3;
+/// The fourth only while one replica stands in for another.
+constexpr std::size_t most_replicas = 4;
+constexpr std::size_t most_new_replicas = 3;
 constexpr std::size_t digest_characters = 64;
 constexpr double largest_weight = 1e6;
 
@@ -177,7 +179,7 @@
         require(each.epoch > 0, (path + ".epoch").c_str(), "must be above 0");
         const std::set<base::node_id> nodes(each.replicas.begin(), each.replicas.end());
         require(!nodes.empty() && nodes.size() <= most_replicas, (path + ".replicas").c_str(),
-                "must be 1 to 3 nodes");
+                "must be 1 to 3 nodes, or 4 while one is replaced");
         require(nodes.size() == each.replicas.size(), (path + ".replicas").c_str(),
                 "must not name a node twice");
         require(!each.joining || !nodes.contains(*each.joining), (path + ".joining").c_str(),
@@ -287,6 +289,7 @@
     void check_shard_map(const object& value, const shard_map_spec& map) {
         const auto* earlier = before_.find_spec<shard_map_spec>(value.name);
         if (earlier == nullptr) {
+            check_first_map(value.key(), map);
             return;
         }
         if (map.shards.size() != earlier->shards.size()) {
@@ -298,6 +301,17 @@
         }
     }
 
+    void check_first_map(const object_key& key, const shard_map_spec& map) {
+        for (std::size_t index = 0; index < map.shards.size(); ++index) {
+            if (map.shards[index].replicas.size() > most_new_replicas) {
+                add(key, fmt::format("spec.shards[{}].replicas", index),
+                    fmt::format("must be 1 to {} nodes at first", most_new_replicas));
+            }
+        }
+    }
+
+    /// One member at a time (docs/design/journal.md): to swap one for another in one epoch would
+    /// let two majorities miss each other.
     void check_reassignment(const object_key& key, std::size_t index,
                             const shard_assignment& before, const shard_assignment& after) {
         const std::string path = fmt::format("spec.shards[{}]", index);
@@ -307,13 +321,18 @@
         if (after.region != before.region) {
             add(key, path + ".region", "cannot change");
         }
-        if (after.epoch != before.epoch + 1) {
+        const long added = count_missing(after.replicas, before.replicas);
+        const long removed = count_missing(before.replicas, after.replicas);
+        const std::uint64_t epoch = before.epoch + (added + removed > 0 ? 1 : 0);
+        if (after.epoch != epoch) {
             add(key, path + ".epoch",
-                fmt::format("must be {}: one more than before", before.epoch + 1));
+                fmt::format("must be {}: it grows by one when the replicas change", epoch));
         }
-        if (count_missing(after.replicas, before.replicas) > 1 ||
-            count_missing(before.replicas, after.replicas) > 1) {
+        if (added + removed > 1) {
             add(key, path + ".replicas", "replicas change one at a time");
+        } else if (added == 1 && !(before.joining == after.replicas.back())) {
+            add(key, path + ".replicas",
+                "must end with the node that was joining, when one is added");
         }
     }
 
--- a/src/pearbarrow/node/journal_link.cc
+++ b/src/pearbarrow/node/journal_link.cc
@@ -30,7 +30,16 @@
 
 journal_link::~journal_link() = default;
 
+void journal_link::end_reign() {
+    established_epoch_ = 0;
+    caught_up_.clear();
+}
+
 void journal_link::feed(const journal::leader_event& event) {
+    if (std::holds_alternative<journal::campaign>(event) ||
+        std::holds_alternative<journal::resign>(event)) {
+        end_reign();
+    }
     const std::weak_ptr<int> alive = alive_;
     for (const journal::leader_action& action : leader_.apply(event, context_.now())) {
         carry_out(action);
@@ -48,13 +57,16 @@
             [this](const journal::appended& item) { callbacks_.on_appended(item); },
             [this](const journal::append_refused& item) { callbacks_.on_append_refused(item); },
             [this](const journal::committed& item) { callbacks_.on_committed(item.through); },
-            [this](const journal::fenced& item) { callbacks_.on_fenced(item); },
+            [this](const journal::fenced& item) {
+                end_reign();
+                callbacks_.on_fenced(item);
+            },
             [this](const journal::unavailable&) { callbacks_.on_availability(false); },
             [this](const journal::available_again&) { callbacks_.on_availability(true); },
             [this](const journal::confirmed& item) { callbacks_.on_confirmed(item.token); },
             [this](const journal::retained_read& item) { callbacks_.on_retained(item); },
-            [](const journal::epoch_established&) {},
-            [](const journal::learner_caught_up&) {},
+            [this](const journal::epoch_established& item) { established_epoch_ = item.epoch; },
+            [this](const journal::learner_caught_up& item) { caught_up_.insert(item.member); },
             [](const journal::replica_lost& item) {
                 base::log(base::log_level::error, "journal_replica_lost",
                           {{"node", item.member.node.value()},
--- a/src/pearbarrow/node/journal_link.h
+++ b/src/pearbarrow/node/journal_link.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,9 +38,15 @@
     /// Feeds an event and carries the leader's actions out.
     void feed(const journal::leader_event& event);
     const journal::leader_core& leader() const { return leader_; }
+    /// The highest epoch that this reign has established; 0 before the first.
+    std::uint64_t established_epoch() const { return established_epoch_; }
+    /// Learners of this reign that have caught up.
+    const std::set<wire::journal_member>& caught_up() const { return caught_up_; }
 
   private:
     void carry_out(const journal::leader_action& action);
+    /// Forgets what was true of the reign that has ended.
+    void end_reign();
     void send(const journal::send_request& action);
     void take_reply(std::uint64_t request_id, const absl::StatusOr<std::string>& payload);
 
@@ -47,6 +54,8 @@
     membership_service& membership_;
     journal::leader_core leader_;
     journal_link_callbacks callbacks_;
+    std::uint64_t established_epoch_ = 0;
+    std::set<wire::journal_member> caught_up_;
     std::map<std::uint64_t, std::unique_ptr<net::peer_call_handle>> calls_;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
--- a/src/pearbarrow/node/node.cc
+++ b/src/pearbarrow/node/node.cc
@@ -200,6 +200,8 @@
 
 void node::connect_parts() {
     bootstrap_ = std::make_unique<shard_map_bootstrap>(context_, membership_, *configuration_);
+    repair_ =
+        std::make_unique<replica_repair>(context_, membership_, *configuration_, *ownership_);
     machines_ = std::make_unique<machine_list_follower>(
         context_, [this](const auto& machines) { take_machine_list(machines); });
     node_metrics_ = std::make_unique<node_metrics>(context_, membership_, *configuration_,
@@ -226,6 +228,7 @@
     ownership_->start();
     configuration_->start();
     bootstrap_->start();
+    repair_->start();
     machines_->start();
     ready_timer_ = context_.loop.every(ready_check_period, [this] { check_ready(); });
 }
--- a/src/pearbarrow/node/node.h
+++ b/src/pearbarrow/node/node.h
@@ -24,6 +24,7 @@
 #include "pearbarrow/node/ownership_director.h"
 #include "pearbarrow/node/peer_health.h"
 #include "pearbarrow/node/peer_router.h"
+#include "pearbarrow/node/replica_repair.h"
 #include "pearbarrow/node/replica_service.h"
 #include "pearbarrow/node/shard_host.h"
 #include "pearbarrow/node/shard_map_bootstrap.h"
@@ -110,6 +111,7 @@
     std::unique_ptr<shard_services> shard_services_;
     std::unique_ptr<ownership_director> ownership_;
     std::unique_ptr<shard_map_bootstrap> bootstrap_;
+    std::unique_ptr<replica_repair> repair_;
     std::unique_ptr<machine_list_follower> machines_;
     std::unique_ptr<operator_service> operator_service_;
     std::unique_ptr<gateway::configuration_directory> tenants_;
--- a/src/pearbarrow/node/replica_service.cc
+++ b/src/pearbarrow/node/replica_service.cc
@@ -1,10 +1,13 @@
 #include "pearbarrow/node/replica_service.h"
 
+#include <algorithm>
 #include <filesystem>
 #include <utility>
+#include <vector>
 
 #include "pearbarrow/base/log.h"
 #include "pearbarrow/base/status.h"
+#include "pearbarrow/node/replica_reset_message.h"
 #include "pearbarrow/wire/journal_messages.h"
 
 namespace pearbarrow::node {
@@ -24,6 +27,9 @@
     for (const net::method_number method : journal_methods) {
         register_method(method);
     }
+    context_.rpc.register_method(wire::journal_reset, [this](auto payload, auto responder) {
+        reset_shard(payload, std::move(responder));
+    });
     if (!context_.settings.data_folder.has_value()) {
         return absl::OkStatus();
     }
@@ -71,6 +77,34 @@
     flush_soon();
 }
 
+void replica_service::reset_shard(std::string_view payload,
+                                  std::shared_ptr<net::peer_responder> responder) {
+    const auto message = wire::decode<replica_reset_message>(payload);
+    if (!message.ok()) {
+        responder->fail(message.status());
+        return;
+    }
+    const base::shard_id shard = message->shard;
+    const std::vector<base::shard_id> corrupt =
+        has_store() ? replica_->corrupt_shards() : std::vector<base::shard_id>{};
+    const bool is_corrupt = std::find(corrupt.begin(), corrupt.end(), shard) != corrupt.end();
+    if (!is_corrupt || replica_->member(shard) != message->member) {
+        responder->fail(base::make_error(
+            absl::StatusCode::kFailedPrecondition, "the replica is not corrupt",
+            {.step = "journal", .peer = context_.self().value(), .reason = "not_corrupt"}));
+        return;
+    }
+    base::log(base::log_level::warning, "corrupt_replica_reset", {{"shard", shard.value()}});
+    replica_->reset_shard(shard, [this, shard, responder](const absl::Status& status) {
+        if (status.ok()) {
+            responder->finish(wire::encode(replica_->member(shard)));
+        } else {
+            responder->fail(status);
+        }
+    });
+    flush_soon();
+}
+
 void replica_service::flush_soon() {
     if (flush_posted_) {
         return;
--- a/src/pearbarrow/node/replica_service.h
+++ b/src/pearbarrow/node/replica_service.h
@@ -31,6 +31,7 @@
     void register_method(net::method_number method);
     void handle(net::method_number method, std::string_view payload,
                 std::shared_ptr<net::peer_responder> responder);
+    void reset_shard(std::string_view payload, std::shared_ptr<net::peer_responder> responder);
     void flush_soon();
 
     node_context& context_;
--- a/src/pearbarrow/node/shard_host.h
+++ b/src/pearbarrow/node/shard_host.h
@@ -58,6 +58,8 @@
     bool available() const { return available_; }
     base::instant state_since() const { return state_since_; }
     const journal::leader_core& leader() const { return journal_->leader(); }
+    /// For the repair of the replica set.
+    journal_link& journal() { return *journal_; }
     std::size_t program_count() const;
     std::size_t running_calls() const { return models_->running() + tools_->running(); }
     bool idle() const;
--- a/src/pearbarrow/settings/node_settings.h
+++ b/src/pearbarrow/settings/node_settings.h
@@ -97,6 +97,8 @@
     base::milliseconds write_timeout{30'000};
     base::milliseconds call_timeout{120'000};
     base::milliseconds drain_timeout{60'000};
+    /// A node that has been dead or draining for longer has its journal replicas replaced.
+    base::milliseconds replica_patience{300'000};
 };
 
 struct node_settings {
--- a/src/pearbarrow/wire/methods.h
+++ b/src/pearbarrow/wire/methods.h
@@ -18,6 +18,8 @@
 inline constexpr method_number journal_read_retained = 14;
 inline constexpr method_number journal_install = 15;
 inline constexpr method_number journal_status = 16;
+/// Gives up a corrupt replica, ordered by the repair of its shard's owner.
+inline constexpr method_number journal_reset = 17;
 
 /// Program owner, called by gateways and by owners of parent and child programs.
 inline constexpr method_number route_program_request = 20;
