--- a/src/pearbarrow/placement/cell_scheduler.h
+++ b/src/pearbarrow/placement/cell_scheduler.h
@@ -55,7 +55,7 @@
     /// A paused program's prefix is kept while the chance of its return is above this, a second.
     double least_return_rate = 0.02;
     /// How long a call may wait for the engine that holds its prefix.
-    base::milliseconds affinity_wait{10'000};
+    base::milliseconds affinity_wait{20'000};
     /// Calls that one pass over the queue looks at beyond those it grants.
     std::uint32_t scan_limit = 16;
     queue_order order = queue_order::stretch;
