Build and lint: capacity_figures follows shared records; rounding by lround

Change: capacity_figures keeps the shared record; the percentile rounds with std::lround (the same value for the non-negative positions it is given).

--- a/src/pearbarrow/bench/load_run.cc
+++ b/src/pearbarrow/bench/load_run.cc
@@ -1,6 +1,7 @@
 #include "pearbarrow/bench/load_run.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <memory>
 #include <numeric>
@@ -18,7 +19,7 @@
 
 double percentile(const std::vector<double>& sorted, double share) {
     const auto last = static_cast<double>(sorted.size() - 1);
-    return sorted[static_cast<std::size_t>(share * last + 0.5)];
+    return sorted[static_cast<std::size_t>(std::lround(share * last))];
 }
 
 /// Keeps the wanted number of programs going until the time is over.
--- a/tests/unit/emulator/capacity_figures.cc
+++ b/tests/unit/emulator/capacity_figures.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <ctime>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -240,7 +241,7 @@
     constexpr int calls = 4'000;
     auto scheduler = cell_of(engine_count);
     base::instant now(base::seconds(100));
-    placement::decision_record newest;
+    std::shared_ptr<const placement::decision_record> newest;
     int granted = 0;
     int number = 0;
     const double each = cost(calls, [&] {
@@ -269,11 +270,11 @@
             }
         }
     });
-    const double verify = cost(1'000, [&] { (void)placement::verify(newest); });
+    const double verify = cost(1'000, [&] { (void)placement::verify(*newest); });
     fmt::print(
         "placement engines={} offers={} granted={} offer_grant_finish_us={:.2f} "
         "verify_us={:.2f} decision_bytes={}\n",
-        engine_count, calls, granted, each, verify, placement::encode_record(newest).size());
+        engine_count, calls, granted, each, verify, placement::encode_record(*newest).size());
 }
 
 void placement_figures() {
