Simulation tests: figures of a run are information, not warnings

Cause: Criterion ends a test program with status 1 after a message of level warning, though every test passed. config_simulation_tests printed the counts of its run as a warning and so failed in ctest every time; joined_simulation_tests prints the seed that noticed a fault in the same way.

No assertion changed.

--- a/tests/simulation/config/config_simulation_test.cc
+++ b/tests/simulation/config/config_simulation_test.cc
@@ -48,7 +48,7 @@
         total.compactions += history.compactions;
         total.restarts += history.restarts;
     }
-    cr_log_warn(
+    cr_log_info(
         "%lu seeds: %lu proposals, %lu accepted, %lu conflicts, %lu refused, %lu unknown, "
         "%lu compactions, %lu restarts",
         seeds, total.proposals, total.accepted, total.conflicts, total.refused, total.unknown,
--- a/tests/simulation/joined/joined_simulation_test.cc
+++ b/tests/simulation/joined/joined_simulation_test.cc
@@ -28,7 +28,7 @@
         const fault_result result = run_faults(options);
         if (std::any_of(result.findings.begin(), result.findings.end(),
                         [&](const auto& found) { return found.invariant == invariant; })) {
-            cr_log_warn("invariant %d: noticed in seed %lu", invariant, seed);
+            cr_log_info("invariant %d: noticed in seed %lu", invariant, seed);
             return seed;
         }
     }
