--- a/src/pearbarrow/node/shard_host.cc
+++ b/src/pearbarrow/node/shard_host.cc
@@ -1,6 +1,7 @@
 #include "pearbarrow/node/shard_host.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 #include <variant>
 
@@ -285,15 +286,12 @@
 }
 
 void shard_host::records_committed(base::log_index through) {
-    program::append_sequence committed = 0;
-    for (const appended_record& record : appended_) {
-        if (record.index > through) {
-            break;
-        }
-        committed = record.sequence;
-    }
-    if (committed > 0) {
-        feed(program::event::records_committed{committed});
+    // Records stay in `appended_` until the next snapshot, so a scan would grow with them.
+    const auto after = std::upper_bound(
+        appended_.begin(), appended_.end(), through,
+        [](base::log_index index, const appended_record& record) { return index < record.index; });
+    if (after != appended_.begin()) {
+        feed(program::event::records_committed{std::prev(after)->sequence});
     }
 }
 
