Operators' objects, documented field by field

Cause: settings of a node were documented, the objects that operators apply were not. Change: docs/objects.md with fields, defaults, ranges and an example; test_docs has a node check the example (dry run).

--- a/tests/process/test_docs.py
+++ b/tests/process/test_docs.py
@@ -19,6 +19,7 @@
 DEMO_FOLDER = "/tmp/pearbarrow-demo"
 BLOCK = re.compile(r"<!-- test_docs: run -->\n```sh\n(.*?)```", re.DOTALL)
 ADDRESS = re.compile(r"127\.0\.0\.1:(7\d\d\d)\b")
+OBJECTS = re.compile(r"<!-- test_docs: objects -->\n```json\n(.*?)```", re.DOTALL)
 LINK = re.compile(r"\]\(([^)#:]+)(?:#[^)]*)?\)")
 PAGE_SECONDS = 180
 
@@ -113,8 +114,12 @@
         with fleet.Fleet(BUILD_DIR) as processes:
             node = processes.start_node("node-1", "zone-a", seeds=[])
             node.wait_ready()
-            for path in glob.glob(os.path.join(ROOT, "examples", "*", "objects.json")):
-                objects = json.loads(read(path))
+            texts = {path: read(path) for path in
+                     glob.glob(os.path.join(ROOT, "examples", "*", "objects.json"))}
+            page = os.path.join(ROOT, "docs", "objects.md")
+            texts[page] = OBJECTS.search(read(page))[1]
+            for path, text in texts.items():
+                objects = json.loads(text)
                 status, _, answer = node.operate("POST", "apply?dry_run=true", objects)
                 self.assertEqual(status, 200, f"{path}: {answer}")
 
