Node: engines' memory of programs that have ended is freed

Cause: an attempt that was in doubt could pin an engine's memory after its program's release, and nobody gave that memory back before its lease lapsed.

An owner answers once a majority has confirmed that it owns the shard; no answer, no release.

Ruled out: a list of releases to repeat (it would be lost with its node; the engine's listing is not).

--- a/src/pearbarrow/node/journal_link.cc
+++ b/src/pearbarrow/node/journal_link.cc
@@ -11,6 +11,8 @@
 
 /// Longer than the leader's own limit, which decides.
 constexpr base::milliseconds transport_timeout{5'000};
+/// Tokens of this class's own questions; the shard's host counts its own from 1.
+constexpr std::uint64_t first_question = std::uint64_t{1} << 63U;
 
 template <typename... Functions>
 struct overloaded : Functions... {
@@ -32,6 +34,7 @@
 
 void journal_link::end_reign() {
     established_epoch_ = 0;
+    questions_.clear();
     caught_up_.clear();
 }
 
@@ -49,6 +52,12 @@
     }
 }
 
+void journal_link::when_confirmed(std::function<void()> then) {
+    const std::uint64_t token = first_question + ++last_question_;
+    questions_[token] = std::move(then);
+    feed(journal::confirm{token});
+}
+
 void journal_link::carry_out(const journal::leader_action& action) {
     std::visit(
         overloaded{
@@ -63,7 +72,14 @@
             },
             [this](const journal::unavailable&) { callbacks_.on_availability(false); },
             [this](const journal::available_again&) { callbacks_.on_availability(true); },
-            [this](const journal::confirmed& item) { callbacks_.on_confirmed(item.token); },
+            [this](const journal::confirmed& item) {
+                const auto question = questions_.extract(item.token);
+                if (question.empty()) {
+                    callbacks_.on_confirmed(item.token);
+                } else {
+                    question.mapped()();
+                }
+            },
             [this](const journal::retained_read& item) { callbacks_.on_retained(item); },
             [this](const journal::epoch_established& item) { established_epoch_ = item.epoch; },
             [this](const journal::learner_caught_up& item) { caught_up_.insert(item.member); },
--- a/src/pearbarrow/node/journal_link.h
+++ b/src/pearbarrow/node/journal_link.h
@@ -38,6 +38,8 @@
     /// Feeds an event and carries the leader's actions out.
     void feed(const journal::leader_event& event);
     const journal::leader_core& leader() const { return leader_; }
+    /// Runs `then` once a majority has confirmed that this node still leads; never, if it does not.
+    void when_confirmed(std::function<void()> then);
     /// The highest epoch that this reign has established; 0 before the first.
     std::uint64_t established_epoch() const { return established_epoch_; }
     /// Learners of this reign that have caught up.
@@ -54,6 +56,8 @@
     membership_service& membership_;
     journal::leader_core leader_;
     journal_link_callbacks callbacks_;
+    std::uint64_t last_question_ = 0;
+    std::map<std::uint64_t, std::function<void()>> questions_;
     std::uint64_t established_epoch_ = 0;
     std::set<wire::journal_member> caught_up_;
     std::map<std::uint64_t, std::unique_ptr<net::peer_call_handle>> calls_;
--- a/src/pearbarrow/node/node.cc
+++ b/src/pearbarrow/node/node.cc
@@ -200,6 +200,8 @@
 
 void node::connect_parts() {
     bootstrap_ = std::make_unique<shard_map_bootstrap>(context_, membership_, *configuration_);
+    caches_ = std::make_unique<cache_reconciliation>(context_, membership_, *configuration_,
+                                                     backends_, *ownership_, health_);
     repair_ =
         std::make_unique<replica_repair>(context_, membership_, *configuration_, *ownership_);
     machines_ = std::make_unique<machine_list_follower>(
@@ -229,6 +231,7 @@
     configuration_->start();
     bootstrap_->start();
     repair_->start();
+    caches_->start();
     machines_->start();
     ready_timer_ = context_.loop.every(ready_check_period, [this] { check_ready(); });
 }
--- a/src/pearbarrow/node/node.h
+++ b/src/pearbarrow/node/node.h
@@ -13,6 +13,7 @@
 #include "pearbarrow/gateway/gateway.h"
 #include "pearbarrow/net/http.h"
 #include "pearbarrow/node/backend_service.h"
+#include "pearbarrow/node/cache_reconciliation.h"
 #include "pearbarrow/node/configuration_service.h"
 #include "pearbarrow/node/dispatcher_client.h"
 #include "pearbarrow/node/dispatcher_service.h"
@@ -112,6 +113,7 @@
     std::unique_ptr<ownership_director> ownership_;
     std::unique_ptr<shard_map_bootstrap> bootstrap_;
     std::unique_ptr<replica_repair> repair_;
+    std::unique_ptr<cache_reconciliation> caches_;
     std::unique_ptr<machine_list_follower> machines_;
     std::unique_ptr<operator_service> operator_service_;
     std::unique_ptr<gateway::configuration_directory> tenants_;
--- a/src/pearbarrow/node/ownership_director.cc
+++ b/src/pearbarrow/node/ownership_director.cc
@@ -1,6 +1,7 @@
 #include "pearbarrow/node/ownership_director.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "pearbarrow/base/log.h"
@@ -43,6 +44,9 @@
     rpc.register_method(wire::ownership_locate, [this](auto payload, auto responder) {
         locate(payload, std::move(responder));
     });
+    rpc.register_method(wire::programs_ended, [this](auto payload, auto responder) {
+        tell_ended(payload, std::move(responder));
+    });
 }
 
 void ownership_director::start() {
@@ -248,6 +252,31 @@
     responder->finish(wire::encode(reply));
 }
 
+void ownership_director::tell_ended(std::string_view payload,
+                                    std::shared_ptr<net::peer_responder> responder) {
+    const auto request = wire::decode<programs_ended_request>(payload);
+    if (!request.ok()) {
+        responder->fail(request.status());
+        return;
+    }
+    const auto found = hosts_.find(request->shard);
+    if (found == hosts_.end() || found->second->state() != shard_state::serving) {
+        responder->fail(base::make_error(
+            absl::StatusCode::kUnavailable, "this node does not serve the shard",
+            {.step = "route", .peer = services_.context.self().value(), .reason = "not_owner"}));
+        return;
+    }
+    shard_host& host = *found->second;
+    host.journal().when_confirmed([&host, responder, asked = request->programs] {
+        programs_ended_reply reply;
+        const std::vector<base::program_id> listed = host.live_programs();
+        const std::set<base::program_id> live(listed.begin(), listed.end());
+        std::copy_if(asked.begin(), asked.end(), std::back_inserter(reply.ended),
+                     [&](const auto& program) { return !live.contains(program); });
+        responder->finish(wire::encode(reply));
+    });
+}
+
 void ownership_director::serve_request(std::string_view payload,
                                        std::shared_ptr<net::peer_responder> responder) {
     auto request = wire::decode<wire::program_request>(payload);
--- a/src/pearbarrow/node/ownership_director.h
+++ b/src/pearbarrow/node/ownership_director.h
@@ -28,7 +28,8 @@
     ownership_director(const ownership_director&) = delete;
     ownership_director& operator=(const ownership_director&) = delete;
 
-    /// Registers the peer methods `program_request`, `ownership_offer` and `ownership_locate`.
+    /// Registers the peer methods `program_request`, `ownership_offer`, `ownership_locate`
+    /// and `programs_ended`.
     void register_methods();
     void start();
     /// Takes up shards after a change of the members or of the configuration.
@@ -58,6 +59,7 @@
     void serve_request(std::string_view payload, std::shared_ptr<net::peer_responder> responder);
     void take_offer(std::string_view payload, std::shared_ptr<net::peer_responder> responder);
     void locate(std::string_view payload, std::shared_ptr<net::peer_responder> responder);
+    void tell_ended(std::string_view payload, std::shared_ptr<net::peer_responder> responder);
     void consider(base::shard_id shard);
     void campaign(base::shard_id shard);
     void lost(base::shard_id shard);
--- a/src/pearbarrow/node/ownership_messages.h
+++ b/src/pearbarrow/node/ownership_messages.h
@@ -44,4 +44,17 @@
     MSGPACK_DEFINE(shards);
 };
 
+/// Asks the owner of `shard` about programs of that shard.
+struct programs_ended_request {
+    base::shard_id shard;
+    std::vector<base::program_id> programs;
+    MSGPACK_DEFINE(shard, programs);
+};
+
+/// Those of the programs that do not live: ended, or unknown to their owner.
+struct programs_ended_reply {
+    std::vector<base::program_id> ended;
+    MSGPACK_DEFINE(ended);
+};
+
 }  // namespace pearbarrow::node
--- a/src/pearbarrow/node/shard_host.h
+++ b/src/pearbarrow/node/shard_host.h
@@ -61,6 +61,10 @@
     /// For the repair of the replica set.
     journal_link& journal() { return *journal_; }
     std::size_t program_count() const;
+    /// Programs that have not ended; none unless serving.
+    std::vector<base::program_id> live_programs() const {
+        return owner_ == nullptr ? std::vector<base::program_id>() : owner_->live_programs();
+    }
     std::size_t running_calls() const { return models_->running() + tools_->running(); }
     bool idle() const;
 
--- a/src/pearbarrow/settings/node_settings.cc
+++ b/src/pearbarrow/settings/node_settings.cc
@@ -169,6 +169,8 @@
     reader.read_milliseconds("timing.call_timeout_ms", shortest, day, timing.call_timeout);
     reader.read_milliseconds("timing.drain_timeout_ms", shortest, day, timing.drain_timeout);
     reader.read_milliseconds("timing.replica_patience_ms", shortest, day, timing.replica_patience);
+    reader.read_milliseconds("timing.cache_reconcile_interval_ms", shortest, day,
+                             timing.cache_reconcile_interval);
 }
 
 void read_tls(field_reader& reader, node_settings& settings) {
--- a/src/pearbarrow/wire/methods.h
+++ b/src/pearbarrow/wire/methods.h
@@ -37,6 +37,8 @@
 /// Hand-over of shards on a planned stop.
 inline constexpr method_number ownership_offer = 50;
 inline constexpr method_number ownership_locate = 51;
+/// Which of some programs have ended, asked of a shard's owner.
+inline constexpr method_number programs_ended = 52;
 
 /// An operator's order to a node, passed on by the node that took it.
 inline constexpr method_number node_drain = 60;
