Limits counted over the fleet; a stopping node answers; retries have a budget

Limits: programs at once were counted for each shard, the rate and the tokens in flight nowhere.

Stop: a stopping node closed its listener while streams still ran on it, so new requests met a refused connection. The listener stays open to the end and answers 503 node_stopping.

Logs: a dead peer was logged with every attempt to reach it, now once until a link to it holds again.

Retries of the router and of the dispatchers' client go through a token bucket on top of backoff and jitter. timing.suspicion_timeout_ms is in force; its default gives the intervals used so far.

Not part of this: TLS on the links between nodes.

--- a/src/pearbarrow/net/peer_link.cc
+++ b/src/pearbarrow/net/peer_link.cc
@@ -145,7 +145,7 @@
     hello_deadline_.clear();
     silence_.clear();
     // An orderly end needs no line in the log.
-    if (status.code() != absl::StatusCode::kOutOfRange && !core_->shut_down) {
+    if (status.code() != absl::StatusCode::kOutOfRange && !core_->shut_down && loss_is_news()) {
         auto fields = base::log_fields(status);
         fields["link"] = link_->peer();
         base::log(base::log_level::warning, "peer_link_lost", std::move(fields));
@@ -177,6 +177,15 @@
     });
 }
 
+bool peer_link::loss_is_news() {
+    // Peers that left for good must not fill the memory.
+    constexpr std::size_t most_lost_peers = 4'096;
+    if (core_->known_as_lost.size() >= most_lost_peers) {
+        core_->known_as_lost.clear();
+    }
+    return core_->known_as_lost.insert({node_, address_}).second;
+}
+
 absl::Status peer_link::send_request(const std::shared_ptr<outgoing_call>& call,
                                      peer_frame request) {
     const std::size_t size = request.payload.size() + frame_overhead_bytes;
@@ -209,6 +218,7 @@
         return bad_link("another node answers at this address: " + hello.node.value(),
                         to_string(address_), "wrong_node");
     }
+    core_->known_as_lost.erase({node_, address_});
     for (waiting_frame& frame : waiting_) {
         if (const auto found = calls_.find(frame.call); found != calls_.end()) {
             found->second.position = link_->queued_position();
--- a/src/pearbarrow/net/peer_link.h
+++ b/src/pearbarrow/net/peer_link.h
@@ -28,6 +28,8 @@
     virtual absl::Status on_hello(const hello_message& hello) = 0;
     virtual absl::Status on_frame(peer_frame frame) = 0;
     virtual bool has_calls() const = 0;
+    /// Whether the loss is news, and not one more failure to reach a peer that is known as lost.
+    virtual bool loss_is_news() { return true; }
     /// The link is closed; runs once.
     virtual void ended(const absl::Status& status) = 0;
 
@@ -80,6 +82,7 @@
     absl::Status on_hello(const hello_message& hello) override;
     absl::Status on_frame(peer_frame frame) override;
     bool has_calls() const override { return !calls_.empty(); }
+    bool loss_is_news() override;
     void ended(const absl::Status& status) override;
 
     std::shared_ptr<outgoing_call> take_call(std::uint64_t id);
--- a/src/pearbarrow/node/dispatcher_client.cc
+++ b/src/pearbarrow/node/dispatcher_client.cc
@@ -36,7 +36,11 @@
 
 dispatcher_client::dispatcher_client(node_context& context, membership_service& membership,
                                      const configuration_view& configuration, peer_health& health)
-    : context_(context), membership_(membership), configuration_(configuration), health_(health) {}
+    : context_(context),
+      membership_(membership),
+      configuration_(configuration),
+      health_(health),
+      budget_(context.now()) {}
 
 dispatcher_client::~dispatcher_client() = default;
 
@@ -77,6 +81,7 @@
     item.offer = describe(call);
     item.callbacks = std::move(callbacks);
     item.offered_at = context_.now();
+    budget_.first_try();
     send_offer(call.attempt);
 }
 
@@ -162,7 +167,8 @@
 void dispatcher_client::offer_later(const base::attempt_id& attempt) {
     placement& item = placements_[attempt];
     item.dispatcher = base::node_id();
-    item.timer = context_.loop.after(item.retry.next(context_.random),
+    const base::microseconds wait = item.retry.next(context_.random);
+    item.timer = context_.loop.after(wait + budget_.take(context_.now()),
                                      [this, attempt] { send_offer(attempt); });
 }
 
--- a/src/pearbarrow/node/dispatcher_client.h
+++ b/src/pearbarrow/node/dispatcher_client.h
@@ -15,6 +15,7 @@
 #include "pearbarrow/node/node_context.h"
 #include "pearbarrow/node/peer_health.h"
 #include "pearbarrow/node/placement_request.h"
+#include "pearbarrow/node/retry_budget.h"
 #include "pearbarrow/program/shard_actions.h"
 #include "pearbarrow/wire/placement_messages.h"
 
@@ -73,6 +74,7 @@
     const configuration_view& configuration_;
     peer_health& health_;
     std::map<base::attempt_id, placement> placements_;
+    retry_budget budget_;
 };
 
 }  // namespace pearbarrow::node
--- a/src/pearbarrow/node/membership_service.cc
+++ b/src/pearbarrow/node/membership_service.cc
@@ -42,6 +42,8 @@
     options.probe_period = context_.settings.timing.probe_interval;
     options.direct_timeout = context_.settings.timing.probe_timeout;
     options.indirect_timeout = options.direct_timeout * 2;
+    // A suspicion that others confirm is shorter than the setting, one that nobody does longer.
+    options.suspicion_base = context_.settings.timing.suspicion_timeout * 2 / 5;
     membership::member member;
     member.id = context_.self();
     member.generation = static_cast<std::uint64_t>(context_.clock.unix_microseconds());
--- a/src/pearbarrow/node/node.cc
+++ b/src/pearbarrow/node/node.cc
@@ -86,8 +86,10 @@
     dispatcher_client_ =
         std::make_unique<dispatcher_client>(context_, membership_, *configuration_, health_);
     router_ = std::make_unique<peer_router>(context_, membership_, *configuration_, health_);
-    shard_services_ = std::make_unique<shard_services>(shard_services{
-        context_, membership_, *configuration_, backends_, *dispatcher_client_, *router_});
+    quotas_ = std::make_unique<quota_service>(context_, membership_, *configuration_, health_);
+    shard_services_ = std::make_unique<shard_services>(
+        shard_services{context_, membership_, *configuration_, backends_, *dispatcher_client_,
+                       *router_, *quotas_});
     ownership_ = std::make_unique<ownership_director>(*shard_services_, health_, prober_);
     operator_service_ =
         std::make_unique<operator_service>(context_, membership_, *configuration_, *ownership_,
@@ -135,6 +137,7 @@
     dispatchers_->register_methods();
     ownership_->register_methods();
     operator_service_->register_methods();
+    quotas_->register_methods();
 }
 
 net::http_server_options node::listener_options(const settings::ip_endpoint& listen) const {
@@ -202,8 +205,7 @@
     bootstrap_ = std::make_unique<shard_map_bootstrap>(context_, membership_, *configuration_);
     caches_ = std::make_unique<cache_reconciliation>(context_, membership_, *configuration_,
                                                      backends_, *ownership_, health_);
-    repair_ =
-        std::make_unique<replica_repair>(context_, membership_, *configuration_, *ownership_);
+    repair_ = std::make_unique<replica_repair>(context_, membership_, *configuration_, *ownership_);
     machines_ = std::make_unique<machine_list_follower>(
         context_, [this](const auto& machines) { take_machine_list(machines); });
     node_metrics_ = std::make_unique<node_metrics>(context_, membership_, *configuration_,
@@ -220,6 +222,7 @@
         dispatcher_client_->update();
         ownership_->update();
         router_->update();
+        quotas_->update();
     });
     membership_.on_identity_taken([this] { stop(); });
 }
@@ -228,6 +231,13 @@
     membership_.start(describe_self());
     dispatchers_->start();
     ownership_->start();
+    quotas_->start([this] {
+        program::quota_use_map sum;
+        for (const auto& [shard, host] : ownership_->hosts()) {
+            host->add_quota_use(sum);
+        }
+        return sum;
+    });
     configuration_->start();
     bootstrap_->start();
     repair_->start();
@@ -247,7 +257,7 @@
     options.max_pending_bytes = settings.limits.max_pending_bytes;
     options.request_timeout = settings.timing.request_timeout;
     options.call_timeout = settings.timing.call_timeout;
-    options.stopping = [this] { return listeners_closed_; };
+    options.stopping = [this] { return refusing_; };
     options.metrics = &metrics_;
     return options;
 }
@@ -328,7 +338,7 @@
     base::log(base::log_level::info, "stopping");
     membership_.set_draining(true);
     if (!has_successor()) {
-        close_listeners();
+        refuse_requests();
     }
     ownership_->hand_over();
     stop_timer_ = context_.loop.every(stop_check_period, [this] { check_stopped(); });
@@ -352,9 +362,7 @@
         }
         return;
     }
-    if (!listeners_closed_) {
-        close_listeners();
-    }
+    refuse_requests();
     const bool answered = caller_server_->open_exchanges() == 0 && router_->open_requests() == 0;
     if (answered || out_of_time) {
         if (!answered) {
@@ -366,9 +374,9 @@
     }
 }
 
-void node::close_listeners() {
-    listeners_closed_ = true;
-    caller_server_->stop_accepting();
+void node::refuse_requests() {
+    // The listener stays open to the end: a caller gets an answer, not a refused connection.
+    refusing_ = true;
 }
 
 void node::say_farewell() {
@@ -376,6 +384,7 @@
     operator_server_->stop_accepting();
     membership_.leave([this] {
         base::log(base::log_level::info, "stopped");
+        caller_server_->stop_accepting();
         callbacks_.on_stopped();
     });
 }
--- a/src/pearbarrow/node/node.h
+++ b/src/pearbarrow/node/node.h
@@ -89,7 +89,8 @@
     void check_stopped();
     /// Whether another node of the region can take this node's work over.
     bool has_successor() const;
-    void close_listeners();
+    /// New requests of callers get 503 `node_stopping` from here on.
+    void refuse_requests();
     void say_farewell();
 
     base::random_source random_;
@@ -109,6 +110,7 @@
     std::unique_ptr<dispatcher_service> dispatchers_;
     std::unique_ptr<dispatcher_client> dispatcher_client_;
     std::unique_ptr<peer_router> router_;
+    std::unique_ptr<quota_service> quotas_;
     std::unique_ptr<shard_services> shard_services_;
     std::unique_ptr<ownership_director> ownership_;
     std::unique_ptr<shard_map_bootstrap> bootstrap_;
@@ -127,7 +129,7 @@
     std::unique_ptr<net::timer_handle> stop_timer_;
     bool ready_announced_ = false;
     bool stopping_ = false;
-    bool listeners_closed_ = false;
+    bool refusing_ = false;
     base::instant stop_started_;
     base::instant last_offer_;
 };
--- a/src/pearbarrow/node/peer_router.cc
+++ b/src/pearbarrow/node/peer_router.cc
@@ -99,6 +99,7 @@
             }
         });
     }
+    router_.budget_.first_try();
     // No callback runs inside the router's `start`.
     retry_timer_ = router_.context_.loop.after(base::microseconds(0), [self = weak_from_this()] {
         if (const auto request = self.lock()) {
@@ -209,8 +210,9 @@
 
 void routed_request::retry_later() {
     ++router_.retries_;
+    const base::microseconds wait = backoff_.next(router_.context_.random);
     retry_timer_ = router_.context_.loop.after(
-        backoff_.next(router_.context_.random), [self = weak_from_this()] {
+        wait + router_.budget_.take(router_.context_.now()), [self = weak_from_this()] {
             if (const auto request = self.lock(); request != nullptr && !request->done_) {
                 request->send();
             }
@@ -257,7 +259,11 @@
 
 peer_router::peer_router(node_context& context, membership_service& membership,
                          const configuration_view& configuration, peer_health& health)
-    : context_(context), membership_(membership), configuration_(configuration), health_(health) {
+    : context_(context),
+      membership_(membership),
+      configuration_(configuration),
+      health_(health),
+      budget_(context.now()) {
     health_.on_unreachable([this, alive = std::weak_ptr<int>(alive_)](const base::node_id&) {
         if (!alive.expired()) {
             context_.loop.post([this, alive] {
--- a/src/pearbarrow/node/peer_router.h
+++ b/src/pearbarrow/node/peer_router.h
@@ -15,6 +15,7 @@
 #include "pearbarrow/node/membership_service.h"
 #include "pearbarrow/node/node_context.h"
 #include "pearbarrow/node/peer_health.h"
+#include "pearbarrow/node/retry_budget.h"
 
 namespace pearbarrow::node {
 
@@ -54,6 +55,7 @@
     std::map<std::uint64_t, std::weak_ptr<routed_request>> open_;
     std::uint64_t last_id_ = 0;
     std::uint64_t retries_ = 0;
+    retry_budget budget_;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
--- a/src/pearbarrow/node/shard_host.cc
+++ b/src/pearbarrow/node/shard_host.cc
@@ -131,22 +131,6 @@
     if (owner_ == nullptr) {
         return;
     }
-    program::event::concurrency_limits_changed event;
-    const config::configuration& configuration = *services_.configuration.current();
-    for (const config::object* object : configuration.all(config::object_kind::tenant)) {
-        const auto& bounds = std::get<config::tenant_spec>(object->spec).bounds;
-        if (bounds.programs_at_once.has_value()) {
-            event.limits.push_back(
-                {base::tenant_id(object->name), {}, *bounds.programs_at_once, 0});
-        }
-    }
-    for (const config::object* object : configuration.all(config::object_kind::program_class)) {
-        const auto& bounds = std::get<config::program_class_spec>(object->spec).bounds;
-        if (bounds.programs_at_once.has_value()) {
-            event.limits.push_back({{}, object->name, *bounds.programs_at_once, 0});
-        }
-    }
-    feed(std::move(event));
     feed(program::event::configuration_changed{
         services_.configuration.current(), base::region_name(services_.context.settings.region)});
 }
@@ -238,6 +222,32 @@
 
 void shard_host::deliver(wire::program_request request,
                          std::shared_ptr<net::peer_responder> responder) {
+    std::vector<program::quota_need> needs = owner_->needs_of(request);
+    if (needs.empty()) {
+        take(std::move(request), std::move(responder));
+        return;
+    }
+    services_.quotas.acquire(
+        std::move(needs), [this, alive = std::weak_ptr<int>(alive_), request = std::move(request),
+                           responder = std::move(responder)](const absl::Status& room) {
+            if (alive.expired()) {
+                responder->fail(base::make_error(absl::StatusCode::kUnavailable,
+                                                 "the shard was given up",
+                                                 {.step = "route", .reason = "not_owner"}));
+                return;
+            }
+            if (!room.ok()) {
+                responder->fail(room);
+            } else if (state_ == shard_state::serving) {
+                take(request, responder);
+            } else {
+                responder->fail(not_owner());
+            }
+        });
+}
+
+void shard_host::take(wire::program_request request,
+                      std::shared_ptr<net::peer_responder> responder) {
     const program::reply_token token(++last_token_);
     responder->on_cancelled([this, token, alive = std::weak_ptr<int>(alive_)] {
         if (!alive.expired() && responders_.erase(token) > 0) {
@@ -248,6 +258,16 @@
     feed(program::event::request_received{token, std::move(request)});
 }
 
+void shard_host::add_quota_use(program::quota_use_map& sum) const {
+    if (owner_ == nullptr) {
+        return;
+    }
+    for (const auto& [source, use] : owner_->quota_use()) {
+        sum[source].programs += use.programs;
+        sum[source].tokens += use.tokens;
+    }
+}
+
 std::size_t shard_host::program_count() const {
     return owner_ == nullptr ? 0 : owner_->program_count();
 }
--- a/src/pearbarrow/node/shard_host.h
+++ b/src/pearbarrow/node/shard_host.h
@@ -16,6 +16,7 @@
 #include "pearbarrow/node/journal_link.h"
 #include "pearbarrow/node/model_attempts.h"
 #include "pearbarrow/node/node_context.h"
+#include "pearbarrow/node/quota_service.h"
 #include "pearbarrow/node/tool_attempts.h"
 #include "pearbarrow/program/shard_owner.h"
 
@@ -29,6 +30,7 @@
     backend_service& backends;
     dispatcher_client& dispatchers;
     gateway::program_router& router;
+    quota_service& quotas;
 };
 
 enum class shard_state { idle, campaigning, serving };
@@ -65,6 +67,8 @@
     std::vector<base::program_id> live_programs() const {
         return owner_ == nullptr ? std::vector<base::program_id>() : owner_->live_programs();
     }
+    /// Adds what the shard's programs use of limits to `sum`.
+    void add_quota_use(program::quota_use_map& sum) const;
     std::size_t running_calls() const { return models_->running() + tools_->running(); }
     bool idle() const;
 
@@ -84,7 +88,9 @@
     void end_term();
     void release_held();
     void fail_held();
+    /// Gives the request to the owner, once the limits that it counts against have room.
     void deliver(wire::program_request request, std::shared_ptr<net::peer_responder> responder);
+    void take(wire::program_request request, std::shared_ptr<net::peer_responder> responder);
 
     void feed(program::shard_event event);
     void carry_out(const program::shard_action& action);
--- a/src/pearbarrow/program/owner_calls.cc
+++ b/src/pearbarrow/program/owner_calls.cc
@@ -316,6 +316,7 @@
                      succeeded ? wire::attempt_outcome::completed : wire::attempt_outcome::failed,
                      at.active.result.usage);
     concurrency_.remove_call(at.program);
+    uncount_call(at);
     if (options_.disabled.journal_before_act) {
         for (const call_reader& reader : std::exchange(at.active.readers, {})) {
             answer(reader, at.program, at.active.result);
--- a/src/pearbarrow/program/owner_ending.cc
+++ b/src/pearbarrow/program/owner_ending.cc
@@ -36,6 +36,7 @@
     }
     at.runtime.end_appended = true;
     concurrency_.remove_program(at.program);
+    uncount_program(at);
     program_record record;
     record.ended = ended_record{*at.runtime.ending};
     append(at.program, std::move(record));
--- a/src/pearbarrow/program/owner_requests.cc
+++ b/src/pearbarrow/program/owner_requests.cc
@@ -171,6 +171,7 @@
     histories_.put(id, {});
     if (const auto at = find(id)) {
         concurrency_.add_program(at->program);
+        count_program(*at);
         check_limits(*at);
     }
 }
@@ -323,6 +324,9 @@
     at.runtime.calls.emplace(number, std::move(active));
     at.runtime.last_used = now_;
     concurrency_.add_call(at.program);
+    if (const auto call = find(at.program.id, number)) {
+        count_call(*call);
+    }
     wake_at(at.program.id, now_ + deadline);
     when_committed([this, id = at.program.id] {
         if (const auto program = find(id)) {
--- a/src/pearbarrow/program/owner_state.cc
+++ b/src/pearbarrow/program/owner_state.cc
@@ -83,6 +83,7 @@
 void owner_state::on(const event::configuration_changed& event) {
     configuration_ = event.configuration;
     region_ = event.region;
+    count_again();
     for (const base::program_id& id : live_programs()) {
         if (const auto at = find(id)) {
             check_limits(*at);
@@ -90,8 +91,8 @@
     }
 }
 
-config::limits owner_state::configured_bounds(const base::tenant_id& tenant,
-                                              const wire::open_program_request& request) const {
+std::vector<config::applied_bounds> owner_state::bounds_on(
+    const base::tenant_id& tenant, const wire::open_program_request& request) const {
     if (configuration_ == nullptr) {
         return {};
     }
@@ -99,8 +100,12 @@
     for (const wire::label& label : request.labels) {
         labels.set(label.key, label.value);
     }
-    return config::tightest(
-        config::bounds_on(*configuration_, tenant, request.program_class, region_, labels));
+    return config::bounds_on(*configuration_, tenant, request.program_class, region_, labels);
+}
+
+config::limits owner_state::configured_bounds(const base::tenant_id& tenant,
+                                              const wire::open_program_request& request) const {
+    return config::tightest(bounds_on(tenant, request));
 }
 
 wire::program_limits owner_state::limits_in_force(const program_state& program) const {
@@ -120,6 +125,7 @@
                                              .was_executed = base::executed::unknown}));
     }
     programs_.clear();
+    quota_use_.clear();
     runtimes_.clear();
     effects_.clear();
     attempts_.clear();
--- a/src/pearbarrow/program/owner_state.h
+++ b/src/pearbarrow/program/owner_state.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "pearbarrow/program/counted_limits.h"
 #include "pearbarrow/program/history_cache.h"
 #include "pearbarrow/program/limits.h"
 #include "pearbarrow/program/owner_options.h"
@@ -49,6 +50,8 @@
     std::size_t history_cache_bytes() const { return histories_.bytes(); }
     std::vector<base::program_id> live_programs() const;
     bool idle() const;
+    std::vector<quota_need> needs_of(const wire::program_request& request);
+    const quota_use_map& quota_use() const { return quota_use_; }
 
   private:
     using effect = std::function<void()>;
@@ -62,6 +65,14 @@
     void on(const event::concurrency_limits_changed& event);
     void on(const event::configuration_changed& event);
     void on(const event::tick& event);
+    std::vector<config::applied_bounds> bounds_on(const base::tenant_id& tenant,
+                                                  const wire::open_program_request& request) const;
+    // owner_quotas.cc: what counts against limits over the fleet.
+    void count_program(program_context at);
+    void uncount_program(program_context at);
+    void count_call(call_context at);
+    void uncount_call(call_context at);
+    void count_again();
     /// The configured bounds on a program of that tenant, class and labels.
     config::limits configured_bounds(const base::tenant_id& tenant,
                                      const wire::open_program_request& request) const;
@@ -217,6 +228,7 @@
     std::map<base::program_id, program_runtime> runtimes_;
     history_cache histories_;
     concurrency concurrency_;
+    quota_use_map quota_use_;
     /// Null until the shell tells it: then callers' claims about tools are believed.
     config::configuration_ptr configuration_;
     base::region_name region_;
--- a/src/pearbarrow/program/recovery.cc
+++ b/src/pearbarrow/program/recovery.cc
@@ -35,6 +35,7 @@
 void owner_state::recover(program_context at) {
     if (at.program.open()) {
         concurrency_.add_program(at.program);
+        count_program(at);
     }
     for (auto& [number, call] : at.program.calls) {
         if (call.done()) {
@@ -47,6 +48,9 @@
         wake_at(at.program.id, active.deadline);
         at.runtime.calls.emplace(number, std::move(active));
         concurrency_.add_call(at.program);
+        if (const auto context = find(at.program.id, number)) {
+            count_call(*context);
+        }
     }
     for (const auto& [number, call] : at.program.calls) {
         const auto context = find(at.program.id, number);
--- a/src/pearbarrow/program/runtime.h
+++ b/src/pearbarrow/program/runtime.h
@@ -12,6 +12,7 @@
 #include <absl/status/status.h>
 
 #include "pearbarrow/base/clock.h"
+#include "pearbarrow/config/objects.h"
 #include "pearbarrow/program/shard_actions.h"
 #include "pearbarrow/program/shard_events.h"
 
@@ -69,6 +70,8 @@
     std::string text;
     std::uint64_t last_index = 0;
     std::vector<call_reader> readers;
+    /// Counted against the limits on tokens in flight.
+    std::uint64_t counted_tokens = 0;
     /// The answer to give once the attempt has stopped; none while it is wanted.
     std::optional<absl::Status> stop_status;
     result_record result;
@@ -104,6 +107,8 @@
     /// The next look at the idle limit: one at a time, however many calls come.
     std::optional<base::instant> idle_wake;
     std::optional<base::instant> ended_at;
+    /// Objects whose limits the program counts against.
+    std::vector<config::object_key> limited_by;
     std::map<base::call_number, call_runtime> calls;
     std::map<base::call_number, std::vector<early_call>> early_calls;
 
--- a/src/pearbarrow/program/shard_owner.cc
+++ b/src/pearbarrow/program/shard_owner.cc
@@ -22,6 +22,12 @@
 std::vector<base::program_id> shard_owner::live_programs() const {
     return state_->live_programs();
 }
+std::vector<quota_need> shard_owner::needs_of(const wire::program_request& request) const {
+    return state_->needs_of(request);
+}
+const quota_use_map& shard_owner::quota_use() const {
+    return state_->quota_use();
+}
 bool shard_owner::idle() const {
     return state_->idle();
 }
--- a/src/pearbarrow/program/shard_owner.h
+++ b/src/pearbarrow/program/shard_owner.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <vector>
 
+#include "pearbarrow/program/counted_limits.h"
 #include "pearbarrow/program/owner_options.h"
 #include "pearbarrow/program/shard_actions.h"
 #include "pearbarrow/program/shard_events.h"
@@ -34,6 +35,11 @@
     std::size_t history_cache_bytes() const;
     /// Programs that have not ended; the reconciliation of engines' caches goes by it.
     std::vector<base::program_id> live_programs() const;
+    /// What the request needs room in before it may be given to `apply`: empty when nothing limits
+    /// it, and for everything but new programs and new calls.
+    std::vector<quota_need> needs_of(const wire::program_request& request) const;
+    /// What the shard's programs use of the limits that apply to them.
+    const quota_use_map& quota_use() const;
     /// True when no requester waits and no attempt runs: a planned hand-over may go on.
     bool idle() const;
 
--- a/src/pearbarrow/wire/methods.h
+++ b/src/pearbarrow/wire/methods.h
@@ -31,6 +31,9 @@
 inline constexpr method_number place_withdraw = 33;
 inline constexpr method_number place_register = 34;
 
+/// Home of a limit, called by program owners.
+inline constexpr method_number quota_claim = 70;
+
 /// Configuration log, called by every node.
 inline constexpr method_number config_fetch = 40;
 
