Program owner: old grants are not acted on; placement overlaps the first sync

And a call waited for two synced writes one after the other (accepted, intent) before its engine heard of it. Change: an attempt whose grant is older than 1.5 s when its intent commits is closed unspent and offered again. A refused delivery tells when to come back. Ruled out: a shorter leadership trust (it does not bound the wait for a quorum). Overhead not measured again yet. A grant that is late on its way to the owner is not covered.

--- a/src/pearbarrow/program/owner_calls.cc
+++ b/src/pearbarrow/program/owner_calls.cc
@@ -8,6 +8,15 @@
 
 namespace {
 
+/// A grant older than this is not acted on: its back end may have been marked as leaving since.
+constexpr base::milliseconds grant_lifetime{1'500};
+
+absl::Status grant_expired(const base::backend_id& backend) {
+    return base::make_error(absl::StatusCode::kUnavailable,
+                            "the journal took longer than the grant holds",
+                            {.step = "run", .peer = backend.value(), .reason = "grant_expired"});
+}
+
 base::milliseconds time_left(base::instant deadline, base::instant now) {
     const auto left = std::chrono::duration_cast<base::milliseconds>(deadline - now);
     return std::max(left, base::milliseconds(0));
@@ -132,6 +141,7 @@
         return;
     }
     at->active.granted_backend = event.backend;
+    at->active.granted_at = now_;
     at->active.engine_priority = event.engine_priority;
     at->active.pin_lease = event.pin_lease;
     const std::uint64_t cost = most_cost(*at->call.body, at->program.history.tokens());
@@ -208,6 +218,10 @@
         fail(at, *at.active.stop_status, 0);
         return;
     }
+    if (now_ - at.active.granted_at > grant_lifetime) {
+        retry(at, grant_expired(at.call.attempt->backend), 0);
+        return;
+    }
     if (at.call.body->tool) {
         start_tool(at);
         return;
--- a/src/pearbarrow/program/owner_requests.cc
+++ b/src/pearbarrow/program/owner_requests.cc
@@ -328,11 +328,9 @@
         count_call(*call);
     }
     wake_at(at.program.id, now_ + deadline);
-    when_committed([this, id = at.program.id] {
-        if (const auto program = find(id)) {
-            advance(*program);
-        }
-    });
+    // Placement goes on while the record is being committed. What acts is the intent, which comes
+    // after this record in the journal and is committed only with it.
+    advance(at);
 }
 
 void owner_state::cancel(reply_token token, program_context at, base::call_number number) {
--- a/src/pearbarrow/program/owner_tools.cc
+++ b/src/pearbarrow/program/owner_tools.cc
@@ -4,6 +4,12 @@
 #include "pearbarrow/program/owner_state.h"
 
 namespace pearbarrow::program {
+namespace {
+
+/// When a caller may ask again, under the next number, after the tool service was out of reach.
+constexpr base::milliseconds ask_again_after{1'000};
+
+}  // namespace
 
 void owner_state::on(const event::tool_finished& event) {
     const auto at = find(event.attempt);
@@ -132,7 +138,8 @@
                           {.step = "invoke",
                            .peer = at.call.attempt->backend.value(),
                            .reason = "not_delivered",
-                           .was_executed = base::executed::no}),
+                           .was_executed = base::executed::no,
+                           .retry_after = ask_again_after}),
          0);
 }
 
--- a/src/pearbarrow/program/runtime.h
+++ b/src/pearbarrow/program/runtime.h
@@ -60,6 +60,7 @@
 
     std::optional<offer_id> offer;
     base::backend_id granted_backend;
+    base::instant granted_at;
     std::int32_t engine_priority = 0;
     base::milliseconds pin_lease{0};
 
--- a/tests/unit/program/durability_test.cc
+++ b/tests/unit/program/durability_test.cc
@@ -46,6 +46,22 @@
     cr_assert(sends_early(broken));
 }
 
+Test(durability, a_grant_is_not_acted_on_once_it_has_grown_old) {
+    const auto starts_after = [](base::milliseconds commit_delay) {
+        owner_harness harness;
+        harness.open();
+        harness.auto_grant = false;
+        harness.submit(1, tool_body());
+        harness.auto_commit = false;
+        harness.apply(event::placement_granted{harness.last<action::offer_call>().offer, tool_one});
+        harness.pass(commit_delay);
+        harness.commit();
+        return harness.all<action::start_tool_attempt>().size();
+    };
+    cr_assert(starts_after(base::milliseconds(100)) == 1);
+    cr_assert(starts_after(base::milliseconds(3'000)) == 0);
+}
+
 Test(durability, no_answer_before_its_result_is_committed) {
     const auto answers_early = [](owner_options options) {
         owner_harness harness(options);
@@ -80,6 +96,7 @@
 
 Test(durability, executed_says_what_is_known) {
     cr_assert(outcome_after(event::tool_state::never_seen_and_fenced).reason == "not_delivered");
+    cr_assert(outcome_after(event::tool_state::never_seen_and_fenced).retry_after.has_value());
     cr_assert(outcome_after(event::tool_state::never_seen_and_fenced).was_executed ==
               base::executed::no);
     for (const auto state : {event::tool_state::never_seen, event::tool_state::cannot_tell}) {
