Format of hollow_test.cc; a size of peer_link.cc as std::size_t

Cause: clang-format's check failed at hollow_test.cc; clang-tidy's finding on sizes written as int products was left in peer_link.cc, then being edited.

Change: formatting, and std::size_t{16} * 1024. No behaviour changes.

Measured: clang-format passes over all files; peer_link.cc compiles.

--- a/src/pearbarrow/net/peer_link.cc
+++ b/src/pearbarrow/net/peer_link.cc
@@ -11,7 +11,7 @@
 namespace {
 
 connection_options limits_of(const peer_rpc_options& options) {
-    constexpr std::size_t read_bytes = 16 * 1024;
+    constexpr std::size_t read_bytes = std::size_t{16} * 1024;
     // Above the bound of requests, so that cancel and probe frames still fit.
     return {.max_pending_bytes = options.max_queued_bytes + options.max_frame_bytes,
             .write_timeout = options.write_timeout,
--- a/tests/unit/emulator/hollow_test.cc
+++ b/tests/unit/emulator/hollow_test.cc
@@ -244,9 +244,8 @@
                });
     }));
     cr_assert_eq(record.to_json()["versions"]["1"]["nodes"], 4);
-    cr_assert(run_until(loop, [&] {
-        return all([](const hollow_node& item) { return !item.owners().empty(); });
-    }));
+    cr_assert(run_until(
+        loop, [&] { return all([](const hollow_node& item) { return !item.owners().empty(); }); }));
     cr_assert(all([&](const hollow_node& item) { return item.owners() == nodes[0]->owners(); }),
               "all nodes choose the same owners");
     cr_assert(nodes[0]->owners()[0].has_value());
