--- a/src/pearbarrow/bench/faults_record.cc
+++ b/src/pearbarrow/bench/faults_record.cc
@@ -14,6 +14,7 @@
 
 std::uint64_t digest_of(const std::vector<wire::chat_message>& messages) {
     std::vector<backend::chat_message> plain;
+    plain.reserve(messages.size());
     for (const wire::chat_message& message : messages) {
         plain.push_back({message.role, message.content});
     }
