--- a/src/pearbarrow/net/http_exchange.cc
+++ b/src/pearbarrow/net/http_exchange.cc
@@ -7,7 +7,7 @@
 session_exchange::session_exchange(std::shared_ptr<http_server_core> core,
                                    std::shared_ptr<http_session> session, http_request request)
     : core_(std::move(core)),
-      session_(std::move(session)),
+      session_(session),
       request_(std::move(request)),
       is_head_(request_.method == "HEAD") {
     ++core_->open_exchanges;
