Emulator tests: one file a stand-in

Cause: stand_in_test.cc had grown to 546 lines over four stand-ins. Change: engine (with the relay), tool and platform tests in files of their own, with what they share in served_stand_in.h. No test changed. Ruled out: splitting by test alone, which repeats the served stand-in.

--- a/tests/unit/emulator/stand_in_test.cc
+++ b/tests/unit/emulator/engine_over_http_test.cc
@@ -1,17 +1,13 @@
-/// The stand-ins and their clients over real HTTP, in one process.
+// The engine stand-in and its client over real HTTP, also through the relay.
 #include <optional>
 #include <string>
 
 #include "pearbarrow/backend/engine_client.h"
-#include "pearbarrow/backend/tool_client.h"
 #include "pearbarrow/base/status.h"
 #include "pearbarrow/emulator/engine_server.h"
-#include "pearbarrow/emulator/faults.h"
-#include "pearbarrow/emulator/platform_server.h"
 #include "pearbarrow/emulator/relay_server.h"
-#include "pearbarrow/emulator/tool_server.h"
-#include "pearbarrow/net/http.h"
 #include "pearbarrow/net/tcp_relay.h"
+#include "served_stand_in.h"
 
 #include <criterion/criterion.h>
 
@@ -20,74 +16,6 @@
 
 namespace {
 
-constexpr base::seconds patience{20};
-constexpr base::milliseconds poll_period{1};
-
-/// A loop, a clock and an HTTP client, and a way to wait for something.
-struct process {
-    net::event_loop loop;
-    base::system_clock_source clock;
-    history_writer history;
-    std::unique_ptr<net::http_client> http = net::make_http_client(loop);
-
-    template <typename Condition>
-    void run_until(Condition condition) {
-        bool late = false;
-        const auto limit = loop.after(patience, [&] {
-            late = true;
-            loop.stop();
-        });
-        const auto poll = loop.every(poll_period, [&] {
-            if (condition()) {
-                loop.stop();
-            }
-        });
-        loop.run();
-        cr_assert_not(late, "waited too long");
-    }
-
-    void run_for(base::milliseconds time) {
-        const auto limit = loop.after(time, [this] { loop.stop(); });
-        loop.run();
-    }
-
-    net::http_response fetch(const net::endpoint& server, std::string method, std::string target,
-                             std::string body = {}) {
-        std::optional<absl::StatusOr<net::http_response>> answer;
-        http->fetch({.server = server,
-                     .method = std::move(method),
-                     .target = std::move(target),
-                     .headers = {},
-                     .body = std::move(body)},
-                    [&](absl::StatusOr<net::http_response> got) { answer = std::move(got); });
-        run_until([&] { return answer.has_value(); });
-        return answer->ok() ? **answer : net::http_response{.status = 0};
-    }
-};
-
-/// A stand-in of type `Server` behind its fault injector.
-template <typename Server>
-struct stand_in {
-    template <typename... Arguments>
-    explicit stand_in(process& in, Arguments&&... arguments)
-        : faults(in.loop, 1),
-          server(in.loop, in.clock, std::forward<Arguments>(arguments)...),
-          http(net::make_http_server(
-              in.loop, {.listen = {"127.0.0.1", 0}},
-              faults.wrap([this](const std::shared_ptr<net::http_exchange>& exchange) {
-                  server.handle(exchange);
-              }))) {
-        cr_assert(http->start().ok());
-    }
-
-    net::endpoint address() const { return http->local_endpoint(); }
-    void set_faults(std::string_view text) { cr_assert(faults.set_json(text).ok()); }
-
-    fault_injector faults;
-    Server server;
-    std::unique_ptr<net::http_server> http;
-};
-
 engine_server_options quick_engine() {
     engine_server_options options;
     options.model.costs = options.model.costs.scaled(0.1);
@@ -96,10 +24,6 @@
     return options;
 }
 
-tool_server_options quick_tool() {
-    return {.model = {.latency = {latency_shape::fixed, base::milliseconds(5), 0}}};
-}
-
 backend::generate_request generate_request_with(const std::string& attempt) {
     return {.attempt = base::attempt_id(attempt),
             .program = base::program_id("p1"),
@@ -139,50 +63,6 @@
     return answer_text(conversation_digest(request.messages), request.attempt).tokens(1, 40);
 }
 
-/// Runs an asynchronous call of a client to its end.
-template <typename Value, typename Call>
-absl::StatusOr<Value> wait_for(process& in, Call call) {
-    std::optional<absl::StatusOr<Value>> answer;
-    call([&](absl::StatusOr<Value> got) { answer = std::move(got); });
-    in.run_until([&] { return answer.has_value(); });
-    return *std::move(answer);
-}
-
-absl::StatusOr<backend::tool_result> invoke(process& in, backend::tool_client& client,
-                                            const std::string& key,
-                                            base::milliseconds deadline = base::seconds(5)) {
-    std::unique_ptr<backend::tool_handle> handle;
-    return wait_for<backend::tool_result>(in, [&](auto done) {
-        handle = client.invoke({.tool = base::tool_name("hold"),
-                                .idempotency_key = key,
-                                .attempt = base::attempt_id("a1"),
-                                .program = base::program_id("p1"),
-                                .call = base::call_number(2),
-                                .arguments = "{}",
-                                .deadline = deadline},
-                               std::move(done));
-    });
-}
-
-absl::StatusOr<backend::tool_query_result> query(process& in, backend::tool_client& client,
-                                                 const std::string& key, bool fence) {
-    return wait_for<backend::tool_query_result>(
-        in, [&](auto done) { client.query(base::tool_name("hold"), key, fence, std::move(done)); });
-}
-
-std::size_t runs_in_ledger(process& in, const net::endpoint& tool) {
-    const auto answer = in.fetch(tool, "GET", "/v1/ledger");
-    return nlohmann::json::parse(answer.body).at("runs").size();
-}
-
-/// Address at which nothing listens.
-net::endpoint closed_address(process& in) {
-    const auto server = net::make_http_server(in.loop, {.listen = {"127.0.0.1", 0}},
-                                              [](const std::shared_ptr<net::http_exchange>&) {});
-    cr_assert(server->start().ok());
-    return server->local_endpoint();
-}
-
 }  // namespace
 
 Test(engine_over_http, streams_a_whole_answer_with_its_usage) {
@@ -393,123 +273,6 @@
     cr_assert(nlohmann::json::parse(meter.body).at("entries").empty());
 }
 
-Test(tool_over_http, a_repeated_key_answers_with_the_first_result) {
-    process in;
-    stand_in<tool_server> tool(in, quick_tool(), in.history);
-    const auto client = backend::make_tool_client(*in.http, tool.address());
-    const auto first = invoke(in, *client, "key/1 %");
-    const auto again = invoke(in, *client, "key/1 %");
-    cr_assert(first.ok() && again.ok());
-    cr_assert_not(first->repeated);
-    cr_assert(again->repeated);
-    cr_assert(first->output == again->output);
-    cr_assert_eq(runs_in_ledger(in, tool.address()), 1);
-    const auto state = query(in, *client, "key/1 %", false);
-    cr_assert(state->state == backend::tool_request_state::completed);
-    cr_assert(state->result.output == first->output);
-}
-
-Test(tool_over_http, a_lost_answer_ran_and_can_be_asked_for) {
-    process in;
-    stand_in<tool_server> tool(in, quick_tool(), in.history);
-    const auto client = backend::make_tool_client(*in.http, tool.address());
-    tool.set_faults(R"({"faults":[{"kind":"lose_answer","path":"/v1/tools/hold/invoke"}]})");
-    const auto lost = invoke(in, *client, "k");
-    cr_assert_eq(base::details_of(lost.status()).reason, "answer_lost");
-    cr_assert(base::details_of(lost.status()).was_executed == base::executed::unknown);
-    cr_assert_eq(runs_in_ledger(in, tool.address()), 1);
-    const auto state = query(in, *client, "k", true);
-    cr_assert(state->state == backend::tool_request_state::completed);
-    cr_assert_not(state->fenced);
-}
-
-Test(tool_over_http, a_dropped_request_never_ran_and_its_key_can_be_fenced) {
-    process in;
-    stand_in<tool_server> tool(in, quick_tool(), in.history);
-    const auto client = backend::make_tool_client(*in.http, tool.address());
-    tool.set_faults(R"({"faults":[{"kind":"drop","path":"/v1/tools/","count":1}]})");
-    const auto dropped = invoke(in, *client, "k");
-    cr_assert(base::details_of(dropped.status()).was_executed == base::executed::unknown);
-    const auto state = query(in, *client, "k", true);
-    cr_assert(state->state == backend::tool_request_state::never_seen);
-    cr_assert(state->fenced);
-    const auto late = invoke(in, *client, "k");
-    cr_assert_eq(base::details_of(late.status()).reason, "request_fenced");
-    cr_assert(base::details_of(late.status()).was_executed == base::executed::no);
-    cr_assert_eq(runs_in_ledger(in, tool.address()), 0);
-}
-
-Test(tool_over_http, hangs_end_with_the_deadline) {
-    process in;
-    stand_in<tool_server> tool(in, quick_tool(), in.history);
-    const auto client = backend::make_tool_client(*in.http, tool.address());
-    for (const char* kind : {"hang", "hang_after"}) {
-        tool.set_faults(std::string(R"({"faults":[{"path":"/v1/tools/hold/invoke","kind":")") +
-                        kind + R"("}]})");
-        const auto late = invoke(in, *client, kind, base::milliseconds(50));
-        cr_assert_eq(base::details_of(late.status()).reason, "tool_timeout");
-        cr_assert(base::details_of(late.status()).was_executed == base::executed::unknown);
-    }
-    cr_assert_eq(runs_in_ledger(in, tool.address()), 1, "only hang_after ran");
-}
-
-Test(tool_over_http, a_failure_says_that_it_ran) {
-    process in;
-    auto options = quick_tool();
-    options.model.fail_probability = 1;
-    stand_in<tool_server> tool(in, options, in.history);
-    const auto client = backend::make_tool_client(*in.http, tool.address());
-    const auto failed = invoke(in, *client, "k");
-    cr_assert_eq(base::details_of(failed.status()).reason, "tool_failed");
-    cr_assert(base::details_of(failed.status()).was_executed == base::executed::yes);
-    cr_assert_eq(base::details_of(query(in, *client, "k", false)->failure).reason, "tool_failed");
-}
-
-Test(platform_over_http, a_lost_answer_took_effect) {
-    process in;
-    stand_in<platform_server> platform(in, platform_options{});
-    platform.set_faults(R"({"faults":[{"kind":"lose_answer","path":"/v3/kv/put","count":1}]})");
-    const auto address = platform.address();
-    const std::string put = R"({"key":"Zm9v","value":"YmFy"})";
-    cr_assert_eq(in.fetch(address, "POST", "/v3/kv/put", put).status, 0);
-    const auto read = in.fetch(address, "POST", "/v3/kv/range", R"({"key":"Zm9v"})");
-    cr_assert_eq(nlohmann::json::parse(read.body).at("kvs").at(0).at("value"), "YmFy");
-}
-
-Test(platform_over_http, limits_its_rate) {
-    process in;
-    stand_in<platform_server> platform(
-        in, platform_options{.key_value_rate = 0.5, .key_value_burst = 2});
-    const std::string read = R"({"key":"Zm9v"})";
-    cr_assert_eq(in.fetch(platform.address(), "POST", "/v3/kv/range", read).status, 200);
-    cr_assert_eq(in.fetch(platform.address(), "POST", "/v3/kv/range", read).status, 200);
-    const auto limited = in.fetch(platform.address(), "POST", "/v3/kv/range", read);
-    cr_assert_eq(limited.status, 429);
-    cr_assert_eq(limited.headers.find("Retry-After").value_or(""), "2");
-}
-
-Test(platform_over_http, a_watch_tells_the_past_and_the_present) {
-    process in;
-    stand_in<platform_server> platform(in, platform_options{});
-    const auto address = platform.address();
-    in.fetch(address, "POST", "/v3/kv/put", R"({"key":"Zm9v","value":"MQ=="})");
-    std::string lines;
-    const auto watch =
-        in.http->start({.server = address,
-                        .method = "POST",
-                        .target = "/v3/watch",
-                        .headers = {},
-                        .body = R"({"create_request":{"key":"Zm9v","start_revision":"2"}})"},
-                       {.on_head = {},
-                        .on_chunk = [&](std::string_view chunk) { lines += chunk; },
-                        .on_done = {}});
-    in.run_until([&] { return lines.find("MQ==") != std::string::npos; });
-    in.fetch(address, "POST", "/v3/kv/put", R"({"key":"YmFy","value":"OQ=="})");
-    in.fetch(address, "POST", "/v3/kv/put", R"({"key":"Zm9v","value":"Mg=="})");
-    in.run_until([&] { return lines.find("Mg==") != std::string::npos; });
-    cr_assert_eq(lines.find("OQ=="), std::string::npos, "another key");
-}
-
 Test(relay, passes_stalls_and_cuts) {
     process in;
     stand_in<engine_server> engine(in, quick_engine(), in.history);
