--- a/src/pearbarrow/node/node.cc
+++ b/src/pearbarrow/node/node.cc
@@ -71,7 +71,7 @@
 node::~node() = default;
 
 absl::Status node::start() {
-    if (const absl::Status status = open_storage(); !status.ok()) {
+    if (absl::Status status = open_storage(); !status.ok()) {
         return status;
     }
     absl::Status store_status;
@@ -95,7 +95,7 @@
         std::make_unique<operator_service>(context_, membership_, *configuration_, *ownership_,
                                            *router_, [this] { return not_ready_reason(); });
     register_methods();
-    if (const absl::Status status = open_listeners(); !status.ok()) {
+    if (absl::Status status = open_listeners(); !status.ok()) {
         return status;
     }
     connect_parts();
@@ -174,7 +174,7 @@
           std::function<absl::Status()>([this] { return membership_.open(); }),
           std::function<absl::Status()>([this] { return caller_server_->start(); }),
           std::function<absl::Status()>([this] { return operator_server_->start(); })}) {
-        if (const absl::Status status = open(); !status.ok()) {
+        if (absl::Status status = open(); !status.ok()) {
             return status;
         }
     }
--- a/src/pearbarrow/node/quota_service.cc
+++ b/src/pearbarrow/node/quota_service.cc
@@ -206,13 +206,12 @@
         });
 }
 
-void quota_service::finish(const std::shared_ptr<acquisition>& item, const absl::Status& status) {
-    const std::shared_ptr<acquisition> kept = item;
-    open_.erase(kept);
+void quota_service::finish(std::shared_ptr<acquisition> item, const absl::Status& status) {
+    open_.erase(item);
     // The owner takes the request inside, so that it is counted at every moment.
-    kept->done(status);
-    for (std::size_t index = 0; index < kept->next; ++index) {
-        const program::quota_need& need = kept->needs[index];
+    item->done(status);
+    for (std::size_t index = 0; index < item->next; ++index) {
+        const program::quota_need& need = item->needs[index];
         if (need.key.counter != program::quota_counter::calls) {
             // Told to the home once more, in case that nothing is used any longer by then.
             reported_.insert(need.key);
--- a/src/pearbarrow/node/quota_service.h
+++ b/src/pearbarrow/node/quota_service.h
@@ -51,7 +51,8 @@
     void take_reply(const std::shared_ptr<acquisition>& item,
                     const absl::StatusOr<std::string>& payload);
     void ask_again(const std::shared_ptr<acquisition>& item);
-    void finish(const std::shared_ptr<acquisition>& item, const absl::Status& status);
+    /// `item` by value: taking it from the open ones must not destroy it.
+    void finish(std::shared_ptr<acquisition> item, const absl::Status& status);
     void report();
     std::unique_ptr<net::peer_call_handle> call(const base::node_id& home, std::string payload,
                                                 net::peer_call_callbacks callbacks);
