Turns: a late chain is used at once; a full disk closes and reopens the store

Ruled out: too slow disks (all members had answered); lack of a majority. Change: the arrival of the chain ends the preparation; after a failed write the database is closed and opened again, reading reports unreadable instead of absent meanwhile.

--- a/src/pearbarrow/fleet/storage_node.cc
+++ b/src/pearbarrow/fleet/storage_node.cc
@@ -23,6 +23,7 @@
     options.folder = parts_.settings().data_folder + store_folder;
     options.new_disk = turns::disk_id(parts_.random().hex_id());
     options.new_disk_is_complete = parts_.settings().first_start;
+    options.clock = &parts_.clock();
     options.post = [this](std::function<void()> task) { parts_.loop().post(std::move(task)); };
     auto store = turns::open_rocksdb_turn_store(options);
     if (store.status().code() == absl::StatusCode::kDataLoss) {
--- a/src/pearbarrow/turns/rocksdb_turn_store.cc
+++ b/src/pearbarrow/turns/rocksdb_turn_store.cc
@@ -22,6 +22,9 @@
 constexpr char identity_key[] = "i";
 constexpr char complete_key[] = "c";
 
+/// Between two attempts to open the database again.
+constexpr base::milliseconds reopen_interval{200};
+
 std::string turn_key(const turn_id& turn) {
     return "t" + turn.value();
 }
@@ -64,6 +67,8 @@
     database.stats_dump_period_sec = 0;
     database.stats_persist_period_sec = 0;
     database.max_background_jobs = 1;
+    // A database that could not write its log must be closed without touching it.
+    database.avoid_flush_during_shutdown = true;
     database.compression = rocksdb::kNoCompression;
     rocksdb::BlockBasedTableOptions table;
     table.block_cache = rocksdb::NewLRUCache(options.block_cache_bytes, 0);
@@ -72,9 +77,24 @@
     return database;
 }
 
+absl::StatusOr<std::unique_ptr<rocksdb::DB>> open_database(const turn_store_options& options) {
+    rocksdb::DB* raw = nullptr;
+    const auto status = rocksdb::DB::Open(database_options(options), options.folder, &raw);
+    std::unique_ptr<rocksdb::DB> database(raw);
+    if (!status.ok()) {
+        return to_status(status);
+    }
+    return database;
+}
+
+absl::Status closed_status() {
+    return base::make_error(absl::StatusCode::kUnavailable, "the store is closed after a failure",
+                            {.step = "turn_store", .reason = "turn_storage_closed"});
+}
+
 class rocksdb_turn_store final : public turn_store {
   public:
-    rocksdb_turn_store(std::unique_ptr<rocksdb::DB> database, turn_store_options options)
+    rocksdb_turn_store(std::shared_ptr<rocksdb::DB> database, turn_store_options options)
         : options_(std::move(options)), database_(std::move(database)) {
         writer_ = std::thread([this] { run_writer(); });
     }
@@ -102,18 +122,28 @@
     absl::Status read_identity(store_contents& contents);
     absl::Status read_all(store_contents& contents) const;
     static void add(rocksdb::WriteBatch& batch, const store_change& change);
+    /// The open database; null while it is closed after a failed write.
+    std::shared_ptr<rocksdb::DB> database() const;
     absl::Status write_batch(rocksdb::WriteBatch& batch);
+    void close_database();
+    absl::Status reopen_database();
     void run_writer();
 
     turn_store_options options_;
-    std::unique_ptr<rocksdb::DB> database_;
+    std::shared_ptr<rocksdb::DB> database_;
+    base::instant closed_at_{};
     std::thread writer_;
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
     std::condition_variable wake_;
     std::deque<pending_write> pending_;
     bool stopping_ = false;
 };
 
+std::shared_ptr<rocksdb::DB> rocksdb_turn_store::database() const {
+    const std::lock_guard lock(mutex_);
+    return database_;
+}
+
 absl::Status rocksdb_turn_store::read_identity(store_contents& contents) {
     std::string identity;
     std::string complete;
@@ -178,7 +208,11 @@
 
 absl::StatusOr<turn_record> rocksdb_turn_store::read(const turn_id& turn) const {
     std::string value;
-    if (auto status = to_status(database_->Get({}, turn_key(turn), &value)); !status.ok()) {
+    const auto open = database();
+    if (open == nullptr) {
+        return closed_status();
+    }
+    if (auto status = to_status(open->Get({}, turn_key(turn), &value)); !status.ok()) {
         return status;
     }
     auto entry = wire::decode<stored_turn>(value);
@@ -209,12 +243,37 @@
 absl::Status rocksdb_turn_store::write_batch(rocksdb::WriteBatch& batch) {
     rocksdb::WriteOptions synced;
     synced.sync = true;
-    const auto status = database_->Write(synced, &batch);
-    if (!status.ok()) {
-        // A full disk stops the database; it takes writes again once there is room.
-        static_cast<void>(database_->Resume());
+    const auto open = database();
+    if (open == nullptr) {
+        return closed_status();
     }
-    return to_status(status);
+    return to_status(open->Write(synced, &batch));
+}
+
+void rocksdb_turn_store::close_database() {
+    // The database takes nothing more after a failed write, and reading goes on only by its memory:
+    // it is opened again from what is on the disk.
+    std::shared_ptr<rocksdb::DB> closing;
+    {
+        const std::lock_guard lock(mutex_);
+        closing = std::move(database_);
+        database_ = nullptr;
+    }
+    closed_at_ = options_.clock->now();
+}
+
+absl::Status rocksdb_turn_store::reopen_database() {
+    if (options_.clock->now() - closed_at_ < reopen_interval) {
+        return closed_status();
+    }
+    closed_at_ = options_.clock->now();
+    auto opened = open_database(options_);
+    if (!opened.ok()) {
+        return opened.status();
+    }
+    const std::lock_guard lock(mutex_);
+    database_ = *std::move(opened);
+    return absl::OkStatus();
 }
 
 void rocksdb_turn_store::run_writer() {
@@ -230,7 +289,13 @@
         for (const pending_write& one : writes) {
             add(batch, one.change);
         }
-        const absl::Status status = write_batch(batch);
+        absl::Status status = database() == nullptr ? reopen_database() : absl::OkStatus();
+        if (status.ok()) {
+            status = write_batch(batch);
+            if (!status.ok()) {
+                close_database();
+            }
+        }
         options_.post([writes = std::move(writes), status] {
             for (const pending_write& one : writes) {
                 one.done(status);
@@ -249,13 +314,11 @@
                                 options.folder + ": " + error.message(),
                                 {.step = "turn_store", .reason = "turn_storage_failed"});
     }
-    rocksdb::DB* raw = nullptr;
-    const auto status = rocksdb::DB::Open(database_options(options), options.folder, &raw);
-    std::unique_ptr<rocksdb::DB> database(raw);
-    if (!status.ok()) {
-        return to_status(status);
+    auto database = open_database(options);
+    if (!database.ok()) {
+        return database.status();
     }
-    return std::make_unique<rocksdb_turn_store>(std::move(database), std::move(options));
+    return std::make_unique<rocksdb_turn_store>(*std::move(database), std::move(options));
 }
 
 }  // namespace pearbarrow::turns
--- a/src/pearbarrow/turns/turn_preparation.cc
+++ b/src/pearbarrow/turns/turn_preparation.cc
@@ -78,6 +78,11 @@
     if (with_chain) {
         take_chain(member, reply->is_complete, reply->chain, std::move(reply->chain_text));
     }
+    if (budget_fits_) {
+        // The chain comes after most have confirmed when its member's disk is the slowest.
+        go_on();
+        return;
+    }
     judge();
 }
 
@@ -125,8 +130,8 @@
         chain_ = std::move(text);
         return;
     }
-    member.says_absent = is_complete;
-    if (!is_complete && asked_all_) {
+    member.says_absent = is_complete && result == chain_result::absent;
+    if (!member.says_absent && asked_all_) {
         member.read_retry =
             loop_.after(options_.retry_interval, [this, &member] { send_read(member); });
     }
--- a/src/pearbarrow/turns/turn_replica.cc
+++ b/src/pearbarrow/turns/turn_replica.cc
@@ -149,7 +149,7 @@
         const auto record = store_.read(turn);
         if (!record.ok()) {
             text.clear();
-            return chain_result::absent;
+            return chain_result::unreadable;
         }
         text += record->input;
         text += record->output;
--- a/src/pearbarrow/turns/turn_store.h
+++ b/src/pearbarrow/turns/turn_store.h
@@ -11,6 +11,7 @@
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
 
+#include "pearbarrow/base/clock.h"
 #include "pearbarrow/turns/turn_types.h"
 
 namespace pearbarrow::turns {
@@ -58,7 +59,8 @@
     virtual ~turn_store() = default;
     virtual absl::StatusOr<store_contents> load() = 0;
     /// `done` runs on the event loop once the change would survive a loss of power, or failed as a
-    /// whole. Changes take effect in the order of the calls.
+    /// whole. Changes take effect in the order of the calls. After a failure, as on a full disk,
+    /// writes fail until the store could be opened again.
     virtual void write(store_change change, std::function<void(absl::Status)> done) = 0;
     /// The turn with its texts; kNotFound when it isn't there.
     virtual absl::StatusOr<turn_record> read(const turn_id& turn) const = 0;
@@ -71,6 +73,8 @@
     bool new_disk_is_complete = false;
     std::size_t write_buffer_bytes = std::size_t{8} * 1024 * 1024;
     std::size_t block_cache_bytes = std::size_t{4} * 1024 * 1024;
+    /// Paces the attempts to open a database again that a failed write has stopped.
+    const base::clock* clock = nullptr;
     /// Runs a task on the event loop, from any thread.
     std::function<void(std::function<void()>)> post;
 };
--- a/src/pearbarrow/turns/turn_types.h
+++ b/src/pearbarrow/turns/turn_types.h
@@ -52,6 +52,8 @@
     found,
     /// Some turn of the chain is not at this member.
     absent,
+    /// The turns are here, but the disk does not give them now.
+    unreadable,
 };
 
 /// Reserves tokens for a turn, and reads what it goes on from.
--- /dev/null
+++ b/tests/unit/turns/member_fixture.h
@@ -0,0 +1,149 @@
+/// Scripted storage members on one loop, and a client in front of them.
+#pragma once
+
+#include <chrono>
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "../net/net_fixture.h"
+#include "pearbarrow/base/status.h"
+#include "pearbarrow/turns/turn_client.h"
+#include "pearbarrow/wire/codec.h"
+
+#include <criterion/criterion.h>
+
+namespace pearbarrow::turns::testing {
+
+using net::testing::run_until;
+using std::chrono::milliseconds;
+
+/// What a scripted member does.
+struct member_script {
+    milliseconds reserve_delay{0};
+    bool silent = false;
+    bool complete = true;
+    chain_result chain = chain_result::found;
+    std::string chain_text = "said before";
+    std::vector<reservation> reservations;
+};
+
+class scripted_member {
+  public:
+    scripted_member(net::event_loop& loop, const std::string& name, member_script script)
+        : loop_(loop),
+          name_(name),
+          script(std::move(script)),
+          rpc_(net::make_peer_rpc(
+              loop,
+              {.self = base::node_id(name), .cluster = "test", .listen = net::testing::loopback})) {
+        rpc_->register_method(wire::turn_reserve, [this](std::string_view payload, auto answer) {
+            if (this->script.silent) {
+                held_.push_back(std::move(answer));
+                return;
+            }
+            const auto request = wire::decode<reserve_request>(payload);
+            reserve_reply reply{.is_complete = this->script.complete,
+                                .reservations = this->script.reservations};
+            if (request->wants_chain) {
+                reply.chain = this->script.chain;
+                reply.chain_text = this->script.chain_text;
+            }
+            timers_.push_back(loop_.after(this->script.reserve_delay, [answer, reply] {
+                answer->finish(wire::encode(reply));
+            }));
+        });
+        rpc_->register_method(wire::turn_read, [this](std::string_view, auto answer) {
+            ++reads;
+            if (this->script.silent) {
+                held_.push_back(std::move(answer));
+                return;
+            }
+            answer->finish(wire::encode(read_reply{.is_complete = this->script.complete,
+                                                   .chain = this->script.chain,
+                                                   .chain_text = this->script.chain_text}));
+        });
+        rpc_->register_method(wire::turn_usage, [this](std::string_view, auto answer) {
+            ++usage_questions;
+            answer->finish(wire::encode(usage_reply{.is_complete = this->script.complete,
+                                                    .reservations = this->script.reservations}));
+        });
+        rpc_->register_method(wire::turn_finish, [this](std::string_view payload, auto answer) {
+            if (this->script.silent) {
+                held_.push_back(std::move(answer));
+                return;
+            }
+            finished.push_back(*wire::decode<finish_request>(payload));
+            answer->finish(wire::encode(finish_reply{.is_complete = this->script.complete}));
+        });
+        cr_assert(rpc_->start().ok());
+    }
+
+    directory::storage_member member(const std::string& zone) const {
+        return {.node = base::node_id(name_), .address = rpc_->local_endpoint(), .zone = zone};
+    }
+
+    int reads = 0;
+    int usage_questions = 0;
+    std::vector<finish_request> finished;
+
+  private:
+    net::event_loop& loop_;
+    std::string name_;
+
+  public:
+    member_script script;
+
+  private:
+    std::unique_ptr<net::peer_rpc> rpc_;
+    std::vector<std::shared_ptr<net::peer_responder>> held_;
+    std::vector<std::unique_ptr<net::timer_handle>> timers_;
+};
+
+/// Members in zones a, b, c, ... and a client in zone a.
+struct member_group {
+    explicit member_group(const std::vector<member_script>& scripts) {
+        char zone = 'a';
+        for (const member_script& script : scripts) {
+            members.emplace_back(loop, std::string("store-") + zone, script);
+            view.members.push_back(members.back().member(std::string(1, zone)));
+            ++zone;
+        }
+        view.revision = 1;
+        rpc = net::make_peer_rpc(
+            loop,
+            {.self = base::node_id("edge"), .cluster = "test", .listen = net::testing::loopback});
+        cr_assert(rpc->start().ok());
+        client = std::make_unique<turn_client>(loop, *rpc, client_options{.zone = "a"});
+        client->set_view(view);
+    }
+
+    /// Prepares a turn and waits for the outcome.
+    prepared_turn prepare(turn_request request) {
+        std::optional<prepared_turn> result;
+        const auto step = client->prepare(
+            std::move(request), [&](prepared_turn prepared) { result = std::move(prepared); });
+        cr_assert(run_until(loop, [&] { return result.has_value(); }));
+        return *std::move(result);
+    }
+
+    net::event_loop loop;
+    std::list<scripted_member> members;
+    directory::storage_view view;
+    std::unique_ptr<net::peer_rpc> rpc;
+    std::unique_ptr<turn_client> client;
+};
+
+inline turn_request request_of(std::uint64_t tokens, std::uint64_t budget,
+                               const std::string& previous = "") {
+    return {.wanted = {.program = base::program_id("program"),
+                       .turn = turn_id("turn"),
+                       .tokens = tokens},
+            .budget = budget,
+            .previous = turn_id(previous)};
+}
+
+}  // namespace pearbarrow::turns::testing
--- /dev/null
+++ b/tests/unit/turns/turn_store_test.cc
@@ -0,0 +1,104 @@
+#include "pearbarrow/turns/turn_store.h"
+
+#include <sys/resource.h>
+
+#include <csignal>
+#include <filesystem>
+#include <optional>
+
+#include "../net/net_fixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace pearbarrow;
+using namespace pearbarrow::turns;
+using net::testing::run_until;
+
+namespace {
+
+/// A folder that goes with the test.
+struct temporary_folder {
+    temporary_folder() {
+        std::string pattern = std::filesystem::temp_directory_path() / "turn-store-XXXXXX";
+        path = ::mkdtemp(pattern.data());
+    }
+    ~temporary_folder() { std::filesystem::remove_all(path); }
+    std::string path;
+};
+
+struct opened_store {
+    explicit opened_store(const std::string& folder, bool complete = true) {
+        turn_store_options options;
+        options.folder = folder + "/turns";
+        options.new_disk = disk_id("disk-1");
+        options.new_disk_is_complete = complete;
+        options.clock = &clock;
+        options.post = [this](std::function<void()> task) { loop.post(std::move(task)); };
+        auto opened = open_rocksdb_turn_store(options);
+        cr_assert(opened.ok(), "%s", opened.status().ToString().c_str());
+        store = *std::move(opened);
+    }
+
+    absl::Status write(store_change change) {
+        std::optional<absl::Status> result;
+        store->write(std::move(change), [&](const absl::Status& status) { result = status; });
+        cr_assert(run_until(loop, [&] { return result.has_value(); }));
+        return *result;
+    }
+
+    base::system_clock_source clock;
+    net::event_loop loop;
+    std::unique_ptr<turn_store> store;
+};
+
+store_change turn_change(const std::string& turn, const std::string& output) {
+    store_change change;
+    change.turns.push_back({change_number(1), 5, {.turn = turn_id(turn), .output = output}});
+    return change;
+}
+
+}  // namespace
+
+Test(turn_store, keeps_turns_reservations_and_identity) {
+    const temporary_folder folder;
+    {
+        opened_store opened(folder.path);
+        cr_assert(opened.store->load()->disk == disk_id("disk-1"));
+        store_change change = turn_change("t1", "out");
+        change.reservations.push_back(
+            {change_number(2), 5, {base::program_id("p"), turn_id("t1"), 7, true}});
+        cr_assert(opened.write(change).ok());
+    }
+    opened_store again(folder.path, false);
+    const auto contents = again.store->load();
+    cr_assert(contents.ok());
+    cr_assert(contents->complete, "completeness belongs to the disk, not to the start");
+    cr_assert(contents->turns.size() == 1);
+    cr_assert(contents->turns.front().record.output.empty());
+    cr_assert(contents->reservations.size() == 1);
+    cr_assert(contents->reservations.front().value.tokens == 7);
+    cr_assert(again.store->read(turn_id("t1"))->output == "out");
+    cr_assert(again.store->read(turn_id("t2")).status().code() == absl::StatusCode::kNotFound);
+}
+
+Test(turn_store, a_full_disk_refuses_writes_and_takes_them_again_later) {
+    const temporary_folder folder;
+    opened_store opened(folder.path);
+    cr_assert(opened.write(turn_change("t1", "out")).ok());
+    std::signal(SIGXFSZ, SIG_IGN);
+    // No file may grow beyond this: writes fail as they do on a full disk.
+    const rlimit full{4'096, RLIM_INFINITY};
+    cr_assert(::setrlimit(RLIMIT_FSIZE, &full) == 0);
+    cr_assert(!opened.write(turn_change("t2", std::string(20'000, 'x'))).ok());
+    cr_assert(!opened.write(turn_change("t3", std::string(20'000, 'y'))).ok());
+    const rlimit roomy{RLIM_INFINITY, RLIM_INFINITY};
+    cr_assert(::setrlimit(RLIMIT_FSIZE, &roomy) == 0);
+    bool written = false;
+    for (int attempt = 0; attempt < 500 && !written; ++attempt) {
+        written = opened.write(turn_change("t4", "z")).ok();
+        net::testing::run_for(opened.loop, base::milliseconds{10});
+    }
+    cr_assert(written);
+    cr_assert(opened.store->read(turn_id("t1"))->output == "out");
+    cr_assert(opened.store->read(turn_id("t4"))->output == "z");
+}
