--- a/src/pearbarrow/directory/directory_exchange.cc
+++ b/src/pearbarrow/directory/directory_exchange.cc
@@ -11,6 +11,9 @@
 /// What a peer may take longer than its own hold before its silence counts as a failure.
 constexpr base::milliseconds answer_slack{1'000};
 constexpr std::size_t peers_told = 8;
+constexpr base::milliseconds ask_back_timeout{1'000};
+/// Leaves the peers time to learn of a change by themselves.
+constexpr base::milliseconds ask_anew_delay{150};
 
 }  // namespace
 
@@ -45,6 +48,31 @@
     }
     answer_waiting();
     on_change_(changed);
+    ask_anew();
+}
+
+void directory_exchange::ask_anew() {
+    for (open_question& question : questions_) {
+        if (question.peer.port != 0) {
+            question.retry = loop_.after(ask_anew_delay, [this, &question] { ask(question); });
+        }
+    }
+}
+
+void directory_exchange::ask_back(const watch_question& question) {
+    const watch_question message{.known = state_.versions(), .asker = options_.self};
+    ask_back_ = rpc_.call(
+        base::node_id(), question.asker, wire::directory_watch, wire::encode(message),
+        ask_back_timeout,
+        {.on_part = nullptr, .on_done = [this](const absl::StatusOr<std::string>& payload) {
+             if (!payload.ok()) {
+                 return;
+             }
+             auto reply = wire::decode<watch_answer>(*payload);
+             if (reply.ok()) {
+                 publish(std::move(reply->update));
+             }
+         }});
 }
 
 void directory_exchange::take_question(std::string_view payload,
@@ -55,6 +83,11 @@
         return;
     }
     learn_peer(question->asker);
+    const directory_versions own = state_.versions();
+    if (question->known.config > own.config || question->known.storage > own.storage ||
+        question->known.backends > own.backends) {
+        ask_back(*question);
+    }
     if (!state_.newer_than(question->known).is_empty()) {
         answer(responder, question->known);
         return;
--- a/src/pearbarrow/directory/directory_exchange.h
+++ b/src/pearbarrow/directory/directory_exchange.h
@@ -2,9 +2,11 @@
 ///
 /// Protocol: a node keeps one question open at each of a few peers ("I have these versions").
 /// The peer answers as soon as it knows something newer, or after a while with nothing; the node
-/// asks again. Each answer names further peers, so the seeds of the settings are enough to begin.
-/// What a node learns here counts as much as what it reads from the outside service itself, so
-/// nodes which that service turns away stay current.
+/// asks again. A question also shows what the asker knows: a peer that knows less asks back at
+/// once, and a node that has learned something puts its questions anew. Each answer names further
+/// peers, so the seeds of the settings are enough to begin. What a node learns here counts as much
+/// as what it reads from the outside service itself, so nodes which that service turns away stay
+/// current.
 #pragma once
 
 #include <cstdint>
@@ -68,6 +70,7 @@
     /// Takes what the outside service told, and tells it to the peers that wait.
     void publish(directory_update update);
     const directory_state& state() const { return state_; }
+    std::size_t peer_count() const { return peers_.size(); }
 
   private:
     /// A question that a peer keeps open here.
@@ -87,6 +90,10 @@
     void answer(const std::shared_ptr<net::peer_responder>& responder,
                 const directory_versions& known);
     void answer_waiting();
+    /// Asks whoever has just shown to know more than this node.
+    void ask_back(const watch_question& question);
+    /// Puts the open questions anew, so that peers see what this node knows now.
+    void ask_anew();
     void ask(open_question& question);
     void take_answer(open_question& question, const absl::StatusOr<std::string>& payload);
     void learn_peer(const net::endpoint& peer);
@@ -102,6 +109,7 @@
     std::vector<net::endpoint> peers_;
     std::list<waiting_question> waiting_;
     std::list<open_question> questions_;
+    std::unique_ptr<net::peer_call_handle> ask_back_;
 };
 
 }  // namespace pearbarrow::directory
