--- a/apps/pearbarrowctl.cc
+++ b/apps/pearbarrowctl.cc
@@ -20,6 +20,7 @@
 #include "pearbarrow/base/status.h"
 #include "pearbarrow/operator/control_client.h"
 #include "pearbarrow/operator/control_output.h"
+#include "pearbarrow/operator/trace.h"
 
 namespace {
 
@@ -317,6 +318,39 @@
             {verify_app, verify}};
 }
 
+/// `trace` reads files only: it needs no server.
+struct trace_line_options {
+    std::string request;
+    std::vector<std::string> files;
+};
+
+CLI::App* add_trace(CLI::App& app, trace_line_options& given) {
+    auto* trace_app = app.add_subcommand("trace", "A request's history, from the nodes' logs");
+    trace_app->add_option("request", given.request, "The request's id")->required();
+    trace_app->add_option("files", given.files, "Logs of nodes, in any order")->required();
+    return trace_app;
+}
+
+int run_trace(const trace_line_options& given) {
+    pearbarrow::operators::trace_collector collector(given.request);
+    for (const std::string& name : given.files) {
+        std::ifstream file(name);
+        if (!file) {
+            return usage_error(fmt::format("{}: can't be read", name));
+        }
+        for (std::string line; std::getline(file, line);) {
+            collector.add_line(line);
+        }
+    }
+    const auto trace = collector.finish();
+    if (trace.lines.empty()) {
+        fmt::print(stderr, "no line about request '{}'\n", given.request);
+        return exit_code(control_exit::usage);
+    }
+    fmt::print("{}", pearbarrow::operators::trace_text(trace));
+    return exit_code(control_exit::done);
+}
+
 /// The key without the newline that ends its file; none when it can't be read.
 std::optional<std::string> read_key(const command_line& given) {
     if (given.key_file.empty()) {
@@ -382,6 +416,8 @@
         ->check(CLI::IsMember({"json", "table"}))
         ->capture_default_str();
     app.fallthrough();
+    trace_line_options tracing;
+    auto* trace_app = add_trace(app, tracing);
     auto commands = add_changes(app, given);
     const auto questions = add_questions(app, given);
     commands.insert(commands.end(), questions.begin(), questions.end());
@@ -391,5 +427,5 @@
         const bool asked_for_help = app.exit(error) == 0;
         return exit_code(asked_for_help ? control_exit::done : control_exit::usage);
     }
-    return run(given, commands);
+    return trace_app->parsed() ? run_trace(tracing) : run(given, commands);
 }
--- a/src/pearbarrow/base/log.cc
+++ b/src/pearbarrow/base/log.cc
@@ -1,11 +1,18 @@
 #include "pearbarrow/base/log.h"
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <chrono>
+#include <cstdio>
+#include <iterator>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <utility>
 
-#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/fmt/fmt.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
 
 #include "pearbarrow/base/status.h"
@@ -13,6 +20,47 @@
 namespace pearbarrow::base {
 namespace {
 
+/// Longest line that a pipe takes whole or not at all.
+constexpr std::size_t max_line_bytes = 4'096;
+
+/// Whether standard output takes a line now. What can't be asked (a file, say) never makes wait.
+bool takes_a_line() {
+    pollfd output{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+    const int ready = ::poll(&output, 1, 0);
+    return ready != 0;
+}
+
+/// Writes lines to standard output as long as it takes them.
+class output_sink final : public spdlog::sinks::base_sink<std::mutex> {
+  protected:
+    void sink_it_(const spdlog::details::log_msg& message) override {
+        if (!takes_a_line()) {
+            ++dropped_;
+            return;
+        }
+        spdlog::memory_buf_t line;
+        formatter_->format(message, line);
+        if (line.size() > max_line_bytes) {
+            // A cut line is no JSON: only what happened is told.
+            line.clear();
+            fmt::format_to(
+                std::back_inserter(line),
+                "{{\"level\":\"warning\",\"event\":\"log_line_too_long\",\"bytes\":{}}}\n",
+                message.payload.size());
+        }
+        if (dropped_ > 0) {
+            fmt::print(stdout,
+                       "{{\"level\":\"warning\",\"event\":\"log_lines_dropped\",\"lines\":{}}}\n",
+                       std::exchange(dropped_, 0));
+        }
+        std::fwrite(line.data(), 1, line.size(), stdout);
+    }
+    void flush_() override { std::fflush(stdout); }
+
+  private:
+    std::uint64_t dropped_ = 0;
+};
+
 struct logging_state {
     std::shared_ptr<spdlog::logger> logger;
     nlohmann::json common_fields = nlohmann::json::object();
@@ -21,7 +69,7 @@
 logging_state& state() {
     static logging_state instance = [] {
         logging_state made;
-        auto sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+        auto sink = std::make_shared<output_sink>();
         made.logger = std::make_shared<spdlog::logger>("pearbarrow", std::move(sink));
         made.logger->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%fZ","level":"%l",%v})",
                                  spdlog::pattern_time_type::utc);
--- a/src/pearbarrow/base/log.h
+++ b/src/pearbarrow/base/log.h
@@ -1,6 +1,8 @@
-/// Structured logs: one JSON object a line on standard error.
+/// Structured logs: one JSON object a line on standard output.
 ///
-/// Each line has `time`, `level`, `event` (one stable name an event) and the given fields.
+/// Writing never waits: a line that nobody takes is dropped, and the next one that is written says
+/// how many were. Each line has `time`, `level`, `event` (one stable name an event) and the given
+/// fields.
 #pragma once
 
 #include <string_view>
--- /dev/null
+++ b/src/pearbarrow/emulator/runner.cc
@@ -0,0 +1,113 @@
+#include "pearbarrow/emulator/runner.h"
+
+#include <utility>
+
+#include <spdlog/fmt/fmt.h>
+#include <nlohmann/json.hpp>
+
+namespace pearbarrow::emulator {
+namespace {
+
+constexpr char request_id_header[] = "Pearbarrow-Request-Id";
+constexpr char target_header[] = "Pearbarrow-Target-Instance";
+constexpr char deadline_header[] = "Pearbarrow-Deadline-Ms";
+constexpr char signature_header[] = "Pearbarrow-Response-Signature";
+constexpr char not_executed_header[] = "Pearbarrow-Not-Executed";
+constexpr char usage_header[] = "Pearbarrow-Token-Usage";
+
+}  // namespace
+
+runner::runner(net::event_loop& loop, runner_options options)
+    : loop_(loop),
+      options_(std::move(options)),
+      server_(
+          net::make_http_server(loop, {.listen = {"127.0.0.1", 0}},
+                                [this](const exchange_pointer& exchange) { handle(exchange); })) {}
+
+runner::~runner() = default;
+
+absl::Status runner::start() {
+    return server_->start();
+}
+
+std::string runner::list_entry(const std::string& service, const std::string& state) const {
+    return nlohmann::json{{"service", service}, {"address", net::to_string(address())},
+                          {"zone", "a"},        {"version", "v1"},
+                          {"slots", 8},         {"state", state},
+                          {"cold_left_ms", 0},  {"seq", 1}}
+        .dump();
+}
+
+net::http_headers runner::answer_headers(const net::http_request& request) const {
+    const bool foreign = fault_ == runner_fault::foreign_answer;
+    net::http_headers headers;
+    headers.add(request_id_header,
+                foreign ? "another" : request.headers.find(request_id_header).value_or(""));
+    if (fault_ != runner_fault::unsigned_answer) {
+        headers.add(signature_header, "signature of " + options_.id);
+    }
+    return headers;
+}
+
+void runner::handle(const exchange_pointer& exchange) {
+    const net::http_request& request = exchange->request();
+    const auto target = request.headers.find(target_header);
+    if (target.has_value() && *target != options_.id) {
+        exchange->respond({.status = 421, .headers = {}, .body = {}});
+        return;
+    }
+    if (fault_ == runner_fault::refuse) {
+        exchange->respond({.status = 503, .headers = {{not_executed_header, "1"}}, .body = {}});
+        return;
+    }
+    runs_.push_back({.request_id = request.headers.find(request_id_header).value_or(""),
+                     .target = request.target,
+                     .body = request.body,
+                     .deadline = request.headers.find(deadline_header).value_or("")});
+    exchange->on_closed([this, index = runs_.size() - 1] { runs_[index].cancelled = true; });
+    if (fault_ == runner_fault::lose_answer) {
+        exchange->abort();
+    } else if (fault_ == runner_fault::hang) {
+        held_.push_back(exchange);
+    } else if (request.headers.find(usage_header).has_value()) {
+        start_stream(exchange);
+    } else {
+        answer_plain(*exchange);
+    }
+}
+
+void runner::answer_plain(net::http_exchange& exchange) const {
+    exchange.respond({.status = 200,
+                      .headers = answer_headers(exchange.request()),
+                      .body = "answer of " + options_.id});
+}
+
+void runner::start_stream(const exchange_pointer& exchange) {
+    net::http_headers headers = answer_headers(exchange->request());
+    headers.add("Content-Type", "text/event-stream");
+    exchange->start_stream(200, std::move(headers));
+    const std::uint64_t number = ++last_stream_;
+    streams_[number].exchange = exchange;
+    streams_[number].next =
+        loop_.after(options_.event_interval, [this, number] { send_event(number); });
+}
+
+void runner::send_event(std::uint64_t number) {
+    open_stream& stream = streams_.at(number);
+    ++stream.sent;
+    stream.exchange->write(
+        fmt::format("id: {}\ndata: {}-{}\n\n", stream.sent, options_.id, stream.sent));
+    if (fault_ == runner_fault::cut_stream) {
+        stream.exchange->abort();
+        streams_.erase(number);
+        return;
+    }
+    if (stream.sent == options_.events) {
+        stream.exchange->finish();
+        streams_.erase(number);
+        return;
+    }
+    stream.next = loop_.after(options_.event_interval, [this, number] { send_event(number); });
+}
+
+}  // namespace pearbarrow::emulator
--- /dev/null
+++ b/src/pearbarrow/emulator/runner.h
@@ -0,0 +1,91 @@
+/// Stand-in of a runner of the users' platform: runs plain requests and streams, with faults.
+///
+/// Speaks the published protocol of that platform as far as forwarding meets it: it refuses
+/// requests for another instance with 421, echoes the request's id and signs its answers.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "pearbarrow/base/clock.h"
+#include "pearbarrow/net/event_loop.h"
+#include "pearbarrow/net/http.h"
+
+namespace pearbarrow::emulator {
+
+/// What a runner does with the next requests.
+enum class runner_fault {
+    none,
+    /// 503, not run.
+    refuse,
+    /// Runs, then closes without an answer.
+    lose_answer,
+    /// Runs and never answers.
+    hang,
+    /// Answers with the id of another request.
+    foreign_answer,
+    /// Breaks the connection in the middle of a stream.
+    cut_stream,
+    /// Answers 200 without a signature.
+    unsigned_answer,
+};
+
+struct runner_options {
+    std::string id = "i-1";
+    /// Events of a stream, and the pause before each.
+    std::uint32_t events = 3;
+    base::milliseconds event_interval{2};
+};
+
+/// A request that a runner has run.
+struct run_record {
+    std::string request_id;
+    std::string target;
+    std::string body;
+    std::string deadline;
+    bool cancelled = false;
+};
+
+class runner {
+  public:
+    runner(net::event_loop& loop, runner_options options);
+    ~runner();
+    runner(const runner&) = delete;
+    runner& operator=(const runner&) = delete;
+
+    absl::Status start();
+    net::endpoint address() const { return server_->local_endpoint(); }
+    /// The entry under `servers/ID` of a runner of `service`.
+    std::string list_entry(const std::string& service, const std::string& state = "ready") const;
+    void set_fault(runner_fault fault) { fault_ = fault; }
+    const std::deque<run_record>& runs() const { return runs_; }
+
+  private:
+    using exchange_pointer = std::shared_ptr<net::http_exchange>;
+    struct open_stream {
+        exchange_pointer exchange;
+        std::uint32_t sent = 0;
+        std::unique_ptr<net::timer_handle> next;
+    };
+
+    void handle(const exchange_pointer& exchange);
+    void answer_plain(net::http_exchange& exchange) const;
+    void start_stream(const exchange_pointer& exchange);
+    void send_event(std::uint64_t number);
+    net::http_headers answer_headers(const net::http_request& request) const;
+
+    net::event_loop& loop_;
+    runner_options options_;
+    std::unique_ptr<net::http_server> server_;
+    runner_fault fault_ = runner_fault::none;
+    std::deque<run_record> runs_;
+    std::map<std::uint64_t, open_stream> streams_;
+    std::vector<exchange_pointer> held_;
+    std::uint64_t last_stream_ = 0;
+};
+
+}  // namespace pearbarrow::emulator
--- a/src/pearbarrow/fleet/storage_node.cc
+++ b/src/pearbarrow/fleet/storage_node.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "pearbarrow/base/log.h"
+#include "pearbarrow/wire/codec.h"
 
 namespace pearbarrow::fleet {
 namespace {
@@ -61,11 +62,33 @@
     }
     replica_->start();
     membership_->start();
+    recall_directory();
     return absl::OkStatus();
 }
 
+void storage_node::recall_directory() {
+    const std::string kept = store_->read_directory();
+    auto update = wire::decode<directory::directory_update>(kept);
+    if (kept.empty() || !update.ok()) {
+        return;
+    }
+    base::log(base::log_level::info, "directory_recalled", {{"bytes", kept.size()}});
+    parts_.directory().publish(*std::move(update));
+}
+
+void storage_node::keep_directory() {
+    // After a loss of power while the outside service is down, this is all that anyone knows.
+    turns::store_change change;
+    change.directory = wire::encode(parts_.directory().state().newer_than({}));
+    store_->write(std::move(change), [](const absl::Status& /*status*/) {});
+}
+
 void storage_node::take_changes(const directory::directory_state::changes& changed) {
-    if (!changed.storage || membership_ == nullptr) {
+    if (membership_ == nullptr) {
+        return;
+    }
+    keep_directory();
+    if (!changed.storage) {
         return;
     }
     const directory::storage_view& view = *parts_.directory().state().current().storage;
--- a/src/pearbarrow/fleet/storage_node.h
+++ b/src/pearbarrow/fleet/storage_node.h
@@ -23,11 +23,16 @@
     /// Opens the store and the links; `outside` must live as long as the node.
     absl::Status start(turns::storage_register& outside);
     void stop(std::function<void()> done);
+    /// Whether it knows all that it has ever confirmed.
+    bool is_complete() const { return replica_ != nullptr && replica_->is_complete(); }
     node_parts& parts() { return parts_; }
     turns::storage_membership& membership() { return *membership_; }
 
   private:
     absl::Status open_store();
+    /// Publishes what was known before the process ended.
+    void recall_directory();
+    void keep_directory();
     void take_changes(const directory::directory_state::changes& changed);
 
     node_parts parts_;
--- a/src/pearbarrow/forward/backend_pool.cc
+++ b/src/pearbarrow/forward/backend_pool.cc
@@ -65,19 +65,33 @@
             request.excluded.count(id) > 0) {
             continue;
         }
-        (one.rests_until > now ? resting : fit).push_back(&one);
+        (is_resting(one, now) ? resting : fit).push_back(&one);
     }
     // A resting back end may have recovered: better than none.
     return fit.empty() ? resting : fit;
 }
 
-backend_pool::entry* backend_pool::by_affinity(const std::vector<entry*>& fit,
-                                               std::string_view key) const {
+bool backend_pool::is_resting(const entry& one, base::instant now) const {
+    if (one.rests_until > now) {
+        return true;
+    }
+    if (one.unanswered.empty()) {
+        return false;
+    }
+    const auto by_mean =
+        base::microseconds(static_cast<std::int64_t>(options_.silence_factor * one.mean_time));
+    return now - *one.unanswered.begin() >
+           std::max<base::microseconds>(options_.least_silence, by_mean);
+}
+
+backend_pool::entry* backend_pool::by_affinity(const std::vector<entry*>& fit, std::string_view key,
+                                               bool own_zone) const {
     entry* best = nullptr;
     std::uint64_t best_weight = 0;
     for (entry* one : fit) {
         const std::uint64_t weight = base::stable_hash(key, base::stable_hash(one->backend.id));
-        const bool has_room = one->in_flight < options_.affinity_bound;
+        const bool has_room = one->in_flight < options_.affinity_bound &&
+                              (!own_zone || one->backend.zone == options_.zone);
         if (has_room && (best == nullptr || weight > best_weight)) {
             best = one;
             best_weight = weight;
@@ -130,15 +144,32 @@
     if (fit.empty()) {
         return std::nullopt;
     }
-    entry* chosen = request.affinity_key.empty() ? nullptr : by_affinity(fit, request.affinity_key);
+    entry* chosen = nullptr;
+    if (!request.affinity_key.empty()) {
+        // What is sent to another zone costs more than a prompt that is read once more.
+        chosen = by_affinity(fit, request.affinity_key, true);
+        chosen = chosen != nullptr ? chosen : by_affinity(fit, request.affinity_key, false);
+    }
     if (chosen == nullptr) {
         chosen = by_load(fit);
     }
     ++chosen->in_flight;
+    chosen->unanswered.insert(now);
     return choice{
         .target = chosen->backend, .in_flight = chosen->in_flight, .candidates = fit.size()};
 }
 
+void backend_pool::answered(const std::string& id, base::instant began) {
+    const auto found = entries_.find(id);
+    if (found == entries_.end()) {
+        return;
+    }
+    auto& unanswered = found->second.unanswered;
+    if (const auto at = unanswered.find(began); at != unanswered.end()) {
+        unanswered.erase(at);
+    }
+}
+
 void backend_pool::ended(const std::string& id, attempt_result result, base::microseconds took,
                          base::instant now) {
     const auto found = entries_.find(id);
--- a/src/pearbarrow/forward/backend_pool.h
+++ b/src/pearbarrow/forward/backend_pool.h
@@ -44,11 +44,16 @@
     base::milliseconds most_rest{2'000};
     /// Requests of this node at the preferred back end above which another one is taken.
     std::uint32_t affinity_bound = 4;
+    /// A back end that has left a request without the head of an answer for this long, and for
+    /// `silence_factor` times its mean answer, is passed over while another one is fit.
+    base::milliseconds least_silence{700};
+    double silence_factor = 4;
 };
 
 struct choice_request {
     std::string service;
-    /// Requests of the same key go to the same back end while it isn't overloaded; empty: any.
+    /// Requests of the same key go to the same back end of the own zone while it isn't overloaded,
+    /// then to the same one of all; empty: any.
     std::string affinity_key;
     /// Back ends that this request was sent to already.
     std::set<std::string> excluded;
@@ -69,7 +74,10 @@
 
     /// The back end to send to, counted as sent; none when no back end is fit.
     std::optional<choice> choose(const choice_request& request, base::instant now);
-    /// An attempt at the back end has ended. `took` counts for answers only.
+    /// The head of an answer has come for an attempt that began at `began`.
+    void answered(const std::string& id, base::instant began);
+    /// An attempt at the back end has ended; call `answered` before. `took` counts for answers
+    /// only.
     void ended(const std::string& id, attempt_result result, base::microseconds took,
                base::instant now);
     std::size_t backend_count(std::string_view service) const;
@@ -82,12 +90,15 @@
         std::uint32_t in_flight = 0;
         std::uint32_t failures_in_row = 0;
         base::instant rests_until{};
+        /// When the attempts began that have no head of an answer yet.
+        std::multiset<base::instant> unanswered;
         /// Mean time of recent answers, in microseconds; 0: none yet.
         double mean_time = 0;
     };
 
     std::vector<entry*> candidates(const choice_request& request, base::instant now);
-    entry* by_affinity(const std::vector<entry*>& fit, std::string_view key) const;
+    bool is_resting(const entry& one, base::instant now) const;
+    entry* by_affinity(const std::vector<entry*>& fit, std::string_view key, bool own_zone) const;
     entry* by_load(const std::vector<entry*>& fit);
     double load_of(const entry& one, double typical_time) const;
 
--- a/src/pearbarrow/forward/forwarded_request.cc
+++ b/src/pearbarrow/forward/forwarded_request.cc
@@ -121,10 +121,11 @@
         on_time_up();
         return;
     }
+    attempt_began_ = context_.clock.now();
     const auto chosen = context_.pool.choose({.service = choose_service(),
                                               .affinity_key = is_stream() ? facts_.program : "",
                                               .excluded = tried_},
-                                             context_.clock.now());
+                                             attempt_began_);
     if (!chosen.has_value()) {
         answer_problem(503, "no_backend", "no back end can take the request now", true);
         return;
@@ -133,7 +134,6 @@
     tried_.insert(target_.id);
     ++attempts_;
     attempt_open_ = true;
-    attempt_began_ = context_.clock.now();
     status_ = 0;
     headers_ = {};
     body_.clear();
@@ -175,17 +175,19 @@
     status_ = status;
     headers_ = headers;
     head_seen_ = true;
+    context_.pool.answered(target_.id, attempt_began_);
     const auto echoed = headers.find(names.request_id);
     // The late answer to an earlier request of the same connection.
     is_foreign_ = echoed.has_value() && *echoed != facts_.request_id;
     is_refusal_ = status == 421 || headers.find(names.not_executed).has_value();
-    if (is_foreign_) {
+    const bool is_unsigned = is_success(status) && !headers.find(names.signature).has_value();
+    if (is_foreign_ || (is_unsigned && !is_refusal_)) {
         call_.reset();
         take_failure(base::make_error(absl::StatusCode::kUnavailable,
-                                      "the answer belongs to another request",
+                                      "the answer is not this request's own",
                                       {.step = "read",
                                        .peer = target_.id,
-                                       .reason = "foreign_answer",
+                                       .reason = is_foreign_ ? "foreign_answer" : "unsigned_answer",
                                        .was_executed = base::executed::unknown}));
         return;
     }
@@ -221,6 +223,9 @@
 void forwarded_request::end_attempt(attempt_result result) {
     attempt_open_ = false;
     const base::instant now = context_.clock.now();
+    if (!head_seen_) {
+        context_.pool.answered(target_.id, attempt_began_);
+    }
     const auto took =
         is_stream() && event_count_ > 0 ? first_event_ - attempt_began_ : now - attempt_began_;
     context_.pool.ended(target_.id, result, took, now);
--- /dev/null
+++ b/src/pearbarrow/operator/trace.cc
@@ -0,0 +1,121 @@
+#include "pearbarrow/operator/trace.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include <spdlog/fmt/fmt.h>
+
+namespace pearbarrow::operators {
+namespace {
+
+/// Fields that every line has, or that stand in the line's own columns.
+constexpr std::array<std::string_view, 5> column_fields{"time", "node", "event", "level",
+                                                        "request"};
+
+/// Events of a node that explain what its requests met.
+constexpr std::array<std::string_view, 11> node_events{"configuration_in_force",
+                                                       "dependency_lost",
+                                                       "dependency_regained",
+                                                       "peer_link_lost",
+                                                       "store_history_lost",
+                                                       "started",
+                                                       "stopping",
+                                                       "stopped",
+                                                       "turn_store_write_failed",
+                                                       "storage_member_dead",
+                                                       "turn_replica_complete"};
+
+/// Events that end the hopes of a request, or of one attempt.
+constexpr std::array<std::string_view, 5> deciding_events{
+    "turn_refused", "attempt_broken", "attempt_refused", "attempt_failed", "request_refused"};
+
+template <typename List>
+bool contains(const List& list, std::string_view text) {
+    return std::find(list.begin(), list.end(), text) != list.end();
+}
+
+/// The time up to the second; lines near each other share it or follow it.
+std::string second_of(const std::string& time) {
+    return time.substr(0, std::min<std::size_t>(time.size(), 19));
+}
+
+bool went_well(const trace_line& line) {
+    return line.event == "request_ended" && line.fields.value("reason", "") == "served";
+}
+
+std::optional<std::size_t> deciding_line(const std::vector<trace_line>& lines) {
+    const auto last = std::find_if(lines.rbegin(), lines.rend(),
+                                   [](const trace_line& line) { return line.of_request; });
+    if (last == lines.rend() || went_well(*last)) {
+        return std::nullopt;
+    }
+    for (std::size_t index = lines.size(); index > 0; --index) {
+        const trace_line& line = lines[index - 1];
+        if (line.of_request && contains(deciding_events, line.event)) {
+            return index - 1;
+        }
+    }
+    return static_cast<std::size_t>(std::distance(lines.begin(), last.base())) - 1;
+}
+
+}  // namespace
+
+void trace_collector::add_line(std::string_view text) {
+    const auto brace = text.find('{');
+    if (brace == std::string_view::npos) {
+        return;
+    }
+    nlohmann::json fields = nlohmann::json::parse(text.substr(brace), nullptr, false);
+    if (!fields.is_object() || !fields.contains("event")) {
+        return;
+    }
+    trace_line line{.time = fields.value("time", ""),
+                    .node = fields.value("node", ""),
+                    .event = fields.value("event", ""),
+                    .fields = {},
+                    .of_request = fields.value("request", "") == request_};
+    line.fields = std::move(fields);
+    if (line.of_request) {
+        of_request_.push_back(std::move(line));
+    } else if (contains(node_events, line.event)) {
+        of_nodes_.push_back(std::move(line));
+    }
+}
+
+request_trace trace_collector::finish() const {
+    request_trace trace;
+    trace.lines = of_request_;
+    for (const trace_line& line : of_nodes_) {
+        const bool is_near = std::any_of(
+            of_request_.begin(), of_request_.end(), [&line](const trace_line& request_line) {
+                return request_line.node == line.node &&
+                       second_of(request_line.time) == second_of(line.time);
+            });
+        if (is_near) {
+            trace.lines.push_back(line);
+        }
+    }
+    std::stable_sort(trace.lines.begin(), trace.lines.end(),
+                     [](const auto& left, const auto& right) { return left.time < right.time; });
+    trace.deciding = deciding_line(trace.lines);
+    return trace;
+}
+
+std::string trace_text(const request_trace& trace) {
+    std::string out;
+    for (std::size_t index = 0; index < trace.lines.size(); ++index) {
+        const trace_line& line = trace.lines[index];
+        const char* mark = trace.deciding == index ? "=>" : "  ";
+        out += fmt::format("{} {} {} {}", mark, line.time, line.node, line.event);
+        for (const auto& [name, value] : line.fields.items()) {
+            if (!contains(column_fields, name)) {
+                out += fmt::format(" {}={}", name, value.dump());
+            }
+        }
+        out.push_back('\n');
+    }
+    return out;
+}
+
+}  // namespace pearbarrow::operators
--- /dev/null
+++ b/src/pearbarrow/operator/trace.h
@@ -0,0 +1,50 @@
+/// The history of one request, put together from the logs of several nodes.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+namespace pearbarrow::operators {
+
+/// One log line, with what its order depends on.
+struct trace_line {
+    /// As logged: UTC, sorts as text.
+    std::string time;
+    std::string node;
+    std::string event;
+    nlohmann::json fields;
+    /// The line is about the request itself, not about what its nodes went through meanwhile.
+    bool of_request = false;
+};
+
+struct request_trace {
+    /// In the order of time.
+    std::vector<trace_line> lines;
+    /// Index of the line that decided the outcome; none when all went well.
+    std::optional<std::size_t> deciding;
+};
+
+/// Collects the lines about `request` from logs of any nodes, and what the nodes that served it
+/// noted within a second around it (lost and regained dependencies, changes, starts and stops).
+/// Text before a line's first brace, as log collectors add it, is ignored; so are other lines.
+class trace_collector {
+  public:
+    explicit trace_collector(std::string request) : request_(std::move(request)) {}
+
+    void add_line(std::string_view line);
+    request_trace finish() const;
+
+  private:
+    std::string request_;
+    std::vector<trace_line> of_request_;
+    std::vector<trace_line> of_nodes_;
+};
+
+/// The trace for a person, one line each; the deciding one begins with "=>".
+std::string trace_text(const request_trace& trace);
+
+}  // namespace pearbarrow::operators
--- a/src/pearbarrow/turns/rocksdb_turn_store.cc
+++ b/src/pearbarrow/turns/rocksdb_turn_store.cc
@@ -18,9 +18,10 @@
 namespace {
 
 // Keys: one letter, then the name. `i` identity of the disk, `c` its completeness, `t` a turn,
-// `r` a reservation (program, NUL, turn).
+// `r` a reservation (program, NUL, turn), `d` the directory.
 constexpr char identity_key[] = "i";
 constexpr char complete_key[] = "c";
+constexpr char directory_key[] = "d";
 
 /// Between two attempts to open the database again.
 constexpr base::milliseconds reopen_interval{200};
@@ -112,6 +113,7 @@
     absl::StatusOr<store_contents> load() override;
     void write(store_change change, std::function<void(absl::Status)> done) override;
     absl::StatusOr<turn_record> read(const turn_id& turn) const override;
+    std::string read_directory() const override;
 
   private:
     struct pending_write {
@@ -222,6 +224,15 @@
     return std::move(entry->record);
 }
 
+std::string rocksdb_turn_store::read_directory() const {
+    std::string value;
+    const auto open = database();
+    if (open == nullptr || !open->Get({}, directory_key, &value).ok()) {
+        return {};
+    }
+    return value;
+}
+
 void rocksdb_turn_store::add(rocksdb::WriteBatch& batch, const store_change& change) {
     for (const stored_turn& turn : change.turns) {
         batch.Put(turn_key(turn.record.turn), wire::encode(turn));
@@ -238,6 +249,9 @@
     if (change.complete.has_value()) {
         batch.Put(complete_key, *change.complete ? "1" : "0");
     }
+    if (change.directory.has_value()) {
+        batch.Put(directory_key, *change.directory);
+    }
 }
 
 absl::Status rocksdb_turn_store::write_batch(rocksdb::WriteBatch& batch) {
--- a/src/pearbarrow/turns/turn_store.h
+++ b/src/pearbarrow/turns/turn_store.h
@@ -43,6 +43,8 @@
     std::vector<reservation> dropped_reservations;
     /// Sets whether the member knows all that it has ever confirmed.
     std::optional<bool> complete;
+    /// Replaces what is kept of the directory.
+    std::optional<std::string> directory;
 };
 
 /// What is read at the start; the texts of turns stay in the store.
@@ -62,6 +64,8 @@
     /// whole. Changes take effect in the order of the calls. After a failure, as on a full disk,
     /// writes fail until the store could be opened again.
     virtual void write(store_change change, std::function<void(absl::Status)> done) = 0;
+    /// What is kept of the directory; empty when nothing is.
+    virtual std::string read_directory() const = 0;
     /// The turn with its texts; kNotFound when it isn't there.
     virtual absl::StatusOr<turn_record> read(const turn_id& turn) const = 0;
 };
--- a/tests/process/fleet.py
+++ b/tests/process/fleet.py
@@ -45,11 +45,18 @@
 
     def _read_output(self):
         for raw in self._child.stdout:
+            self._keep(raw)
             try:
                 self.lines.put(json.loads(raw))
             except ValueError:
                 self.lines.put({"event": "text", "text": raw.decode(errors="replace")})
 
+    def _keep(self, raw):
+        """Logs come on standard output: they belong into the log file too."""
+        if not self._log.closed:
+            self._log.write(raw)
+            self._log.flush()
+
     @property
     def pid(self):
         return self._child.pid
--- /dev/null
+++ b/tests/unit/fleet/forwarding_test.cc
@@ -0,0 +1,159 @@
+// Forwarding of plain requests through a whole fleet, and its bad cases.
+#include "fleet_fixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace pearbarrow;
+using namespace pearbarrow::fleet::testing;
+using emulator::runner_fault;
+
+Test(forwarding, a_request_passes_through_untouched) {
+    fleet_fixture fleet;
+    fleet.make_ready();
+    const auto answer = fleet.call(0, "/plain/a?b=c%20d", "r1",
+                                   {{"Pearbarrow-Deadline-Ms", "1000"}, {"X-Own", "kept"}}, "text");
+    cr_assert(answer.status == 200 && answer.whole);
+    cr_assert(answer.body == "answer of i-tool");
+    cr_assert(answer.headers.find("Pearbarrow-Response-Signature").has_value());
+    const auto& run = fleet.tool->runs().front();
+    cr_assert(run.request_id == "r1" && run.target == "/plain/a?b=c%20d" && run.body == "text");
+    cr_assert(std::stoi(run.deadline) <= 1000 && std::stoi(run.deadline) > 500);
+}
+
+Test(forwarding, without_a_configuration_the_answer_is_503_and_never_404) {
+    fleet_fixture fleet(0, 1);
+    const auto answer = fleet.call(0, "/plain/a", "r1");
+    cr_assert(answer.status == 503);
+    cr_assert(answer.headers.find("Retry-After").has_value());
+}
+
+Test(forwarding, an_unknown_path_is_404) {
+    fleet_fixture fleet(0, 1);
+    fleet.make_ready();
+    cr_assert(fleet.call(0, "/other/a", "r1").status == 404);
+}
+
+Test(forwarding, a_header_that_must_be_a_number_is_checked) {
+    fleet_fixture fleet(0, 1);
+    fleet.make_ready();
+    cr_assert(fleet.call(0, "/plain/a", "r1", {{"Pearbarrow-Deadline-Ms", "soon"}}).status == 400);
+    cr_assert(fleet.tool->runs().empty());
+}
+
+Test(forwarding, a_refused_request_goes_to_another_runner) {
+    fleet_fixture fleet(0, 1);
+    fleet.make_ready();
+    fleet.tool->set_fault(runner_fault::refuse);
+    auto& other = fleet.add_runner("tool", "i-other");
+    cr_assert(run_until(fleet.loop, [&] { return fleet.is_settled(); }));
+    for (int index = 0; index < 4; ++index) {
+        cr_assert(fleet.call(0, "/once/a", "r" + std::to_string(index)).status == 200);
+    }
+    cr_assert(other.runs().size() == 4);
+}
+
+Test(forwarding, a_refusal_without_another_runner_is_503_with_the_time_to_come_back) {
+    fleet_fixture fleet(0, 1);
+    fleet.make_ready();
+    fleet.tool->set_fault(runner_fault::refuse);
+    const auto answer = fleet.call(0, "/once/a", "r1");
+    cr_assert(answer.status == 503);
+    cr_assert(answer.headers.find("Retry-After").has_value());
+}
+
+Test(forwarding, a_lost_answer_is_never_asked_for_twice_unless_it_may_be) {
+    fleet_fixture fleet(0, 1);
+    fleet.make_ready();
+    auto& other = fleet.add_runner("tool", "i-other");
+    cr_assert(run_until(fleet.loop, [&] { return fleet.is_settled(); }));
+    fleet.tool->set_fault(runner_fault::lose_answer);
+    other.set_fault(runner_fault::lose_answer);
+    const auto once = fleet.call(0, "/once/a", "r1", {}, "hold");
+    cr_assert(once.status == 502);
+    cr_assert(fleet.tool->runs().size() + other.runs().size() == 1);
+    cr_assert(fleet.call(0, "/plain/a", "r2").status == 502);
+    cr_assert(fleet.tool->runs().size() + other.runs().size() == 3);
+}
+
+Test(forwarding, an_answer_of_another_request_or_without_signature_is_not_passed_on) {
+    for (const auto fault : {runner_fault::foreign_answer, runner_fault::unsigned_answer}) {
+        fleet_fixture fleet(0, 1);
+        fleet.make_ready();
+        fleet.tool->set_fault(fault);
+        const auto answer = fleet.call(0, "/once/a", "r1", {}, "hold");
+        cr_assert(answer.status == 502);
+        cr_assert(answer.body.find("answer of") == std::string::npos);
+    }
+}
+
+Test(forwarding, a_runner_that_does_not_answer_ends_at_the_route_s_time) {
+    fleet_fixture fleet(0, 1);
+    fleet.make_ready();
+    fleet.configure(3, 200);
+    fleet.tool->set_fault(runner_fault::hang);
+    run_for(fleet.loop, base::milliseconds{100});
+    const auto answer = fleet.call(0, "/plain/a", "r1");
+    cr_assert(answer.status == 504);
+    cr_assert(run_until(fleet.loop, [&] { return fleet.tool->runs().front().cancelled; }));
+}
+
+Test(forwarding, a_caller_that_leaves_ends_the_run) {
+    fleet_fixture fleet(0, 1);
+    fleet.make_ready();
+    fleet.tool->set_fault(runner_fault::hang);
+    std::optional<client_answer> result;
+    fleet.start_call(0, "/plain/a", "r1", {}, "", result);
+    cr_assert(run_until(fleet.loop, [&] { return fleet.tool->runs().size() == 1; }));
+    fleet.calls.clear();
+    cr_assert(run_until(fleet.loop, [&] { return fleet.tool->runs().front().cancelled; }));
+}
+
+Test(forwarding, a_draining_runner_gets_nothing_new) {
+    fleet_fixture fleet(0, 1);
+    fleet.make_ready();
+    auto& other = fleet.add_runner("tool", "i-other");
+    fleet.store.put("servers/i-tool", fleet.tool->list_entry("tool", "draining"));
+    cr_assert(run_until(fleet.loop, [&] {
+        const auto& known = fleet.edges[0]->node.parts().directory().state().current();
+        return known.backends->backends.at("i-tool").draining &&
+               known.backends->backends.size() == 3;
+    }));
+    for (int index = 0; index < 6; ++index) {
+        cr_assert(fleet.call(0, "/plain/a", "r" + std::to_string(index)).status == 200);
+    }
+    cr_assert(fleet.tool->runs().empty() && other.runs().size() == 6);
+}
+
+Test(forwarding, an_edge_that_the_store_refuses_learns_from_its_peers) {
+    fleet_fixture fleet(0, 2);
+    fleet.make_ready();
+    fleet.edges[1].reset();
+    fleet.store.set_trouble(emulator::metadata_store::trouble::refusing);
+    fleet.start_edge(1);
+    cr_assert(run_until(fleet.loop, [&] { return fleet.edges[1]->node.is_ready(); }));
+    cr_assert(fleet.call(1, "/plain/a", "r1").status == 200);
+}
+
+Test(forwarding, a_lost_history_of_the_store_hides_no_change) {
+    fleet_fixture fleet(0, 1);
+    fleet.make_ready();
+    fleet.store.set_trouble(emulator::metadata_store::trouble::deaf_watches);
+    fleet.configure(5);
+    fleet.store.forget_history();
+    fleet.store.set_trouble(emulator::metadata_store::trouble::none);
+    cr_assert(run_until(fleet.loop, [&] {
+        return fleet.edges[0]->node.parts().directory().state().versions().config == 5;
+    }));
+}
+
+Test(forwarding, a_stopping_edge_is_not_ready_and_still_serves) {
+    fleet_fixture fleet(0, 1);
+    fleet.make_ready();
+    bool stopped = false;
+    fleet.edges[0]->node.stop([&] { stopped = true; });
+    cr_assert(!fleet.edges[0]->node.is_ready());
+    const auto answer = fleet.call(0, "/plain/a", "r1");
+    cr_assert(answer.status == 200);
+    cr_assert(answer.headers.find("Connection") == "close");
+    cr_assert(run_until(fleet.loop, [&] { return stopped; }));
+}
--- /dev/null
+++ b/tests/unit/fleet/soak_test.cc
@@ -0,0 +1,315 @@
+// A soak of the whole fleet under random faults; what must always hold is checked at the end of
+// each request. Replay: PEARBARROW_SOAK_SEED and PEARBARROW_SOAK_SECONDS.
+#include <cstdlib>
+#include <deque>
+#include <set>
+
+#include "fleet_fixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace pearbarrow;
+using namespace pearbarrow::fleet::testing;
+using base::milliseconds;
+using emulator::metadata_store;
+using emulator::runner_fault;
+
+namespace {
+
+constexpr std::uint64_t program_budget = 2'000;
+constexpr std::uint64_t unlimited_budget = 1'000'000'000;
+constexpr std::uint64_t most_tokens = 50;
+constexpr std::uint64_t tokens_per_event = 10;
+
+std::uint64_t number_from(const char* variable, std::uint64_t otherwise) {
+    const char* text = std::getenv(variable);
+    return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
+}
+
+/// What the events of a stream said, a line each.
+std::string event_data(const std::string& body) {
+    std::string data;
+    net::server_sent_event_parser parser(
+        [&data](const net::server_sent_event& event) { data += event.data + "\n"; });
+    parser.feed(body);
+    return data;
+}
+
+/// One agent program: turns one after the other, each going on from any of its earlier ones.
+struct soak_program {
+    std::string id;
+    /// Whole turns, and what a prompt that goes on from each begins with.
+    std::vector<std::pair<std::string, std::string>> turns;
+    std::uint64_t tokens_handed = 0;
+    std::optional<client_answer> answer;
+    std::string open_turn;
+    std::string open_prompt;
+    bool is_open = false;
+};
+
+struct soak_call {
+    std::string id;
+    std::optional<client_answer> answer;
+};
+
+class soak {
+  public:
+    explicit soak(std::uint64_t seed) : random_(seed), fleet_(4, 3) {
+        fleet_.make_ready();
+        models_ = {fleet_.model, &fleet_.add_runner("model", "i-model-b")};
+        tools_ = {fleet_.tool, &fleet_.add_runner("tool", "i-tool-b")};
+        cr_assert(run_until(fleet_.loop, [this] { return fleet_.is_settled(); }));
+        for (int index = 0; index < 6; ++index) {
+            programs_.emplace_back().id = "p" + std::to_string(index);
+        }
+    }
+
+    void run(std::chrono::seconds time) {
+        const auto work = fleet_.loop.every(milliseconds{10}, [this] { step(); });
+        const auto faults = fleet_.loop.every(milliseconds{250}, [this] { inject(); });
+        run_for(fleet_.loop, time);
+    }
+
+    /// After the faults have ended, every turn that was answered whole can be gone on from.
+    void check_all_turns() {
+        heal();
+        cr_assert(run_until(fleet_.loop, [this] { return all_up(); }));
+        for (const soak_program& program : programs_) {
+            for (const auto& [turn, text] : program.turns) {
+                check_turn(turn, text);
+            }
+        }
+    }
+
+    int whole_turns = 0;
+    int whole_calls = 0;
+    int faults = 0;
+
+  private:
+    void step() {
+        for (soak_program& program : programs_) {
+            if (program.is_open) {
+                take_turn(program);
+            } else {
+                begin_turn(program);
+            }
+        }
+        for (auto at = calls_.begin(); at != calls_.end();) {
+            if (at->answer.has_value()) {
+                check_call(*at);
+                at = calls_.erase(at);
+            } else {
+                ++at;
+            }
+        }
+        if (calls_.size() < 4) {
+            soak_call& call = calls_.emplace_back();
+            call.id = "c" + std::to_string(++last_id_);
+            fleet_.start_call(some_edge(), "/once/x", call.id, {{"Pearbarrow-Deadline-Ms", "1500"}},
+                              "hold", call.answer);
+        }
+    }
+
+    std::size_t some_edge() { return random_.below(fleet_.edges.size()); }
+
+    void begin_turn(soak_program& program) {
+        program.answer.reset();
+        program.open_turn = "t" + std::to_string(++last_id_);
+        std::string previous;
+        program.open_prompt.clear();
+        if (!program.turns.empty()) {
+            const auto& [turn, text] = program.turns[random_.below(program.turns.size())];
+            previous = turn;
+            program.open_prompt = text;
+        }
+        const std::string input = "in " + program.open_turn + "\n";
+        program.open_prompt += input;
+        net::http_headers headers{{"Pearbarrow-Program-Id", program.id},
+                                  {"Pearbarrow-Deadline-Ms", "2500"},
+                                  {"Pearbarrow-Token-Budget", std::to_string(program_budget)},
+                                  {"Pearbarrow-Token-Usage", "10," + std::to_string(most_tokens)}};
+        if (!previous.empty()) {
+            headers.add("Pearbarrow-Previous-Turn", previous);
+        }
+        program.is_open = true;
+        fleet_.start_call(some_edge(), "/turn/x", program.open_turn, headers, input,
+                          program.answer);
+    }
+
+    void take_turn(soak_program& program) {
+        if (!program.answer.has_value()) {
+            return;
+        }
+        program.is_open = false;
+        const client_answer& answer = *program.answer;
+        const std::string said = event_data(answer.status == 200 ? answer.body : "");
+        program.tokens_handed += tokens_per_event * static_cast<std::uint64_t>(
+                                                        std::count(said.begin(), said.end(), '\n'));
+        cr_assert(program.tokens_handed <= program_budget + most_tokens, "%s was handed %lu tokens",
+                  program.id.c_str(), program.tokens_handed);
+        cr_assert(answer.status != 404, "turn %s: a turn it goes on from is lost",
+                  program.open_turn.c_str());
+        const auto runs = runs_of(models_, program.open_turn);
+        cr_assert(runs.size() <= 1, "turn %s ran %zu times", program.open_turn.c_str(),
+                  runs.size());
+        if (answer.status == 503 || answer.status == 402) {
+            cr_assert(runs.empty(), "turn %s was refused and has run", program.open_turn.c_str());
+        }
+        for (const std::string& body : runs) {
+            cr_assert(body == program.open_prompt, "turn %s: another prompt than was said",
+                      program.open_turn.c_str());
+        }
+        if (answer.status == 200 && answer.whole) {
+            ++whole_turns;
+            program.turns.emplace_back(program.open_turn, program.open_prompt + said);
+        }
+        if (answer.status == 402) {
+            // Its budget is spent: a new program takes its place.
+            program.id = "p" + std::to_string(++last_id_);
+            program.tokens_handed = 0;
+        }
+    }
+
+    void check_call(const soak_call& call) {
+        const auto runs = runs_of(tools_, call.id);
+        cr_assert(runs.size() <= 1, "call %s ran %zu times", call.id.c_str(), runs.size());
+        if (call.answer->status == 503) {
+            cr_assert(runs.empty(), "call %s was refused and has run", call.id.c_str());
+        }
+        whole_calls += call.answer->status == 200 && call.answer->whole ? 1 : 0;
+    }
+
+    static std::vector<std::string> runs_of(const std::vector<emulator::runner*>& runners,
+                                            const std::string& id) {
+        std::vector<std::string> bodies;
+        for (const emulator::runner* runner : runners) {
+            for (const emulator::run_record& run : runner->runs()) {
+                if (run.request_id == id) {
+                    bodies.push_back(run.body);
+                }
+            }
+        }
+        return bodies;
+    }
+
+    void check_turn(const std::string& turn, const std::string& text) {
+        for (int attempt = 0; attempt < 20; ++attempt) {
+            const std::string id = "z" + std::to_string(++last_id_);
+            const auto answer = fleet_.turn(some_edge(), id, turn, "last", unlimited_budget);
+            cr_assert(answer.status != 404, "turn %s is lost", turn.c_str());
+            if (answer.status == 200 && answer.whole) {
+                cr_assert(runs_of(models_, id).front() == text + "last", "turn %s was mixed up",
+                          turn.c_str());
+                return;
+            }
+            run_for(fleet_.loop, milliseconds{50});
+        }
+        cr_assert_fail("turn %s can't be gone on from", turn.c_str());
+    }
+
+    /// At most one storage member is away or catching up at a time, as far as disks are lost.
+    void inject() {
+        ++faults;
+        switch (random_.below(8)) {
+            case 0:
+                restart_edge();
+                return;
+            case 1:
+                restart_storage(false);
+                return;
+            case 2:
+                restart_storage(true);
+                return;
+            case 3:
+                fleet_.store.set_trouble(random_.chance(0.5) ? metadata_store::trouble::refusing
+                                                             : metadata_store::trouble::silent);
+                return;
+            case 4:
+                fleet_.store.set_trouble(metadata_store::trouble::none);
+                return;
+            case 5:
+                some_runner().set_fault(random_.chance(0.5) ? runner_fault::lose_answer
+                                                            : runner_fault::cut_stream);
+                return;
+            case 6:
+                some_runner().set_fault(random_.chance(0.5) ? runner_fault::refuse
+                                                            : runner_fault::foreign_answer);
+                return;
+            default:
+                for (emulator::runner& runner : fleet_.runners) {
+                    runner.set_fault(runner_fault::none);
+                }
+                return;
+        }
+    }
+
+    emulator::runner& some_runner() {
+        return random_.chance(0.5) ? *models_[random_.below(models_.size())]
+                                   : *tools_[random_.below(tools_.size())];
+    }
+
+    void restart_edge() {
+        const std::size_t index = some_edge();
+        if (fleet_.edges[index] == nullptr) {
+            return;
+        }
+        fleet_.edges[index].reset();
+        later([this, index] { fleet_.start_edge(index); });
+    }
+
+    void restart_storage(bool wipe) {
+        if (!all_up()) {
+            return;
+        }
+        const std::size_t index = random_.below(fleet_.storages.size());
+        if (wipe) {
+            fleet_.wipe_storage(index);
+        } else {
+            fleet_.storages[index].reset();
+        }
+        later([this, index] { fleet_.start_storage(index); });
+    }
+
+    bool all_up() const {
+        return std::all_of(fleet_.storages.begin(), fleet_.storages.end(),
+                           [](const auto& storage) {
+                               return storage != nullptr && storage->node.is_complete();
+                           }) &&
+               std::all_of(fleet_.edges.begin(), fleet_.edges.end(),
+                           [](const auto& edge) { return edge != nullptr; });
+    }
+
+    void heal() {
+        fleet_.store.set_trouble(metadata_store::trouble::none);
+        for (emulator::runner& runner : fleet_.runners) {
+            runner.set_fault(runner_fault::none);
+        }
+    }
+
+    void later(std::function<void()> task) {
+        const milliseconds delay{100 + static_cast<std::int64_t>(random_.below(400))};
+        timers_.push_back(fleet_.loop.after(delay, std::move(task)));
+    }
+
+    base::random_source random_;
+    fleet_fixture fleet_;
+    std::vector<emulator::runner*> models_;
+    std::vector<emulator::runner*> tools_;
+    std::deque<soak_program> programs_;
+    std::list<soak_call> calls_;
+    std::vector<std::unique_ptr<net::timer_handle>> timers_;
+    std::uint64_t last_id_ = 0;
+};
+
+}  // namespace
+
+Test(soak, nothing_is_lost_doubled_or_overspent_under_faults, .timeout = 200) {
+    const std::uint64_t seed = number_from("PEARBARROW_SOAK_SEED", 1);
+    const std::uint64_t seconds = number_from("PEARBARROW_SOAK_SECONDS", 8);
+    soak run(seed);
+    run.run(std::chrono::seconds(seconds));
+    run.check_all_turns();
+    cr_log_info("seed %lu: %d faults, %d whole turns, %d whole calls", seed, run.faults,
+                run.whole_turns, run.whole_calls);
+    cr_assert(run.whole_turns > 0 && run.whole_calls > 0);
+}
--- /dev/null
+++ b/tests/unit/fleet/translation_test.cc
@@ -0,0 +1,57 @@
+#include "translation.h"
+
+#include <criterion/criterion.h>
+
+using namespace pearbarrow;
+
+Test(translation, reads_a_configuration_and_ignores_what_it_does_not_know) {
+    const auto config = platform::read_configuration(R"({
+        "version": 7, "new_field": [1],
+        "routes": [
+          {"name": "r", "host": "h", "path_prefix": "/a/", "kind": "streaming", "timeout_ms": 4000,
+           "slo_ms": 200, "priority": 1, "attempts": 2, "keeps_history": true, "retain_s": 60.0,
+           "can_resume": true,
+           "backends": [{"service": "x", "weight": 90}, {"service": "y", "weight": 10}]},
+          {"name": "s", "host": "h", "path_prefix": "/b/", "kind": "unheard of", "service": "x"}],
+        "services": [{"name": "x", "max_conns": 160, "engine": {"chunk_tokens": 9}}, {"name": "y"}],
+        "limits": {"max_body_bytes": 4194304}})");
+    cr_assert(config.ok(), "%s", config.status().ToString().c_str());
+    cr_assert(config->version == 7 && config->routes.size() == 2);
+    const directory::route& stream = config->routes[0];
+    cr_assert(stream.kind == directory::request_kind::stream && stream.keeps_history);
+    cr_assert(stream.services.size() == 2 && stream.services[0].weight == 90);
+    cr_assert(stream.timeout_ms == 4000 && stream.objective_ms == 200 && stream.attempts == 2);
+    cr_assert(config->routes[1].kind == directory::request_kind::non_idempotent,
+              "what is not known is treated as what forbids most");
+    cr_assert(config->services[0].tokens_per_event == 9 &&
+              config->services[1].tokens_per_event == 0);
+    cr_assert(config->limits.max_body_bytes == 4194304);
+}
+
+Test(translation, a_configuration_that_can_t_be_read_is_an_error) {
+    for (const char* text : {"", "{", "[]", R"({"version": "x", "routes": []})",
+                             R"({"routes": []})", R"({"version": 1, "routes": 5})"}) {
+        cr_assert(!platform::read_configuration(text).ok(), "%s", text);
+    }
+}
+
+Test(translation, reads_a_runner) {
+    const auto runner = platform::read_backend(
+        "i-1",
+        R"({"service":"x","address":"10.1.0.9:8080","zone":"z","slots":12,"state":"ready","seq":4})");
+    cr_assert(runner.ok() && runner->id == "i-1" && runner->slots == 12 && !runner->draining);
+    cr_assert(runner->address == (net::endpoint{"10.1.0.9", 8080}));
+    cr_assert(
+        platform::read_backend("i", R"({"address":"10.1.0.9:8080","state":"draining"})")->draining);
+    cr_assert(platform::read_backend("i", R"({"address":"nowhere"})")->draining,
+              "a runner without an address gets nothing");
+    cr_assert(!platform::read_backend("i", "5").ok());
+}
+
+Test(translation, the_storage_view_survives_the_way_through_the_store) {
+    directory::storage_view view{.revision = 4, .members = {}};
+    view.members.push_back({base::node_id("s"), {"10.1.0.9", 70}, "z", true});
+    const auto copy = platform::read_storage_view(platform::write_storage_view(view), 9);
+    cr_assert(copy.ok() && copy->revision == 9 && copy->members == view.members);
+    cr_assert(!platform::read_storage_view("{}", 1).ok());
+}
--- /dev/null
+++ b/tests/unit/fleet/turns_test.cc
@@ -0,0 +1,115 @@
+// Turns of agent programs through a whole fleet: history, budget, lost members.
+#include "fleet_fixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace pearbarrow;
+using namespace pearbarrow::fleet::testing;
+using emulator::runner_fault;
+
+Test(turns, a_turn_goes_on_from_the_one_it_names_through_any_edge) {
+    fleet_fixture fleet;
+    fleet.make_ready();
+    const auto first = fleet.turn(0, "t1", "", "hello ");
+    cr_assert(first.status == 200 && first.whole, "%d %s", first.status, first.body.c_str());
+    cr_assert(fleet.turn(1, "t2", "t1", "again").status == 200);
+    cr_assert(fleet.model->runs().back().body == "hello i-model-1\ni-model-2\ni-model-3\nagain");
+    // Another line may go on from the same turn.
+    cr_assert(fleet.turn(0, "t3", "t1", "else").status == 200);
+    cr_assert(fleet.model->runs().back().body == "hello i-model-1\ni-model-2\ni-model-3\nelse");
+}
+
+Test(turns, a_turn_that_names_none_is_404_and_does_not_run) {
+    fleet_fixture fleet;
+    fleet.make_ready();
+    cr_assert(fleet.turn(0, "t1", "never", "hello").status == 404);
+    cr_assert(fleet.model->runs().empty());
+}
+
+Test(turns, with_a_member_away_an_unknown_turn_is_503) {
+    fleet_fixture fleet;
+    fleet.make_ready();
+    fleet.storages[2].reset();
+    cr_assert(fleet.turn(0, "t1", "never", "hello").status == 503);
+}
+
+Test(turns, the_budget_holds_over_all_edges) {
+    fleet_fixture fleet;
+    fleet.make_ready();
+    // Each turn makes 3 events of 10 tokens, and may make 50.
+    cr_assert(fleet.turn(0, "t1", "", "a", 110).status == 200);
+    cr_assert(fleet.turn(1, "t2", "t1", "b", 110).status == 200);
+    cr_assert(fleet.turn(0, "t3", "t2", "c", 110).status == 200 || fleet.model->runs().size() == 2);
+    cr_assert(fleet.turn(1, "t4", "t2", "d", 110).status == 402);
+}
+
+Test(turns, a_turn_that_was_not_stored_by_most_does_not_end_whole) {
+    fleet_fixture fleet;
+    fleet.make_ready();
+    cr_assert(fleet.turn(0, "t1", "", "a").whole);
+    std::optional<client_answer> result;
+    fleet.start_call(0, "/turn/x", "t2",
+                     {{"Pearbarrow-Program-Id", "program"},
+                      {"Pearbarrow-Token-Budget", "1000"},
+                      {"Pearbarrow-Token-Usage", "100,50"}},
+                     "b", result);
+    cr_assert(run_until(fleet.loop, [&] { return fleet.model->runs().size() == 2; }));
+    fleet.storages[1].reset();
+    fleet.storages[2].reset();
+    cr_assert(run_until(fleet.loop, [&] { return result.has_value(); }));
+    cr_assert(!result->whole);
+}
+
+Test(turns, disks_that_are_lost_one_after_the_other_lose_no_turn) {
+    fleet_fixture fleet;
+    fleet.make_ready();
+    cr_assert(fleet.turn(0, "t1", "", "kept ").whole);
+    for (std::size_t index = 0; index < 3; ++index) {
+        fleet.wipe_storage(index);
+        fleet.start_storage(index);
+        // A member with a new disk counts only once it has copied everything.
+        cr_assert(run_until(fleet.loop, [&] { return fleet.storages[index]->node.is_complete(); }));
+    }
+    cr_assert(fleet.turn(1, "t2", "t1", "more").whole);
+    cr_assert(fleet.model->runs().back().body == "kept i-model-1\ni-model-2\ni-model-3\nmore");
+}
+
+Test(turns, after_a_loss_of_power_and_without_the_store_the_fleet_serves_again) {
+    fleet_fixture fleet;
+    fleet.make_ready();
+    cr_assert(fleet.turn(0, "t1", "", "kept ").whole);
+    run_for(fleet.loop, base::milliseconds{100});
+    fleet.edges.clear();
+    fleet.storages.clear();
+    fleet.store.set_trouble(emulator::metadata_store::trouble::silent);
+    fleet.start_everything();
+    cr_assert(run_until(fleet.loop, [&] {
+        return fleet.edges[0]->node.is_ready() && fleet.edges[1]->node.is_ready();
+    }));
+    cr_assert(run_until(fleet.loop, [&] { return fleet.is_settled(); }));
+    cr_assert(fleet.turn(1, "t2", "t1", "more").whole);
+}
+
+Test(turns, a_member_that_is_gone_for_good_is_replaced) {
+    fleet_fixture fleet(4);
+    fleet.make_ready();
+    cr_assert(fleet.turn(0, "t1", "", "kept ").whole);
+    fleet.storages[0].reset();
+    cr_assert(run_until(fleet.loop, [&] {
+        const auto& view = fleet.edges[0]->node.parts().directory().state().current().storage;
+        return view->members.size() == 3;
+    }));
+    cr_assert(fleet.turn(1, "t2", "t1", "more").whole);
+}
+
+Test(turns, an_emptied_member_reports_when_the_others_hold_everything) {
+    fleet_fixture fleet(4);
+    fleet.make_ready();
+    cr_assert(fleet.turn(0, "t1", "", "kept ").whole);
+    fleet.store.put("op/retire/storage-0", R"({"period_s":5})");
+    cr_assert(run_until(fleet.loop, [&] {
+        return fleet.store.value("status/retire/storage-0").find("completed") != std::string::npos;
+    }));
+    fleet.wipe_storage(0);
+    cr_assert(fleet.turn(1, "t2", "t1", "more").whole);
+}
--- /dev/null
+++ b/tests/unit/forward/backend_pool_test.cc
@@ -0,0 +1,109 @@
+#include "pearbarrow/forward/backend_pool.h"
+
+#include <criterion/criterion.h>
+
+using namespace pearbarrow;
+using namespace pearbarrow::forward;
+using base::milliseconds;
+
+namespace {
+
+directory::backend backend_of(const std::string& id, const std::string& zone = "a") {
+    return {.id = id, .service = "service", .zone = zone, .slots = 4};
+}
+
+struct pool_fixture {
+    explicit pool_fixture(const std::vector<directory::backend>& backends) {
+        directory::backend_list list{.revision = 1, .backends = {}};
+        for (const auto& backend : backends) {
+            list.backends[backend.id] = backend;
+        }
+        pool.set_backends(list);
+    }
+    std::string choose(const std::string& key = "", std::set<std::string> excluded = {}) {
+        const auto chosen = pool.choose(
+            {.service = "service", .affinity_key = key, .excluded = std::move(excluded)}, now);
+        return chosen.has_value() ? chosen->target.id : "";
+    }
+    base::random_source random{7};
+    base::instant now{};
+    backend_pool pool{{.zone = "a"}, random};
+};
+
+}  // namespace
+
+Test(backend_pool, spreads_requests_over_back_ends) {
+    pool_fixture fixture({backend_of("1"), backend_of("2"), backend_of("3")});
+    std::set<std::string> chosen;
+    for (int index = 0; index < 3; ++index) {
+        chosen.insert(fixture.choose());
+    }
+    cr_assert(chosen.size() == 3);
+}
+
+Test(backend_pool, an_equal_one_in_the_own_zone_goes_first) {
+    pool_fixture fixture({backend_of("near", "a"), backend_of("far", "b")});
+    cr_assert(fixture.choose() == "near");
+    cr_assert(fixture.choose() == "far", "the near one is loaded now");
+}
+
+Test(backend_pool, a_key_keeps_its_back_end_until_that_is_full) {
+    pool_fixture fixture({backend_of("1"), backend_of("2"), backend_of("3")});
+    const std::string home = fixture.choose("program");
+    for (int index = 0; index < 3; ++index) {
+        cr_assert(fixture.choose("program") == home);
+    }
+    cr_assert(fixture.choose("program") != home);
+}
+
+Test(backend_pool, draining_and_excluded_ones_get_nothing) {
+    directory::backend draining = backend_of("1");
+    draining.draining = true;
+    pool_fixture fixture({draining, backend_of("2")});
+    cr_assert(fixture.choose() == "2");
+    cr_assert(fixture.choose("", {"2"}).empty());
+}
+
+Test(backend_pool, one_that_refuses_rests_but_is_better_than_none) {
+    pool_fixture fixture({backend_of("1"), backend_of("2")});
+    const std::string refusing = fixture.choose();
+    fixture.pool.ended(refusing, attempt_result::refused, milliseconds{1}, fixture.now);
+    for (int index = 0; index < 5; ++index) {
+        cr_assert(fixture.choose() != refusing);
+    }
+    cr_assert(fixture.choose("", {refusing == "1" ? "2" : "1"}) == refusing);
+    fixture.now += milliseconds{5'000};
+    cr_assert(fixture.choose() == refusing, "rested, and without load");
+}
+
+Test(backend_pool, a_removed_one_is_forgotten_when_its_requests_have_ended) {
+    pool_fixture fixture({backend_of("1"), backend_of("2")});
+    const std::string first = fixture.choose();
+    fixture.pool.set_backends({.revision = 2, .backends = {}});
+    cr_assert(fixture.choose().empty());
+    fixture.pool.ended(first, attempt_result::served, milliseconds{1}, fixture.now);
+    cr_assert(fixture.pool.backend_count("service") == 0);
+}
+
+Test(backend_pool, one_that_leaves_requests_unanswered_is_passed_over) {
+    pool_fixture fixture({backend_of("1"), backend_of("2")});
+    const std::string silent = fixture.choose();
+    const base::instant began = fixture.now;
+    fixture.now += milliseconds{800};
+    for (int index = 0; index < 5; ++index) {
+        cr_assert(fixture.choose() != silent);
+        fixture.now += milliseconds{100};
+        fixture.pool.answered(silent == "1" ? "2" : "1", fixture.now - milliseconds{100});
+    }
+    fixture.pool.answered(silent, began);
+    cr_assert(fixture.choose() == silent, "it has answered, and has the least load");
+}
+
+Test(backend_pool, a_key_stays_in_the_own_zone_while_there_is_room) {
+    pool_fixture fixture({backend_of("near", "a"), backend_of("far-1", "b"),
+                          backend_of("far-2", "b"), backend_of("far-3", "c")});
+    for (int index = 0; index < 4; ++index) {
+        cr_assert(fixture.choose("program " + std::to_string(index)) == "near");
+    }
+    cr_assert(fixture.choose("program") != "near");
+}
--- /dev/null
+++ b/tests/unit/operator/trace_test.cc
@@ -0,0 +1,54 @@
+#include "pearbarrow/operator/trace.h"
+
+#include <criterion/criterion.h>
+
+using namespace pearbarrow::operators;
+
+namespace {
+
+std::string line(const std::string& time, const std::string& node, const std::string& rest) {
+    return R"({"time":"2026-01-01T00:00:)" + time + R"(Z","level":"info","node":")" + node + "\"," +
+           rest + "}";
+}
+
+}  // namespace
+
+Test(trace, names_the_line_that_decided) {
+    trace_collector collector("r1");
+    collector.add_line(
+        line("05.300", "edge-1",
+             R"("event":"request_ended","request":"r1","reason":"storage_unavailable")"));
+    collector.add_line(
+        "  12.3 edge-1 " +
+        line("05.200", "edge-1",
+             R"("event":"turn_refused","request":"r1","reason":"storage_unavailable")"));
+    collector.add_line(line("05.100", "edge-1", R"("event":"peer_link_lost","peer":"s")"));
+    collector.add_line(line("05.100", "edge-2", R"("event":"peer_link_lost","peer":"s")"));
+    collector.add_line(line("05.250", "edge-1", R"("event":"request_ended","request":"r2")"));
+    collector.add_line("no json at all");
+    collector.add_line("{broken");
+    const auto trace = collector.finish();
+    cr_assert(trace.lines.size() == 3);
+    cr_assert(trace.lines[0].event == "peer_link_lost");
+    cr_assert(trace.deciding == 1U);
+    cr_assert(trace_text(trace).find("=> 2026-01-01T00:00:05.200Z edge-1 turn_refused") !=
+              std::string::npos);
+}
+
+Test(trace, a_request_that_was_served_has_no_deciding_line) {
+    trace_collector collector("r1");
+    collector.add_line(
+        line("05.2", "edge-1", R"("event":"attempt_refused","request":"r1","backend":"b")"));
+    collector.add_line(
+        line("05.3", "edge-1", R"("event":"request_ended","request":"r1","reason":"served")"));
+    const auto trace = collector.finish();
+    cr_assert(trace.lines.size() == 2 && !trace.deciding.has_value());
+}
+
+Test(trace, a_late_answer_is_decided_by_its_end) {
+    trace_collector collector("r1");
+    collector.add_line(
+        line("05.3", "edge-1", R"("event":"request_ended","request":"r1","reason":"time_up")"));
+    cr_assert(collector.finish().deciding == 0U);
+    cr_assert(trace_collector("other").finish().lines.empty());
+}
--- /dev/null
+++ b/tests/unit/settings/fleet_settings_test.cc
@@ -0,0 +1,71 @@
+#include "pearbarrow/settings/fleet_settings.h"
+
+#include <algorithm>
+
+#include <criterion/criterion.h>
+
+using namespace pearbarrow::settings;
+
+namespace {
+
+constexpr char edge_text[] = R"(
+role = "edge"
+node = "edge-1"
+zone = "z"
+first_start = true
+directory_service = "10.0.0.1:80"
+seeds = ["10.0.0.2:70", "10.0.0.3:70"]
+[listen]
+caller = "10.0.0.4:80"
+ready = "10.0.0.4:81"
+peer = "10.0.0.4:70"
+metrics = "10.0.0.4:90"
+)";
+
+bool names(const fleet_settings_result& result, const std::string& field) {
+    return std::any_of(result.problems.begin(), result.problems.end(),
+                       [&](const settings_problem& problem) { return problem.field == field; });
+}
+
+}  // namespace
+
+Test(fleet_settings, reads_an_edge) {
+    const auto result = check_fleet(edge_text);
+    cr_assert(result.problems.empty());
+    cr_assert(result.settings.role == fleet_role::edge && result.settings.first_start);
+    cr_assert(result.settings.caller.port == 80 && result.settings.seeds.size() == 2);
+    cr_assert(result.settings.metrics->port == 90);
+}
+
+Test(fleet_settings, every_mistake_names_its_field) {
+    const auto result = check_fleet(R"(
+role = "leader"
+zone = 5
+first_start = "yes"
+directory_service = "store"
+own = 1
+[listen]
+peer = "10.0.0.4"
+)");
+    for (const char* field : {"role", "node", "zone", "first_start", "directory_service", "own",
+                              "listen.peer", "listen.caller", "listen.ready"}) {
+        cr_assert(names(result, field), "%s is not named", field);
+    }
+}
+
+Test(fleet_settings, a_storage_member_needs_a_folder_and_no_caller_address) {
+    const auto result = check_fleet(R"(
+role = "storage"
+node = "storage-1"
+zone = "z"
+directory_service = "10.0.0.1:80"
+[listen]
+peer = "10.0.0.4:70"
+)");
+    cr_assert(result.problems.size() == 1 && names(result, "data_folder"));
+}
+
+Test(fleet_settings, text_that_is_no_toml_is_one_problem) {
+    cr_assert(check_fleet("role = ").problems.size() == 1);
+    cr_assert(check_fleet_file("/nowhere/at/all").problems.size() == 1);
+}
--- /dev/null
+++ b/tests/unit/turns/turn_index_test.cc
@@ -0,0 +1,84 @@
+#include "pearbarrow/turns/turn_index.h"
+
+#include <criterion/criterion.h>
+
+using namespace pearbarrow;
+using namespace pearbarrow::turns;
+using base::seconds;
+
+namespace {
+
+stored_turn turn_of(turn_index& index, const std::string& turn, const std::string& previous) {
+    return {index.next_number(),
+            0,
+            {.turn = turn_id(turn), .previous = turn_id(previous), .retention_seconds = 60}};
+}
+
+stored_reservation reservation_of(turn_index& index, const std::string& turn, std::uint64_t tokens,
+                                  bool settled) {
+    return {index.next_number(), 0, {base::program_id("p"), turn_id(turn), tokens, settled}};
+}
+
+}  // namespace
+
+Test(turn_index, a_chain_is_given_oldest_first_or_not_at_all) {
+    turn_index index({});
+    const base::instant now{};
+    index.add(turn_of(index, "a", ""), now);
+    index.add(turn_of(index, "b", "a"), now);
+    index.add(turn_of(index, "c", "missing"), now);
+    cr_assert(*index.chain(turn_id("b")) == (std::vector<turn_id>{turn_id("a"), turn_id("b")}));
+    cr_assert(!index.chain(turn_id("c")).has_value());
+    cr_assert(!index.chain(turn_id("d")).has_value());
+}
+
+Test(turn_index, a_chain_that_names_itself_is_not_here) {
+    turn_index index({});
+    index.add(turn_of(index, "a", "b"), {});
+    index.add(turn_of(index, "b", "a"), {});
+    cr_assert(!index.chain(turn_id("a")).has_value());
+}
+
+Test(turn_index, a_settled_reservation_stays_settled) {
+    turn_index index({});
+    index.add(reservation_of(index, "a", 50, false), {});
+    index.add(reservation_of(index, "a", 30, true), {});
+    index.add(reservation_of(index, "a", 50, false), {});
+    const auto held = index.reservations(base::program_id("p"));
+    cr_assert(held.size() == 1 && held.front().tokens == 30 && held.front().settled);
+    cr_assert(!index.is_news(held.front()));
+}
+
+Test(turn_index, a_listing_goes_on_where_the_last_one_ended) {
+    turn_index index({});
+    index.add(turn_of(index, "a", ""), {});
+    index.add(reservation_of(index, "a", 50, false), {});
+    index.add(turn_of(index, "b", ""), {});
+    const auto first = index.list(change_number(), 2);
+    cr_assert(first.more && first.turns.size() == 1 && first.reservations.size() == 1);
+    const auto rest = index.list(first.through, 2);
+    cr_assert(!rest.more && rest.turns == std::vector<turn_id>{turn_id("b")});
+    cr_assert(rest.through == index.last_listed());
+    // A settled reservation is a change of its own.
+    index.add(reservation_of(index, "a", 10, true), {});
+    cr_assert(index.list(rest.through, 2).reservations.size() == 1);
+}
+
+Test(turn_index, turns_and_programs_expire) {
+    turn_index index({});
+    index.add(turn_of(index, "a", ""), {});
+    index.add(reservation_of(index, "a", 50, false), {});
+    cr_assert(index.expire(base::instant{} + seconds{60}).dropped_turns.empty());
+    cr_assert(index.expire(base::instant{} + seconds{76}).dropped_turns.size() == 1);
+    cr_assert(index.expire(base::instant{} + seconds{601}).dropped_reservations.size() == 1);
+    cr_assert(index.list({}, 10).turns.empty() && index.list({}, 10).reservations.empty());
+}
+
+Test(turn_index, a_clock_that_jumped_shortens_no_retention_much) {
+    store_contents contents;
+    contents.turns.push_back(
+        {change_number(1), 0, {.turn = turn_id("a"), .retention_seconds = 60}});
+    turn_index index({});
+    index.load(contents, {}, std::int64_t{3'600} * 1'000'000);
+    cr_assert(index.expire(base::instant{} + seconds{30}).dropped_turns.empty());
+}
--- a/tests/unit/turns/turn_store_test.cc
+++ b/tests/unit/turns/turn_store_test.cc
@@ -67,6 +67,7 @@
         store_change change = turn_change("t1", "out");
         change.reservations.push_back(
             {change_number(2), 5, {base::program_id("p"), turn_id("t1"), 7, true}});
+        change.directory = "routes";
         cr_assert(opened.write(change).ok());
     }
     opened_store again(folder.path, false);
@@ -77,6 +78,7 @@
     cr_assert(contents->turns.front().record.output.empty());
     cr_assert(contents->reservations.size() == 1);
     cr_assert(contents->reservations.front().value.tokens == 7);
+    cr_assert(again.store->read_directory() == "routes");
     cr_assert(again.store->read(turn_id("t1"))->output == "out");
     cr_assert(again.store->read(turn_id("t2")).status().code() == absl::StatusCode::kNotFound);
 }
