Forwarding: a request that may run again does not wait out a silent runner

Change: after the larger of twice its objective and four times the runner's mean answer, such a request goes to another runner if the route allows one more. Test: a_request_that_may_run_again_does_not_wait_for_a_silent_runner, failed before (504).

--- a/src/pearbarrow/forward/backend_pool.cc
+++ b/src/pearbarrow/forward/backend_pool.cc
@@ -190,6 +190,15 @@
     }
 }
 
+base::microseconds backend_pool::patience(const std::string& id,
+                                          base::microseconds objective) const {
+    const auto found = entries_.find(id);
+    const double mean_time = found == entries_.end() ? 0 : found->second.mean_time;
+    const double least = options_.objective_factor * static_cast<double>(objective.count());
+    return base::microseconds(
+        static_cast<std::int64_t>(std::max(least, options_.silence_factor * mean_time)));
+}
+
 std::size_t backend_pool::backend_count(std::string_view service) const {
     return static_cast<std::size_t>(
         std::count_if(entries_.begin(), entries_.end(), [&](const auto& item) {
--- a/src/pearbarrow/forward/backend_pool.h
+++ b/src/pearbarrow/forward/backend_pool.h
@@ -48,6 +48,8 @@
     /// `silence_factor` times its mean answer, is passed over while another one is fit.
     base::milliseconds least_silence{700};
     double silence_factor = 4;
+    /// The least patience with an attempt, in times of the request's objective.
+    double objective_factor = 2;
 };
 
 struct choice_request {
@@ -79,6 +81,9 @@
     /// only.
     void ended(const std::string& id, attempt_result result, base::microseconds took,
                base::instant now);
+    /// How long an attempt at the back end may stay without the head of an answer before another
+    /// one is worth trying, for a request that may run again.
+    base::microseconds patience(const std::string& id, base::microseconds objective) const;
     std::size_t backend_count(std::string_view service) const;
     std::uint64_t revision() const { return revision_; }
 
--- a/src/pearbarrow/forward/forwarded_request.cc
+++ b/src/pearbarrow/forward/forwarded_request.cc
@@ -116,7 +116,7 @@
 }
 
 void forwarded_request::send() {
-    pause_.reset();
+    patience_.reset();
     if (time_left() < least_useful_time) {
         on_time_up();
         return;
@@ -146,6 +146,7 @@
                            const net::http_headers& headers) { on_head(status, headers); },
          .on_chunk = [this](std::string_view bytes) { on_chunk(bytes); },
          .on_done = [this](const absl::Status& status) { on_call_done(status); }});
+    watch_silence();
 }
 
 net::http_call forwarded_request::make_call(const directory::backend& target) const {
@@ -170,6 +171,27 @@
     return call;
 }
 
+void forwarded_request::watch_silence() {
+    if (!is_repeatable() || route_.objective_ms == 0 || !may_try_again(true)) {
+        return;
+    }
+    const auto patience =
+        context_.pool.patience(target_.id, base::milliseconds{route_.objective_ms});
+    patience_ = context_.loop.after(patience, [this] { on_silence(); });
+}
+
+void forwarded_request::on_silence() {
+    if (head_seen_ || !attempt_open_ || !may_try_again(true)) {
+        return;
+    }
+    call_.reset();
+    take_failure(base::make_error(absl::StatusCode::kDeadlineExceeded, "no answer for long",
+                                  {.step = "read",
+                                   .peer = target_.id,
+                                   .reason = "silent",
+                                   .was_executed = base::executed::unknown}));
+}
+
 void forwarded_request::on_head(int status, const net::http_headers& headers) {
     const header_names& names = context_.options.headers;
     status_ = status;
@@ -378,7 +400,7 @@
     const bool was_sent = attempt_open_;
     call_.reset();
     turn_step_.reset();
-    pause_.reset();
+    patience_.reset();
     if (attempt_open_) {
         end_attempt(attempt_result::broken);
     }
@@ -394,7 +416,7 @@
         return;
     }
     limit_.reset();
-    pause_.reset();
+    patience_.reset();
     log_end(status, reason);
     on_over_();
 }
--- a/src/pearbarrow/forward/forwarded_request.h
+++ b/src/pearbarrow/forward/forwarded_request.h
@@ -57,6 +57,9 @@
     void take_refusal();
     void take_failure(const absl::Status& status);
     void end_attempt(attempt_result result);
+    /// Gives up an attempt that is silent for too long, when another one may be made.
+    void watch_silence();
+    void on_silence();
     bool may_try_again(bool ran) const;
 
     // Answers.
@@ -85,7 +88,8 @@
     base::instant arrived_;
     base::instant time_up_;
     std::unique_ptr<net::timer_handle> limit_;
-    std::unique_ptr<net::timer_handle> pause_;
+    /// Ends the patience with the present attempt.
+    std::unique_ptr<net::timer_handle> patience_;
 
     std::unique_ptr<turns::turn_operation> turn_step_;
     std::string chain_text_;
--- a/tests/unit/fleet/forwarding_test.cc
+++ b/tests/unit/fleet/forwarding_test.cc
@@ -157,3 +157,17 @@
     cr_assert(answer.headers.find("Connection") == "close");
     cr_assert(run_until(fleet.loop, [&] { return stopped; }));
 }
+
+Test(forwarding, a_request_that_may_run_again_does_not_wait_for_a_silent_runner) {
+    fleet_fixture fleet(0, 1);
+    fleet.make_ready();
+    fleet.tool->set_fault(runner_fault::hang);
+    auto& other = fleet.add_runner("tool", "i-other");
+    cr_assert(run_until(fleet.loop, [&] { return fleet.is_settled(); }));
+    for (int index = 0; index < 3; ++index) {
+        cr_assert(fleet.call(0, "/plain/a", "r" + std::to_string(index)).status == 200);
+    }
+    cr_assert(other.runs().size() == 3);
+    other.set_fault(runner_fault::hang);
+    cr_assert(fleet.call(0, "/once/a", "s1", {}, "hold").status == 504, "never sent again");
+}
