Owner: a start that waited too long for its confirmation is not made

Ruled out: the grant's age at the commit (checked, and fresh); a late mark at the dispatcher. Change: a start carries the time by which it must be made; a shell that comes later answers start_expired, and the owner closes the attempt unspent and offers the call again. Tests: a_start_that_waited_for_confirmation_is_not_made_late fails before.

--- a/src/pearbarrow/bench/faults_shard_actions.cc
+++ b/src/pearbarrow/bench/faults_shard_actions.cc
@@ -67,8 +67,19 @@
     }
 }
 
+bool sim_shard_host::is_in_time(const base::attempt_id& attempt, base::instant start_by) {
+    if (node_.now() <= start_by) {
+        return true;
+    }
+    receive()(event::start_expired{attempt});
+    return false;
+}
+
 void sim_shard_host::act(const action::start_model_attempt& action) {
     when_leading(action.confirm, [this, action] {
+        if (!is_in_time(action.attempt, action.start_by)) {
+            return;
+        }
         world_.log(fmt::format("{} starts {} at {}", node_.process(), action.attempt.value(),
                                action.engine.value()));
         world_.engines.at(action.engine)->start(action, receive());
@@ -86,6 +97,9 @@
 
 void sim_shard_host::act(const action::start_tool_attempt& action) {
     when_leading(action.confirm, [this, action] {
+        if (!is_in_time(action.attempt, action.start_by)) {
+            return;
+        }
         world_.log(fmt::format("{} starts {} at tool {}", node_.process(), action.attempt.value(),
                                action.backend.value()));
         world_.tools.at(action.backend)
--- a/src/pearbarrow/bench/faults_shard_host.h
+++ b/src/pearbarrow/bench/faults_shard_host.h
@@ -108,6 +108,8 @@
     void act(const program::action::store_snapshot& action);
     void act(const program::action::journal_unusable& action);
 
+    /// Whether a start that waited for its confirmation may still be made; tells the owner if not.
+    bool is_in_time(const base::attempt_id& attempt, base::instant start_by);
     /// Runs `then` now when the leadership is fresh, else after the journal has confirmed it.
     void when_leading(const program::action::leadership& proof, std::function<void()> then);
     void answer(program::reply_token token, const absl::StatusOr<wire::program_reply>& answer);
--- a/src/pearbarrow/node/shard_host.h
+++ b/src/pearbarrow/node/shard_host.h
@@ -116,6 +116,8 @@
     void act(const program::action::store_snapshot& action);
     void act(const program::action::journal_unusable& action);
 
+    /// Whether a start that waited for its confirmation may still be made; tells the owner if not.
+    bool is_in_time(const base::attempt_id& attempt, base::instant start_by);
     /// Runs `then` now when the leadership is fresh, else after the journal has confirmed it.
     void when_leading(const program::action::leadership& proof, std::function<void()> then);
     void records_committed(base::log_index through);
--- a/src/pearbarrow/node/shard_host_actions.cc
+++ b/src/pearbarrow/node/shard_host_actions.cc
@@ -102,8 +102,20 @@
     services_.dispatchers.register_in_flight(action.backend, action.call);
 }
 
+bool shard_host::is_in_time(const base::attempt_id& attempt, base::instant start_by) {
+    if (services_.context.now() <= start_by) {
+        return true;
+    }
+    feed(program::event::start_expired{attempt});
+    return false;
+}
+
 void shard_host::act(const program::action::start_model_attempt& action) {
-    when_leading(action.confirm, [this, action] { models_->start(action); });
+    when_leading(action.confirm, [this, action] {
+        if (is_in_time(action.attempt, action.start_by)) {
+            models_->start(action);
+        }
+    });
 }
 
 void shard_host::act(const program::action::resume_model_attempt& action) {
@@ -115,7 +127,11 @@
 }
 
 void shard_host::act(const program::action::start_tool_attempt& action) {
-    when_leading(action.confirm, [this, action] { tools_->start(action); });
+    when_leading(action.confirm, [this, action] {
+        if (is_in_time(action.attempt, action.start_by)) {
+            tools_->start(action);
+        }
+    });
 }
 
 void shard_host::act(const program::action::cancel_tool_attempt& action) {
--- a/src/pearbarrow/program/owner_calls.cc
+++ b/src/pearbarrow/program/owner_calls.cc
@@ -253,6 +253,7 @@
     start.time_left = time_left(at.active.deadline, now_);
     start.call = at.call.number;
     start.confirm = leadership();
+    start.start_by = at.active.granted_at + grant_lifetime;
     set_stage(at.active, call_stage::running);
     at.active.started_here = true;
     emit(std::move(start));
@@ -271,11 +272,20 @@
     start.time_left = time_left(at.active.deadline, now_);
     start.call = at.call.number;
     start.confirm = leadership();
+    start.start_by = at.active.granted_at + grant_lifetime;
     set_stage(at.active, call_stage::running);
     at.active.started_here = true;
     emit(std::move(start));
 }
 
+void owner_state::on(const event::start_expired& event) {
+    const auto at = find(event.attempt);
+    if (!at || at->active.stage != call_stage::running || !at->active.started_here) {
+        return;
+    }
+    retry(*at, grant_expired(at->call.attempt->backend), 0);
+}
+
 void owner_state::finish_placement(call_context at, wire::attempt_outcome outcome,
                                    std::optional<wire::token_usage> usage) {
     if (!at.active.offer) {
--- a/src/pearbarrow/program/owner_state.h
+++ b/src/pearbarrow/program/owner_state.h
@@ -155,6 +155,7 @@
     void on(const event::model_finished& event);
     void on(const event::model_failed& event);
     void on(const event::model_lost& event);
+    void on(const event::start_expired& event);
     /// The stream broke: resumes it after a pause, or gives the attempt up after some tries.
     void lose_stream(call_context at);
     void resume_model(call_context at);
--- a/src/pearbarrow/program/shard_actions.h
+++ b/src/pearbarrow/program/shard_actions.h
@@ -135,6 +135,8 @@
     base::milliseconds time_left{0};
     base::call_number call;
     leadership confirm;
+    /// A start that is held up beyond this, by the confirmation, is answered by `start_expired`.
+    base::instant start_by;
 };
 
 /// Stream the attempt again from token `from_index` (the first is 1); answered like a start.
@@ -163,6 +165,8 @@
     base::milliseconds time_left{0};
     base::call_number call;
     leadership confirm;
+    /// As of a model attempt.
+    base::instant start_by;
 };
 
 /// Nobody waits for the tool's answer any more.
--- a/src/pearbarrow/program/shard_events.h
+++ b/src/pearbarrow/program/shard_events.h
@@ -119,6 +119,12 @@
     base::attempt_id attempt;
 };
 
+/// The shell did not start the attempt, since `start_by` had passed: its back end may have been
+/// marked as leaving since it was granted.
+struct start_expired {
+    base::attempt_id attempt;
+};
+
 struct tool_finished {
     base::attempt_id attempt;
     std::string output;
@@ -209,8 +215,9 @@
                  event::records_committed, event::journal_availability, event::ownership_lost,
                  event::placement_granted, event::placement_refused, event::placement_lost,
                  event::model_part, event::model_finished, event::model_failed, event::model_lost,
-                 event::tool_finished, event::tool_failed, event::tool_lost, event::tool_status,
-                 event::cache_released, event::owner_answered, event::retained_read,
-                 event::concurrency_limits_changed, event::configuration_changed, event::tick>;
+                 event::start_expired, event::tool_finished, event::tool_failed, event::tool_lost,
+                 event::tool_status, event::cache_released, event::owner_answered,
+                 event::retained_read, event::concurrency_limits_changed,
+                 event::configuration_changed, event::tick>;
 
 }  // namespace pearbarrow::program
--- a/tests/simulation/joined/joined_simulation_test.cc
+++ b/tests/simulation/joined/joined_simulation_test.cc
@@ -54,6 +54,16 @@
     }
 }
 
+// Their starts waited for a confirmation of leadership until the engine had long been leaving.
+Test(joined_simulation, a_start_that_waited_for_confirmation_is_not_made_late) {
+    for (const std::uint64_t seed : {900'531, 901'198}) {
+        for (const auto& found : run_faults({.seed = seed}).findings) {
+            cr_expect(false, "seed %lu, invariant %d: %s", seed, found.invariant,
+                      found.what.c_str());
+        }
+    }
+}
+
 Test(joined_simulation, a_seed_replays_exactly) {
     for (const std::uint64_t seed : {7, 8, 9}) {
         const fault_result one = run_faults({.seed = seed});
