Fleet tests: ports that the kernel does not give out by itself

Cause: a port found free and closed again could be taken by another test's connection before its use. Not seen to fail; found by reading.

--- a/tests/unit/fleet/fleet_fixture.h
+++ b/tests/unit/fleet/fleet_fixture.h
@@ -29,10 +29,20 @@
 using net::testing::run_for;
 using net::testing::run_until;
 
-/// A port that was free a moment ago.
+/// A port that is free, below those that the kernel gives out by itself: nobody else takes it
+/// between this and its use. Each test is a process of its own and begins elsewhere.
 inline settings::ip_endpoint free_address() {
-    const net::testing::raw_server probe;
-    return {"127.0.0.1", probe.local_endpoint().port};
+    constexpr std::uint32_t first_port = 12'000;
+    constexpr std::uint32_t port_count = 20'000;
+    constexpr std::uint32_t ports_of_a_test = 64;
+    static std::uint32_t next = static_cast<std::uint32_t>(::getpid()) * ports_of_a_test;
+    for (;;) {
+        const auto port = static_cast<std::uint16_t>(first_port + next++ % port_count);
+        const net::testing::raw_client probe({"127.0.0.1", port});
+        if (!probe.connected()) {
+            return {"127.0.0.1", port};
+        }
+    }
 }
 
 struct running_edge {
