Turns: a node cut off from most storage members reaches them through a peer

Ruled out: refusing sooner alone (the caller's one retry reaches another node, but storage that is really down would then fail programs that now wait it out); readiness (the platform acts on it after two seconds). Change: calls to members go through an interface, member_caller. While fewer than a majority of the members answer a node, it sends each call also through a peer, which passes it on to a member that it knows itself (call_relay). All these calls may reach a member twice. The loss of a minority costs no peer anything; a relay that reached nothing rests.

--- a/src/pearbarrow/fleet/edge_node.cc
+++ b/src/pearbarrow/fleet/edge_node.cc
@@ -36,7 +36,9 @@
       log_(clock, parts_.metrics(), {}),
       client_(net::make_http_client(loop, client_options())),
       pool_({.zone = settings.zone}, parts_.random()),
-      turns_(loop, parts_.rpc(), {.zone = settings.zone}),
+      relay_(parts_.rpc()),
+      members_(loop, parts_.rpc(), clock, {}, [this] { return relay_peer(); }),
+      turns_(loop, members_, {.zone = settings.zone}),
       context_{.loop = loop,
                .clock = clock,
                .random = parts_.random(),
@@ -90,10 +92,20 @@
         pool_.set_backends(*known.backends);
     }
     if (changed.storage) {
+        relay_.set_view(*known.storage);
+        members_.set_view(*known.storage);
         turns_.set_view(*known.storage);
     }
 }
 
+net::endpoint edge_node::relay_peer() {
+    const auto& storage = parts_.directory().state().current().storage;
+    return parts_.directory().random_peer([&](const net::endpoint& peer) {
+        return std::none_of(storage->members.begin(), storage->members.end(),
+                            [&](const auto& member) { return member.address == peer; });
+    });
+}
+
 void edge_node::stop(std::function<void()> done) {
     if (stopping_) {
         return;
--- a/src/pearbarrow/fleet/edge_node.h
+++ b/src/pearbarrow/fleet/edge_node.h
@@ -8,6 +8,8 @@
 
 #include "pearbarrow/fleet/node_parts.h"
 #include "pearbarrow/forward/forward_service.h"
+#include "pearbarrow/turns/call_relay.h"
+#include "pearbarrow/turns/relaying_caller.h"
 
 namespace pearbarrow::fleet {
 
@@ -30,11 +32,15 @@
     void take_changes(const directory::directory_state::changes& changed);
     void answer_ready(const std::shared_ptr<net::http_exchange>& exchange) const;
     void end_when_idle();
+    /// A node through which storage members may be reached.
+    net::endpoint relay_peer();
 
     node_parts parts_;
     forward::forward_log log_;
     std::unique_ptr<net::http_client> client_;
     forward::backend_pool pool_;
+    turns::call_relay relay_;
+    turns::relaying_caller members_;
     turns::turn_client turns_;
     forward::forward_context context_;
     forward::forward_service service_;
--- a/src/pearbarrow/turns/majority_write.cc
+++ b/src/pearbarrow/turns/majority_write.cc
@@ -17,12 +17,12 @@
     return voters;
 }
 
-majority_write::majority_write(net::event_loop& loop, net::peer_rpc& rpc,
+majority_write::majority_write(net::event_loop& loop, member_caller& caller,
                                const client_options& options, const directory::storage_view& view,
                                finish_request request, base::milliseconds timeout,
                                callbacks callbacks)
     : loop_(loop),
-      rpc_(rpc),
+      caller_(caller),
       options_(options),
       timeout_(timeout),
       callbacks_(std::move(callbacks)),
@@ -49,11 +49,10 @@
 
 void majority_write::send(member_write& part) {
     part.retry.reset();
-    part.call = rpc_.call(
-        part.member.node, part.member.address, wire::turn_finish, payload_, options_.call_timeout,
-        {.on_part = nullptr, .on_done = [this, &part](const absl::StatusOr<std::string>& reply) {
-             take_reply(part, reply.status());
-         }});
+    part.call = caller_.call(part.member, wire::turn_finish, payload_, options_.call_timeout,
+                             [this, &part](const absl::StatusOr<std::string>& reply) {
+                                 take_reply(part, reply.status());
+                             });
 }
 
 void majority_write::take_reply(member_write& part, const absl::Status& status) {
--- a/src/pearbarrow/turns/majority_write.h
+++ b/src/pearbarrow/turns/majority_write.h
@@ -12,7 +12,7 @@
 #include <absl/status/statusor.h>
 
 #include "pearbarrow/net/event_loop.h"
-#include "pearbarrow/net/peer_rpc.h"
+#include "pearbarrow/turns/member_caller.h"
 #include "pearbarrow/turns/turn_operation.h"
 
 namespace pearbarrow::turns {
@@ -27,7 +27,7 @@
         std::function<void()> over;
     };
 
-    majority_write(net::event_loop& loop, net::peer_rpc& rpc, const client_options& options,
+    majority_write(net::event_loop& loop, member_caller& caller, const client_options& options,
                    const directory::storage_view& view, finish_request request,
                    base::milliseconds timeout, callbacks callbacks);
 
@@ -50,7 +50,7 @@
     void end();
 
     net::event_loop& loop_;
-    net::peer_rpc& rpc_;
+    member_caller& caller_;
     client_options options_;
     base::milliseconds timeout_;
     callbacks callbacks_;
--- /dev/null
+++ b/src/pearbarrow/turns/relaying_caller.cc
@@ -0,0 +1,229 @@
+#include "pearbarrow/turns/relaying_caller.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "pearbarrow/base/log.h"
+#include "pearbarrow/base/status.h"
+#include "pearbarrow/wire/codec.h"
+
+namespace pearbarrow::turns {
+namespace {
+
+// A member that refuses has answered; one that can't be reached or is late has not.
+bool is_silence(const absl::Status& status) {
+    return status.code() == absl::StatusCode::kUnavailable ||
+           status.code() == absl::StatusCode::kDeadlineExceeded;
+}
+
+}  // namespace
+
+/// One call, on one or both ways. The first success ends it; a failure does once no way is left.
+class relaying_caller::one_call final : public net::peer_call_handle {
+  public:
+    one_call(relaying_caller& owner, directory::storage_member member, net::method_number method,
+             std::string payload, base::milliseconds timeout, reply_handler on_reply)
+        : owner(owner),
+          member(std::move(member)),
+          method(method),
+          payload(std::move(payload)),
+          asked_at(owner.clock.now()),
+          ends_at(this->asked_at + timeout),
+          on_reply(std::move(on_reply)) {}
+    one_call(const one_call&) = delete;
+    one_call& operator=(const one_call&) = delete;
+    ~one_call() override { one_call::cancel(); }
+
+    void start() {
+        this->owner.note_asked(this->member.node, this->asked_at);
+        this->direct = this->owner.rpc.call(
+            this->member.node, this->member.address, this->method, this->payload, this->time_left(),
+            {.on_part = nullptr, .on_done = [this](const absl::StatusOr<std::string>& reply) {
+                 this->take_direct(reply);
+             }});
+        if (this->owner.is_cut()) {
+            this->relay();
+        } else {
+            this->patience = this->owner.loop.after(this->owner.options.patience, [this] {
+                if (this->owner.is_cut()) {
+                    this->relay();
+                }
+            });
+        }
+    }
+
+    void cancel() override {
+        if (this->on_reply != nullptr) {
+            this->owner.note_unasked(this->member.node, this->asked_at);
+        }
+        this->on_reply = nullptr;
+        this->direct.reset();
+        this->relayed.reset();
+        this->patience.reset();
+    }
+
+  private:
+    base::milliseconds time_left() const {
+        const auto left =
+            std::chrono::duration_cast<base::milliseconds>(this->ends_at - this->owner.clock.now());
+        return std::max(left, base::milliseconds{1});
+    }
+
+    void take_direct(const absl::StatusOr<std::string>& reply) {
+        this->direct_failed = !reply.ok();
+        if (reply.ok() || !is_silence(reply.status())) {
+            this->owner.note_answered(this->member.node);
+            this->end(reply);
+            return;
+        }
+        if (this->owner.is_cut()) {
+            this->relay();
+        }
+        if (!this->relay_runs) {
+            this->end(reply);
+        }
+    }
+
+    void relay() {
+        if (this->relay_runs || this->on_reply == nullptr) {
+            return;
+        }
+        const net::endpoint peer = this->owner.relay_peer();
+        if (peer.port == 0) {
+            return;
+        }
+        this->relay_runs = true;
+        ++this->owner.relayed;
+        const relay_request request{this->member.node, this->method, this->payload};
+        this->relayed = this->owner.rpc.call(
+            base::node_id(), peer, wire::turn_relay, wire::encode(request),
+            std::min(this->time_left(), this->owner.options.patience),
+            {.on_part = nullptr, .on_done = [this, peer](const absl::StatusOr<std::string>& reply) {
+                 this->take_relayed(peer, reply);
+             }});
+    }
+
+    void take_relayed(const net::endpoint& peer, const absl::StatusOr<std::string>& reply) {
+        this->relay_runs = false;
+        this->owner.note_relay(peer, reply.ok());
+        if (reply.ok() || this->direct_failed) {
+            this->end(reply);
+            return;
+        }
+        this->patience = this->owner.loop.after(this->owner.options.rest, [this] {
+            if (this->owner.is_cut()) {
+                this->relay();
+            }
+        });
+    }
+
+    void end(const absl::StatusOr<std::string>& reply) {
+        if (const auto handler = std::exchange(this->on_reply, nullptr); handler) {
+            this->patience.reset();
+            handler(reply);
+        }
+    }
+
+    relaying_caller& owner;
+    directory::storage_member member;
+    net::method_number method;
+    std::string payload;
+    base::instant asked_at;
+    base::instant ends_at;
+    reply_handler on_reply;
+    std::unique_ptr<net::peer_call_handle> direct;
+    std::unique_ptr<net::peer_call_handle> relayed;
+    std::unique_ptr<net::timer_handle> patience;
+    bool direct_failed = false;
+    bool relay_runs = false;
+};
+
+relaying_caller::relaying_caller(net::event_loop& loop, net::peer_rpc& rpc,
+                                 const base::clock& clock, relaying_options options,
+                                 peer_source choose_peer)
+    : loop(loop), rpc(rpc), clock(clock), options(options), choose_peer(std::move(choose_peer)) {}
+
+relaying_caller::~relaying_caller() = default;
+
+void relaying_caller::set_view(const directory::storage_view& view) {
+    std::map<base::node_id, std::optional<base::instant>> next;
+    for (const directory::storage_member& member : view.members) {
+        if (member.retiring) {
+            continue;
+        }
+        const auto known = this->silent_since.find(member.node);
+        next[member.node] = known == this->silent_since.end() ? std::nullopt : known->second;
+    }
+    this->silent_since = std::move(next);
+}
+
+std::unique_ptr<net::peer_call_handle> relaying_caller::call(
+    const directory::storage_member& member, net::method_number method, std::string payload,
+    base::milliseconds timeout, reply_handler on_reply) {
+    auto started = std::make_unique<one_call>(*this, member, method, std::move(payload), timeout,
+                                              std::move(on_reply));
+    started->start();
+    return started;
+}
+
+bool relaying_caller::is_cut() const {
+    const base::instant now = this->clock.now();
+    const auto answering = static_cast<std::size_t>(
+        std::count_if(this->silent_since.begin(), this->silent_since.end(), [&](const auto& entry) {
+            return !entry.second.has_value() || now - *entry.second < this->options.patience;
+        }));
+    return answering < this->silent_since.size() / 2 + 1;
+}
+
+void relaying_caller::note_asked(const base::node_id& node, base::instant at) {
+    const auto found = this->silent_since.find(node);
+    if (found != this->silent_since.end() && !found->second.has_value()) {
+        found->second = at;
+    }
+}
+
+// Whoever asked waits no longer, mostly because other members were faster: no sign of silence yet.
+void relaying_caller::note_unasked(const base::node_id& node, base::instant at) {
+    const auto found = this->silent_since.find(node);
+    if (found != this->silent_since.end() && found->second == at &&
+        this->clock.now() - at < this->options.patience) {
+        found->second.reset();
+    }
+}
+
+void relaying_caller::note_answered(const base::node_id& node) {
+    const bool was_cut = this->is_cut();
+    const auto found = this->silent_since.find(node);
+    if (found != this->silent_since.end()) {
+        found->second.reset();
+    }
+    if (was_cut && !this->is_cut()) {
+        base::log(base::log_level::info, "storage_reached_again",
+                  {{"relayed_calls", this->relayed}});
+    }
+}
+
+void relaying_caller::note_relay(const net::endpoint& peer, bool reached) {
+    if (reached) {
+        if (this->good_peer != peer) {
+            base::log(base::log_level::warning, "storage_reached_by_relay",
+                      {{"peer", net::to_string(peer)}});
+        }
+        this->good_peer = peer;
+        return;
+    }
+    this->good_peer = {};
+    this->rests_until = this->clock.now() + this->options.rest;
+}
+
+net::endpoint relaying_caller::relay_peer() {
+    if (this->good_peer.port != 0) {
+        return this->good_peer;
+    }
+    if (this->clock.now() < this->rests_until) {
+        return {};
+    }
+    return this->choose_peer();
+}
+
+}  // namespace pearbarrow::turns
--- /dev/null
+++ b/src/pearbarrow/turns/relaying_caller.h
@@ -0,0 +1,64 @@
+/// Calls storage members directly, and through a peer while the way to most of them is cut.
+#pragma once
+
+#include <map>
+#include <optional>
+
+#include "pearbarrow/net/event_loop.h"
+#include "pearbarrow/turns/call_relay.h"
+#include "pearbarrow/turns/member_caller.h"
+
+namespace pearbarrow::turns {
+
+struct relaying_options {
+    /// A member that leaves a call unanswered for this long counts as silent.
+    base::milliseconds patience{250};
+    /// After a relay that reached nothing either, before the next one.
+    base::milliseconds rest{150};
+};
+
+/// Invariant: a call is relayed only while fewer than a majority of the members answer this node,
+/// so the loss of a minority costs no peer anything. Every call that may be relayed is one that a
+/// member may receive twice.
+class relaying_caller final : public member_caller {
+  public:
+    /// Gives a peer to relay through; port 0: none is known.
+    using peer_source = std::function<net::endpoint()>;
+
+    relaying_caller(net::event_loop& loop, net::peer_rpc& rpc, const base::clock& clock,
+                    relaying_options options, peer_source choose_peer);
+    ~relaying_caller() override;
+    relaying_caller(const relaying_caller&) = delete;
+    relaying_caller& operator=(const relaying_caller&) = delete;
+
+    void set_view(const directory::storage_view& view);
+    [[nodiscard]] std::unique_ptr<net::peer_call_handle> call(
+        const directory::storage_member& member, net::method_number method, std::string payload,
+        base::milliseconds timeout, reply_handler on_reply) override;
+    /// Whether fewer than a majority of the members answer.
+    bool is_cut() const;
+    std::uint64_t relayed_calls() const { return this->relayed; }
+
+  private:
+    class one_call;
+
+    void note_asked(const base::node_id& node, base::instant at);
+    void note_unasked(const base::node_id& node, base::instant at);
+    void note_answered(const base::node_id& node);
+    void note_relay(const net::endpoint& peer, bool reached);
+    net::endpoint relay_peer();
+
+    net::event_loop& loop;
+    net::peer_rpc& rpc;
+    const base::clock& clock;
+    relaying_options options;
+    peer_source choose_peer;
+    /// Since when each voting member has left a call unanswered; none: it has answered last.
+    std::map<base::node_id, std::optional<base::instant>> silent_since;
+    /// The peer that relayed last, while it does.
+    net::endpoint good_peer;
+    base::instant rests_until{};
+    std::uint64_t relayed = 0;
+};
+
+}  // namespace pearbarrow::turns
--- a/src/pearbarrow/turns/turn_client.cc
+++ b/src/pearbarrow/turns/turn_client.cc
@@ -44,15 +44,15 @@
     return "unknown";
 }
 
-turn_client::turn_client(net::event_loop& loop, net::peer_rpc& rpc, client_options options)
-    : loop_(loop), rpc_(rpc), options_(std::move(options)) {}
+turn_client::turn_client(net::event_loop& loop, member_caller& caller, client_options options)
+    : loop_(loop), caller_(caller), options_(std::move(options)) {}
 
 turn_client::~turn_client() = default;
 
 std::unique_ptr<turn_operation> turn_client::prepare(turn_request request,
                                                      std::function<void(prepared_turn)> done) {
-    auto step = std::make_unique<turn_preparation>(loop_, rpc_, options_, view_, std::move(request),
-                                                   std::move(done));
+    auto step = std::make_unique<turn_preparation>(loop_, caller_, options_, view_,
+                                                   std::move(request), std::move(done));
     step->start();
     return step;
 }
@@ -62,7 +62,7 @@
                                                    std::function<void(absl::Status)> done) {
     const std::uint64_t number = ++last_write_;
     auto write = std::make_shared<majority_write>(
-        loop_, rpc_, options_, view_, std::move(request), timeout,
+        loop_, caller_, options_, view_, std::move(request), timeout,
         majority_write::callbacks{.done = std::move(done), .over = [this, number] {
                                       // Freed from the loop: this callback is a part of it.
                                       loop_.post([ended = writes_.at(number)] {});
--- a/src/pearbarrow/turns/turn_client.h
+++ b/src/pearbarrow/turns/turn_client.h
@@ -16,7 +16,6 @@
 #include "pearbarrow/base/clock.h"
 #include "pearbarrow/directory/snapshot.h"
 #include "pearbarrow/net/event_loop.h"
-#include "pearbarrow/net/peer_rpc.h"
 #include "pearbarrow/turns/majority_write.h"
 #include "pearbarrow/turns/turn_operation.h"
 
@@ -24,7 +23,7 @@
 
 class turn_client {
   public:
-    turn_client(net::event_loop& loop, net::peer_rpc& rpc, client_options options);
+    turn_client(net::event_loop& loop, member_caller& caller, client_options options);
     ~turn_client();
     turn_client(const turn_client&) = delete;
     turn_client& operator=(const turn_client&) = delete;
@@ -44,7 +43,7 @@
 
   private:
     net::event_loop& loop_;
-    net::peer_rpc& rpc_;
+    member_caller& caller_;
     client_options options_;
     directory::storage_view view_;
     /// Writes that have not reached every member yet.
--- a/src/pearbarrow/turns/turn_preparation.cc
+++ b/src/pearbarrow/turns/turn_preparation.cc
@@ -7,12 +7,12 @@
 
 namespace pearbarrow::turns {
 
-turn_preparation::turn_preparation(net::event_loop& loop, net::peer_rpc& rpc,
+turn_preparation::turn_preparation(net::event_loop& loop, member_caller& caller,
                                    const client_options& options,
                                    const directory::storage_view& view, turn_request request,
                                    std::function<void(prepared_turn)> done)
     : loop_(loop),
-      rpc_(rpc),
+      caller_(caller),
       options_(options),
       request_(std::move(request)),
       done_(std::move(done)),
@@ -50,13 +50,11 @@
 void turn_preparation::send_reserve(member_state& member, bool with_chain) {
     member.reserve_retry.reset();
     const reserve_request message{request_.wanted, request_.previous, with_chain};
-    member.reserve_call = rpc_.call(
-        member.member.node, member.member.address, wire::turn_reserve, wire::encode(message),
-        options_.call_timeout,
-        {.on_part = nullptr,
-         .on_done = [this, &member, with_chain](const absl::StatusOr<std::string>& payload) {
-             take_reserve(member, with_chain, payload);
-         }});
+    member.reserve_call = caller_.call(
+        member.member, wire::turn_reserve, wire::encode(message), options_.call_timeout,
+        [this, &member, with_chain](const absl::StatusOr<std::string>& payload) {
+            take_reserve(member, with_chain, payload);
+        });
 }
 
 void turn_preparation::take_reserve(member_state& member, bool with_chain,
@@ -100,13 +98,11 @@
 
 void turn_preparation::send_read(member_state& member) {
     member.read_retry.reset();
-    member.read_call =
-        rpc_.call(member.member.node, member.member.address, wire::turn_read,
-                  wire::encode(read_request{request_.previous}), options_.call_timeout,
-                  {.on_part = nullptr,
-                   .on_done = [this, &member](const absl::StatusOr<std::string>& payload) {
-                       take_read(member, payload);
-                   }});
+    member.read_call = caller_.call(
+        member.member, wire::turn_read, wire::encode(read_request{request_.previous}),
+        options_.call_timeout, [this, &member](const absl::StatusOr<std::string>& payload) {
+            take_read(member, payload);
+        });
 }
 
 void turn_preparation::take_read(member_state& member, const absl::StatusOr<std::string>& payload) {
@@ -167,13 +163,11 @@
 
 void turn_preparation::send_usage(member_state& member) {
     member.reserve_retry.reset();
-    member.reserve_call =
-        rpc_.call(member.member.node, member.member.address, wire::turn_usage,
-                  wire::encode(usage_request{request_.wanted.program}), options_.call_timeout,
-                  {.on_part = nullptr,
-                   .on_done = [this, &member](const absl::StatusOr<std::string>& payload) {
-                       take_usage(member, payload);
-                   }});
+    member.reserve_call = caller_.call(
+        member.member, wire::turn_usage, wire::encode(usage_request{request_.wanted.program}),
+        options_.call_timeout, [this, &member](const absl::StatusOr<std::string>& payload) {
+            take_usage(member, payload);
+        });
 }
 
 void turn_preparation::take_usage(member_state& member,
--- a/src/pearbarrow/turns/turn_preparation.h
+++ b/src/pearbarrow/turns/turn_preparation.h
@@ -10,8 +10,8 @@
 #include <absl/status/statusor.h>
 
 #include "pearbarrow/net/event_loop.h"
-#include "pearbarrow/net/peer_rpc.h"
 #include "pearbarrow/turns/budget_check.h"
+#include "pearbarrow/turns/member_caller.h"
 #include "pearbarrow/turns/turn_operation.h"
 
 namespace pearbarrow::turns {
@@ -21,7 +21,7 @@
 /// truth. It is absent for certain only when every member, each complete, says so.
 class turn_preparation final : public turn_operation {
   public:
-    turn_preparation(net::event_loop& loop, net::peer_rpc& rpc, const client_options& options,
+    turn_preparation(net::event_loop& loop, member_caller& caller, const client_options& options,
                      const directory::storage_view& view, turn_request request,
                      std::function<void(prepared_turn)> done);
 
@@ -59,7 +59,7 @@
     std::size_t count(bool member_state::*flag) const;
 
     net::event_loop& loop_;
-    net::peer_rpc& rpc_;
+    member_caller& caller_;
     client_options options_;
     turn_request request_;
     std::function<void(prepared_turn)> done_;
--- a/src/pearbarrow/wire/methods.h
+++ b/src/pearbarrow/wire/methods.h
@@ -56,5 +56,7 @@
 inline constexpr method_number turn_list = 93;
 inline constexpr method_number turn_fetch = 94;
 inline constexpr method_number turn_usage = 95;
+/// One of the above, passed on by a node that reaches the member.
+inline constexpr method_number turn_relay = 96;
 
 }  // namespace pearbarrow::wire
--- a/tests/unit/turns/member_fixture.h
+++ b/tests/unit/turns/member_fixture.h
@@ -11,6 +11,7 @@
 
 #include "../net/net_fixture.h"
 #include "pearbarrow/base/status.h"
+#include "pearbarrow/turns/relaying_caller.h"
 #include "pearbarrow/turns/turn_client.h"
 #include "pearbarrow/wire/codec.h"
 
@@ -117,7 +118,9 @@
             loop,
             {.self = base::node_id("edge"), .cluster = "test", .listen = net::testing::loopback});
         cr_assert(rpc->start().ok());
-        client = std::make_unique<turn_client>(loop, *rpc, client_options{.zone = "a"});
+        caller.emplace(loop, *rpc, clock, relaying_options{}, [this] { return relay_peer; });
+        caller->set_view(view);
+        client = std::make_unique<turn_client>(loop, *caller, client_options{.zone = "a"});
         client->set_view(view);
     }
 
@@ -131,9 +134,13 @@
     }
 
     net::event_loop loop;
+    base::system_clock_source clock;
     std::list<scripted_member> members;
     directory::storage_view view;
+    /// None while its port is 0.
+    net::endpoint relay_peer{"127.0.0.1", 0};
     std::unique_ptr<net::peer_rpc> rpc;
+    std::optional<relaying_caller> caller;
     std::unique_ptr<turn_client> client;
 };
 
