Fleet: a changed settings file is taken while the node runs

SIGHUP was only logged. Now the file is read again, on the signal and when it has changed without one (looked at every 5 s): seeds and the directory service's address are taken, what needs a restart is named, a file with a mistake changes nothing.

--- a/src/pearbarrow/fleet/node_parts.cc
+++ b/src/pearbarrow/fleet/node_parts.cc
@@ -46,6 +46,14 @@
 
 node_parts::~node_parts() = default;
 
+void node_parts::take_settings(const settings::fleet_settings& next) {
+    settings_.seeds = next.seeds;
+    settings_.directory_service = next.directory_service;
+    for (const settings::ip_endpoint& seed : next.seeds) {
+        exchange_->learn_peer(to_endpoint(seed));
+    }
+}
+
 absl::Status node_parts::start() {
     if (auto status = rpc_->start(); !status.ok()) {
         return status;
--- a/src/pearbarrow/fleet/node_parts.h
+++ b/src/pearbarrow/fleet/node_parts.h
@@ -31,6 +31,8 @@
 
     /// Opens the links and the metrics address. Register every peer method before.
     absl::Status start();
+    /// Takes what may change while the node runs: the seeds.
+    void take_settings(const settings::fleet_settings& next);
 
     net::event_loop& loop() { return loop_; }
     const base::clock& clock() const { return clock_; }
--- /dev/null
+++ b/src/pearbarrow/fleet/settings_reload.cc
@@ -0,0 +1,79 @@
+#include "pearbarrow/fleet/settings_reload.h"
+
+#include <utility>
+
+#include "pearbarrow/base/log.h"
+
+namespace pearbarrow::fleet {
+namespace {
+
+// The file may change without a signal.
+constexpr base::milliseconds look_interval{5'000};
+
+std::filesystem::file_time_type time_of(const std::string& file) {
+    std::error_code ignored;
+    return std::filesystem::last_write_time(file, ignored);
+}
+
+}  // namespace
+
+settings_difference compare(const settings::fleet_settings& current,
+                            const settings::fleet_settings& next) {
+    settings_difference difference;
+    const auto note = [](std::vector<std::string>& list, bool differs, const char* field) {
+        if (differs) {
+            list.emplace_back(field);
+        }
+    };
+    note(difference.taken, current.seeds != next.seeds, "seeds");
+    note(difference.taken, current.directory_service != next.directory_service,
+         "directory_service");
+    note(difference.need_restart, current.role != next.role, "role");
+    note(difference.need_restart, current.node != next.node, "node");
+    note(difference.need_restart, current.zone != next.zone, "zone");
+    note(difference.need_restart, current.log_level != next.log_level, "log_level");
+    note(difference.need_restart, current.caller != next.caller, "listen.caller");
+    note(difference.need_restart, current.ready != next.ready, "listen.ready");
+    note(difference.need_restart, current.peer != next.peer, "listen.peer");
+    note(difference.need_restart, current.metrics != next.metrics, "listen.metrics");
+    note(difference.need_restart, current.data_folder != next.data_folder, "data_folder");
+    note(difference.need_restart, current.stop_timeout != next.stop_timeout, "stop_timeout");
+    return difference;
+}
+
+settings_reload::settings_reload(net::event_loop& loop, std::string file,
+                                 settings::fleet_settings current, apply_handler apply)
+    : file(std::move(file)),
+      current(std::move(current)),
+      apply(std::move(apply)),
+      read_at(time_of(this->file)),
+      timer(loop.every(look_interval, [this] { this->look(); })) {}
+
+void settings_reload::look() {
+    if (time_of(this->file) != this->read_at) {
+        this->reload();
+    }
+}
+
+void settings_reload::reload() {
+    this->read_at = time_of(this->file);
+    const settings::fleet_settings_result next = settings::check_fleet_file(this->file);
+    if (!next.problems.empty()) {
+        std::vector<std::string> problems;
+        for (const settings::settings_problem& problem : next.problems) {
+            problems.push_back(settings::to_string(problem, this->file));
+        }
+        base::log(base::log_level::error, "settings_rejected", {{"problems", problems}});
+        return;
+    }
+    const settings_difference difference = compare(this->current, next.settings);
+    base::log(base::log_level::info, "settings_reloaded",
+              {{"taken", difference.taken}, {"need_restart", difference.need_restart}});
+    this->current.seeds = next.settings.seeds;
+    this->current.directory_service = next.settings.directory_service;
+    if (!difference.taken.empty()) {
+        this->apply(this->current);
+    }
+}
+
+}  // namespace pearbarrow::fleet
