Directory: nodes take turns to read the store, since all its watches may be deaf at once

While the store is about to drop its history no watch hears anything, new watches neither, for up to 5.5 s; only a node whose watch ended after that read the range anew. Ruled out: the exchange between nodes (all had it 0.2 s after the first), the pauses between watches (a watch that waits hears nothing either; before the pauses the same could happen). Change: besides its watch each node reads the whole range when its turn comes, one node every 0.6 s, in the order of addresses by the time of day; a node that no peer answers reads every 0.6 s itself.

--- a/src/pearbarrow/directory/directory_exchange.cc
+++ b/src/pearbarrow/directory/directory_exchange.cc
@@ -172,6 +172,12 @@
     peers_.push_back(peer);
 }
 
+std::size_t directory_exchange::rank() const {
+    return static_cast<std::size_t>(
+        std::count_if(peers_.begin(), peers_.end(),
+                      [this](const net::endpoint& peer) { return peer < options_.self; }));
+}
+
 bool directory_exchange::is_connected() const {
     return std::any_of(questions_.begin(), questions_.end(),
                        [](const open_question& question) { return question.was_answered; });
--- a/src/pearbarrow/directory/directory_exchange.h
+++ b/src/pearbarrow/directory/directory_exchange.h
@@ -73,6 +73,8 @@
     void learn_peer(const net::endpoint& peer);
     const directory_state& state() const { return state_; }
     std::size_t peer_count() const { return peers_.size(); }
+    /// How many of the peers have a lower address than this node.
+    std::size_t rank() const;
     /// One of the peers that `is_fit` takes; port 0: there is none.
     net::endpoint random_peer(const std::function<bool(const net::endpoint&)>& is_fit);
     /// Whether a peer has answered a question and has not failed one since.
--- a/src/pearbarrow/directory/watch_pacing.cc
+++ b/src/pearbarrow/directory/watch_pacing.cc
@@ -7,13 +7,21 @@
 watch_pacing::watch_pacing(base::random_source& random, pacing_options options)
     : random(random), options(options) {}
 
-// A watch may miss a change without a word; then its end is what brings the change. The nodes'
-// watches end at different times, and whichever learns of the change tells the others, so the more
-// nodes there are the longer each may wait.
-base::milliseconds watch_pacing::wait(const watch_company& company) {
-    const auto sharers = std::min(company.peers, this->options.most_counted_peers) + 1;
-    return this->options.least_wait +
-           this->draw(this->options.wait_per_peer * static_cast<std::int64_t>(sharers));
+// The service's watches may miss changes without a word, all of them at once and for seconds, so
+// somebody has to read now and then. Nodes take turns by the time of day, in the order of their
+// addresses: no message is needed, and where clocks or lists of peers differ turns only shift.
+base::milliseconds watch_pacing::until_check(const watch_company& company,
+                                             std::int64_t unix_time) const {
+    const base::milliseconds interval = this->options.check_interval;
+    if (!company.connected || company.peers == 0) {
+        return interval;
+    }
+    const base::milliseconds round = interval * static_cast<std::int64_t>(company.peers + 1);
+    const base::milliseconds turn = interval * static_cast<std::int64_t>(company.rank);
+    const base::milliseconds now{unix_time / 1'000};
+    const base::milliseconds wait = (turn - now % round + round) % round;
+    // A timer that ran a little early has had this turn.
+    return wait < interval / 2 ? wait + round : wait;
 }
 
 // Each call to the service costs, and every change ends all watches that wait. So a node whose
@@ -28,10 +36,6 @@
         was_news
             ? std::min(this->options.pause_after_news * peers, this->options.most_pause_after_news)
             : std::min(this->options.pause_when_told * peers, this->options.most_pause_when_told);
-    return this->draw(most);
-}
-
-base::milliseconds watch_pacing::draw(base::milliseconds most) {
     if (most.count() <= 0) {
         return base::milliseconds{0};
     }
--- a/src/pearbarrow/directory/watch_pacing.h
+++ b/src/pearbarrow/directory/watch_pacing.h
@@ -9,10 +9,8 @@
 namespace pearbarrow::directory {
 
 struct pacing_options {
-    /// A watch lasts this long, and by lot up to `wait_per_peer` longer for each other node.
-    base::milliseconds least_wait{1'000};
-    base::milliseconds wait_per_peer{800};
-    std::size_t most_counted_peers = 20;
+    /// Between two checks by all nodes together.
+    base::milliseconds check_interval{600};
     /// Most time between a watch that told something new and the next one, for each other node.
     base::milliseconds pause_after_news{100};
     base::milliseconds most_pause_after_news{1'200};
@@ -21,10 +19,12 @@
     base::milliseconds most_pause_when_told{6'000};
 };
 
-/// What a node knows of the others that watch the same service.
+/// What a node knows of the others that look at the same service.
 struct watch_company {
     /// Other nodes that this one has heard of.
     std::size_t peers = 0;
+    /// This node's place among them all, from 0.
+    std::size_t rank = 0;
     /// Whether peers answer this node.
     bool connected = false;
 };
@@ -33,15 +33,13 @@
   public:
     watch_pacing(base::random_source& random, pacing_options options);
 
-    /// How long the next watch may last.
-    base::milliseconds wait(const watch_company& company);
+    /// How long until this node's turn to read everything anew. `unix_time` in microseconds.
+    base::milliseconds until_check(const watch_company& company, std::int64_t unix_time) const;
     /// How long to leave the watching to others after a watch that has told of changes;
     /// `was_news`: this node knew of them from nobody else.
     base::milliseconds pause(const watch_company& company, bool was_news);
 
   private:
-    base::milliseconds draw(base::milliseconds most);
-
     base::random_source& random;
     pacing_options options;
 };
--- a/src/pearbarrow/emulator/metadata_store.cc
+++ b/src/pearbarrow/emulator/metadata_store.cc
@@ -148,7 +148,9 @@
             // Cut: the next watch from the same place learns that the history is gone.
             position->exchange->abort();
         } else {
-            tell(*position, events(position->prefix, position->after));
+            const bool deaf = trouble_ == trouble::deaf_watches;
+            tell(*position,
+                 deaf ? nlohmann::json::array() : events(position->prefix, position->after));
         }
         watchers_.erase(position);
     });
--- a/tests/unit/directory/watch_pacing_test.cc
+++ b/tests/unit/directory/watch_pacing_test.cc
@@ -43,13 +43,40 @@
     cr_assert(longest_pause(company, false) <= pacing_options().most_pause_when_told);
 }
 
-Test(watch_pacing, a_watch_lasts_longer_the_more_nodes_watch) {
+Test(watch_pacing, nodes_take_turns_so_that_somebody_checks_soon) {
     base::random_source random(7);
-    watch_pacing pacing(random, {});
-    for (int index = 0; index < draws; ++index) {
-        const auto alone = pacing.wait({.peers = 0, .connected = true});
-        cr_assert(alone >= base::milliseconds{1'000} && alone < base::milliseconds{1'800});
-        const auto among_many = pacing.wait({.peers = 400, .connected = true});
-        cr_assert(among_many < base::milliseconds{17'800});
+    const watch_pacing pacing(random, {});
+    constexpr std::size_t nodes = 12;
+    const base::milliseconds interval = pacing_options().check_interval;
+    for (std::int64_t now_ms = 1'000'000; now_ms < 1'020'000; now_ms += 37) {
+        base::milliseconds soonest{1'000'000};
+        for (std::size_t rank = 0; rank < nodes; ++rank) {
+            const auto wait = pacing.until_check(
+                {.peers = nodes - 1, .rank = rank, .connected = true}, now_ms * 1'000);
+            cr_assert(wait.count() > 0 && wait <= interval * (nodes + 1));
+            soonest = std::min(soonest, wait);
+        }
+        // The one whose turn begins right now may count it as had.
+        cr_assert(soonest <= interval * 3 / 2, "%lld ms", static_cast<long long>(soonest.count()));
     }
 }
+
+Test(watch_pacing, a_turn_comes_once_a_round) {
+    base::random_source random(7);
+    const watch_pacing pacing(random, {});
+    const watch_company company{.peers = 9, .rank = 4, .connected = true};
+    const base::milliseconds round = pacing_options().check_interval * 10;
+    std::int64_t now_us = 77'000'123;
+    now_us += pacing.until_check(company, now_us).count() * 1'000;
+    for (const std::int64_t late_us : {-900, 0, 40'000}) {
+        const auto next = pacing.until_check(company, now_us + late_us);
+        cr_assert(next > round - base::milliseconds{60} && next <= round + base::milliseconds{60});
+    }
+}
+
+Test(watch_pacing, a_node_that_no_peer_answers_checks_often) {
+    base::random_source random(7);
+    const watch_pacing pacing(random, {});
+    cr_assert(pacing.until_check({.peers = 80, .rank = 3, .connected = false}, 5) ==
+              pacing_options().check_interval);
+}
--- a/tests/unit/fleet/forwarding_test.cc
+++ b/tests/unit/fleet/forwarding_test.cc
@@ -158,6 +158,18 @@
               static_cast<unsigned long long>(calls));
 }
 
+Test(forwarding, a_change_that_no_watch_tells_is_found_all_the_same) {
+    fleet_fixture fleet(0, 3);
+    fleet.make_ready();
+    fleet.store.set_trouble(emulator::metadata_store::trouble::deaf_watches);
+    fleet.configure(5);
+    cr_assert(run_until(fleet.loop, [&] {
+        return std::all_of(fleet.edges.begin(), fleet.edges.end(), [](const auto& edge) {
+            return edge->node.parts().directory().state().versions().config == 5;
+        });
+    }));
+}
+
 Test(forwarding, a_lost_history_of_the_store_hides_no_change) {
     fleet_fixture fleet(0, 1);
     fleet.make_ready();
