--- a/src/pearbarrow/fleet/edge_node.cc
+++ b/src/pearbarrow/fleet/edge_node.cc
@@ -48,7 +48,9 @@
                .log = log_,
                .options = std::move(options),
                .active = nullptr},
-      service_(context_) {}
+      service_(context_) {
+    parts_.gauges().add([this](base::metrics_registry& registry) { collect(registry); });
+}
 
 edge_node::~edge_node() = default;
 
@@ -98,6 +100,21 @@
     }
 }
 
+void edge_node::collect(base::metrics_registry& registry) const {
+    registry.add_gauge("pearbarrow_ready", "1 while the node calls itself ready")
+        .set(is_ready() ? 1 : 0);
+    registry
+        .add_gauge("pearbarrow_storage_cut", "1 while most storage members don't answer this node")
+        .set(members_.is_cut() ? 1 : 0);
+    registry
+        .add_gauge("pearbarrow_storage_relayed_calls_total",
+                   "Calls to storage members that went through a peer")
+        .set(static_cast<double>(members_.relayed_calls()));
+    registry
+        .add_gauge("pearbarrow_requests_open", "Requests of callers that have no whole answer yet")
+        .set(static_cast<double>(callers_->open_exchanges()));
+}
+
 net::endpoint edge_node::relay_peer() {
     const auto& storage = parts_.directory().state().current().storage;
     return parts_.directory().random_peer([&](const net::endpoint& peer) {
--- a/src/pearbarrow/fleet/edge_node.h
+++ b/src/pearbarrow/fleet/edge_node.h
@@ -32,6 +32,7 @@
     void take_changes(const directory::directory_state::changes& changed);
     void answer_ready(const std::shared_ptr<net::http_exchange>& exchange) const;
     void end_when_idle();
+    void collect(base::metrics_registry& registry) const;
     /// A node through which storage members may be reached.
     net::endpoint relay_peer();
 
--- /dev/null
+++ b/src/pearbarrow/fleet/node_gauges.cc
@@ -0,0 +1,87 @@
+#include "pearbarrow/fleet/node_gauges.h"
+
+#include <unistd.h>
+
+#include <fstream>
+
+namespace pearbarrow::fleet {
+namespace {
+
+/// Of this process, in bytes; 0 when the kernel does not tell.
+double resident_bytes() {
+    std::ifstream file("/proc/self/statm");
+    double total_pages = 0;
+    double resident_pages = 0;
+    file >> total_pages >> resident_pages;
+    return resident_pages * static_cast<double>(::sysconf(_SC_PAGESIZE));
+}
+
+double seconds_between(base::instant from, base::instant to) {
+    return std::chrono::duration<double>(to - from).count();
+}
+
+}  // namespace
+
+node_gauges::node_gauges(base::metrics_registry& registry, const base::clock& clock)
+    : registry(registry),
+      clock(clock),
+      config_at(clock.now()),
+      backends_at(this->config_at),
+      storage_at(this->config_at) {}
+
+void node_gauges::note_changes(const directory::directory_state::changes& changed) {
+    const base::instant now = this->clock.now();
+    if (changed.config) {
+        this->config_at = now;
+    }
+    if (changed.backends) {
+        this->backends_at = now;
+    }
+    if (changed.storage) {
+        this->storage_at = now;
+    }
+}
+
+std::string node_gauges::text() {
+    this->registry.add_gauge("pearbarrow_resident_bytes", "Memory that the process holds")
+        .set(resident_bytes());
+    for (const collector& one : this->collectors) {
+        one(this->registry);
+    }
+    return this->registry.text();
+}
+
+void node_gauges::collect_directory(const directory::directory_exchange& exchange) {
+    const directory::directory_versions versions = exchange.state().versions();
+    const base::instant now = this->clock.now();
+    const auto set = [&](const char* part, std::uint64_t version, base::instant at) {
+        this->registry
+            .add_gauge("pearbarrow_directory_version", "Newest version known; 0: none",
+                       {{"part", part}})
+            .set(static_cast<double>(version));
+        this->registry
+            .add_gauge("pearbarrow_directory_unchanged_seconds",
+                       "Time since the part changed on this node", {{"part", part}})
+            .set(seconds_between(at, now));
+    };
+    set("configuration", versions.config, this->config_at);
+    set("backends", versions.backends, this->backends_at);
+    set("storage", versions.storage, this->storage_at);
+    this->registry.add_gauge("pearbarrow_directory_peers", "Nodes that this one has heard of")
+        .set(static_cast<double>(exchange.peer_count()));
+    this->registry
+        .add_gauge("pearbarrow_directory_connected", "1 while a peer answers this node's questions")
+        .set(exchange.is_connected() ? 1 : 0);
+}
+
+void node_gauges::collect_traffic(const net::peer_rpc& rpc) {
+    this->registry
+        .add_gauge("pearbarrow_peer_bytes_sent_total", "Bytes sent to other nodes since the start")
+        .set(static_cast<double>(rpc.bytes_sent()));
+    this->registry
+        .add_gauge("pearbarrow_peer_bytes_received_total",
+                   "Bytes received from other nodes since the start")
+        .set(static_cast<double>(rpc.bytes_received()));
+}
+
+}  // namespace pearbarrow::fleet
--- a/src/pearbarrow/fleet/node_parts.cc
+++ b/src/pearbarrow/fleet/node_parts.cc
@@ -40,9 +40,19 @@
       clock_(clock),
       settings_(settings),
       random_(base::random_source::system_seed()),
+      gauges_(metrics_, clock),
       rpc_(net::make_peer_rpc(loop, link_options(settings))),
       exchange_(std::make_unique<directory::directory_exchange>(
-          loop, *rpc_, random_, exchange_options(settings), std::move(on_change))) {}
+          loop, *rpc_, random_, exchange_options(settings),
+          [this, on_change = std::move(on_change)](const auto& changed) {
+              gauges_.note_changes(changed);
+              on_change(changed);
+          })) {
+    gauges_.add([this](auto&) {
+        gauges_.collect_directory(*exchange_);
+        gauges_.collect_traffic(*rpc_);
+    });
+}
 
 node_parts::~node_parts() = default;
 
@@ -69,7 +79,7 @@
         loop_, options, [this](const std::shared_ptr<net::http_exchange>& exchange) {
             exchange->respond({.status = 200,
                                .headers = {{"Content-Type", "text/plain; version=0.0.4"}},
-                               .body = metrics_.text()});
+                               .body = gauges_.text()});
         });
     return metrics_server_->start();
 }
--- a/src/pearbarrow/fleet/node_parts.h
+++ b/src/pearbarrow/fleet/node_parts.h
@@ -10,6 +10,7 @@
 #include "pearbarrow/base/metrics.h"
 #include "pearbarrow/base/random.h"
 #include "pearbarrow/directory/directory_exchange.h"
+#include "pearbarrow/fleet/node_gauges.h"
 #include "pearbarrow/net/event_loop.h"
 #include "pearbarrow/net/http.h"
 #include "pearbarrow/net/peer_rpc.h"
@@ -38,6 +39,7 @@
     const base::clock& clock() const { return clock_; }
     base::random_source& random() { return random_; }
     base::metrics_registry& metrics() { return metrics_; }
+    node_gauges& gauges() { return gauges_; }
     net::peer_rpc& rpc() { return *rpc_; }
     directory::directory_exchange& directory() { return *exchange_; }
     const settings::fleet_settings& settings() const { return settings_; }
@@ -48,6 +50,7 @@
     settings::fleet_settings settings_;
     base::random_source random_;
     base::metrics_registry metrics_;
+    node_gauges gauges_;
     std::unique_ptr<net::peer_rpc> rpc_;
     std::unique_ptr<directory::directory_exchange> exchange_;
     std::unique_ptr<net::http_server> metrics_server_;
--- a/src/pearbarrow/fleet/storage_node.cc
+++ b/src/pearbarrow/fleet/storage_node.cc
@@ -57,6 +57,7 @@
         turns::membership_options{.self = {.node = parts_.settings().node,
                                            .address = to_endpoint(parts_.settings().peer),
                                            .zone = parts_.settings().zone}});
+    parts_.gauges().add([this](base::metrics_registry& registry) { collect(registry); });
     if (auto status = parts_.start(); !status.ok()) {
         return status;
     }
@@ -66,6 +67,21 @@
     return absl::OkStatus();
 }
 
+void storage_node::collect(base::metrics_registry& registry) const {
+    const auto set = [&](const char* name, const char* help, std::size_t value) {
+        registry.add_gauge(name, help).set(static_cast<double>(value));
+    };
+    set("pearbarrow_turn_replica_complete",
+        "1 once the member knows all that it has ever confirmed", replica_->is_complete() ? 1 : 0);
+    set("pearbarrow_turn_replica_turns", "Turns kept", replica_->turn_count());
+    set("pearbarrow_turn_replica_programs", "Programs with reservations",
+        replica_->program_count());
+    set("pearbarrow_turn_replica_pending_writes", "Writes that the disk has not confirmed",
+        replica_->pending_writes());
+    set("pearbarrow_turn_replica_behind", "Other members of whose changes some are not stored here",
+        replica_->behind_count());
+}
+
 void storage_node::recall_directory() {
     const std::string kept = store_->read_directory();
     auto update = wire::decode<directory::directory_update>(kept);
--- a/src/pearbarrow/fleet/storage_node.h
+++ b/src/pearbarrow/fleet/storage_node.h
@@ -30,6 +30,7 @@
 
   private:
     absl::Status open_store();
+    void collect(base::metrics_registry& registry) const;
     /// Publishes what was known before the process ended.
     void recall_directory();
     void keep_directory();
--- a/src/pearbarrow/forward/forward_log.cc
+++ b/src/pearbarrow/forward/forward_log.cc
@@ -49,4 +49,13 @@
         .increment();
 }
 
+void forward_log::count_turn_step(std::string_view step, std::string_view outcome,
+                                  base::microseconds took) {
+    metrics_
+        .add_histogram("pearbarrow_turn_step_seconds",
+                       "Time of a turn's step on the storage members",
+                       {{"step", std::string(step)}, {"outcome", std::string(outcome)}})
+        .observe(static_cast<double>(took.count()) * 1e-6);
+}
+
 }  // namespace pearbarrow::forward
--- a/src/pearbarrow/forward/forward_log.h
+++ b/src/pearbarrow/forward/forward_log.h
@@ -34,6 +34,8 @@
     void count_answer(std::string_view kind, int status, std::string_view reason,
                       base::microseconds took);
     void count_attempt(std::string_view result);
+    /// Counts a step of a turn on the storage members: `step` is "prepare" or "store".
+    void count_turn_step(std::string_view step, std::string_view outcome, base::microseconds took);
 
   private:
     const base::clock& clock_;
--- a/src/pearbarrow/forward/forwarded_request.h
+++ b/src/pearbarrow/forward/forwarded_request.h
@@ -92,6 +92,7 @@
     std::unique_ptr<net::timer_handle> patience_;
 
     std::unique_ptr<turns::turn_operation> turn_step_;
+    base::instant turn_step_began_{};
     std::string chain_text_;
     bool reserved_ = false;
     bool settled_ = false;
--- a/src/pearbarrow/forward/forwarded_turn.cc
+++ b/src/pearbarrow/forward/forwarded_turn.cc
@@ -17,12 +17,15 @@
         request.previous = turns::turn_id(facts_.turn->previous_turn);
     }
     reserved_ = true;
+    turn_step_began_ = context_.clock.now();
     turn_step_ = context_.turns.prepare(std::move(request), [this](turns::prepared_turn prepared) {
         take_preparation(std::move(prepared));
     });
 }
 
 void forwarded_request::take_preparation(turns::prepared_turn prepared) {
+    context_.log.count_turn_step("prepare", turns::to_string(prepared.outcome),
+                                 context_.clock.now() - turn_step_began_);
     if (prepared.outcome != turns::turn_outcome::may_run) {
         refuse_turn(prepared);
         return;
@@ -84,6 +87,7 @@
 void forwarded_request::store_turn() {
     storing_ = true;
     settled_ = true;
+    turn_step_began_ = context_.clock.now();
     turns::reservation settled = reserved();
     settled.tokens = spent_tokens();
     settled.settled = true;
@@ -95,15 +99,17 @@
                                .input = exchange_->request().body,
                                .output = output_,
                                .retention_seconds = route_.retention_seconds});
-    turn_step_ = context_.turns.store(std::move(request), context_.options.store_timeout,
-                                      [this](const absl::Status& status) {
-                                          if (!status.ok()) {
-                                              break_off("turn_not_stored");
-                                              return;
-                                          }
-                                          exchange_->finish();
-                                          finish(status_, "served");
-                                      });
+    turn_step_ = context_.turns.store(
+        std::move(request), context_.options.store_timeout, [this](const absl::Status& status) {
+            context_.log.count_turn_step("store", status.ok() ? "stored" : "not_stored",
+                                         context_.clock.now() - turn_step_began_);
+            if (!status.ok()) {
+                break_off("turn_not_stored");
+                return;
+            }
+            exchange_->finish();
+            finish(status_, "served");
+        });
 }
 
 }  // namespace pearbarrow::forward
--- a/src/pearbarrow/turns/turn_replica.cc
+++ b/src/pearbarrow/turns/turn_replica.cc
@@ -426,6 +426,11 @@
     return found != others_.end() && found->second.level;
 }
 
+std::size_t turn_replica::behind_count() const {
+    return static_cast<std::size_t>(std::count_if(
+        others_.begin(), others_.end(), [](const auto& entry) { return !entry.second.level; }));
+}
+
 void turn_replica::expire() {
     store_change dropped = index_.expire(clock_.now());
     if (dropped.dropped_turns.empty() && dropped.dropped_reservations.empty()) {
--- a/src/pearbarrow/turns/turn_replica.h
+++ b/src/pearbarrow/turns/turn_replica.h
@@ -61,6 +61,11 @@
     base::instant last_heard(const base::node_id& member) const;
     /// Whether everything that the member had at its last listing is stored here.
     bool is_level_with(const base::node_id& member) const;
+    std::size_t turn_count() const { return index_.turn_count(); }
+    std::size_t program_count() const { return index_.program_count(); }
+    std::size_t pending_writes() const { return pending_writes_; }
+    /// Other members that this one is not level with.
+    std::size_t behind_count() const;
     /// Whether the member takes nothing new, neither from edges nor from other members: it is to be
     /// taken away, and the others can only be level with one that stands still.
     void refuse_writes(bool refuse) { refusing_ = refuse; }
--- /dev/null
+++ b/tests/unit/fleet/metrics_test.cc
@@ -0,0 +1,51 @@
+// What a fleet's nodes tell of themselves.
+#include "fleet_fixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace pearbarrow;
+using namespace pearbarrow::fleet::testing;
+
+namespace {
+
+bool has(const std::string& text, const std::string& line) {
+    return text.find(line + "\n") != std::string::npos;
+}
+
+bool has_name(const std::string& text, const std::string& name) {
+    return text.find("\n" + name) != std::string::npos;
+}
+
+}  // namespace
+
+Test(metrics, an_edge_tells_what_it_knows_and_what_it_did) {
+    fleet_fixture fleet;
+    fleet.make_ready();
+    cr_assert(fleet.turn(0, "t1", "", "hello ").whole);
+    cr_assert(fleet.call(0, "/plain/a", "r1").status == 200);
+    const std::string text = fleet.edges[0]->node.parts().gauges().text();
+    cr_assert(has(text, "pearbarrow_ready 1"));
+    cr_assert(has(text, "pearbarrow_storage_cut 0"));
+    cr_assert(has(text, "pearbarrow_directory_version{part=\"configuration\"} 2"), "%s",
+              text.c_str());
+    cr_assert(has_name(text, "pearbarrow_resident_bytes "));
+    cr_assert(has_name(text, "pearbarrow_directory_unchanged_seconds{part=\"backends\"}"));
+    cr_assert(
+        has_name(text, "pearbarrow_directory_service_calls_total{call=\"range\",outcome=\"OK\"}"));
+    cr_assert(
+        has(text, "pearbarrow_turn_step_seconds_count{outcome=\"may_run\",step=\"prepare\"} 1"),
+        "%s", text.c_str());
+    cr_assert(has(text, "pearbarrow_turn_step_seconds_count{outcome=\"stored\",step=\"store\"} 1"));
+}
+
+Test(metrics, a_storage_member_tells_whether_it_is_complete_and_level) {
+    fleet_fixture fleet;
+    fleet.make_ready();
+    cr_assert(fleet.turn(0, "t1", "", "hello ").whole);
+    const std::string text = fleet.storages[0]->node.parts().gauges().text();
+    cr_assert(has(text, "pearbarrow_turn_replica_complete 1"));
+    cr_assert(has(text, "pearbarrow_turn_replica_turns 1"));
+    cr_assert(has(text, "pearbarrow_turn_replica_programs 1"));
+    cr_assert(has_name(text, "pearbarrow_turn_replica_pending_writes "));
+    cr_assert(has_name(text, "pearbarrow_turn_replica_behind "));
+}
