--- /dev/null
+++ b/src/pearbarrow/forward/forwarded_attempt.cc
@@ -0,0 +1,243 @@
+// Attempts of a request at back ends, and what comes of each.
+#include <algorithm>
+#include <utility>
+
+#include "pearbarrow/base/status.h"
+#include "pearbarrow/forward/forwarded_request.h"
+
+namespace pearbarrow::forward {
+namespace {
+
+constexpr base::milliseconds least_useful_time{5};
+constexpr std::size_t max_buffered_answer_bytes = std::size_t{8} * 1024 * 1024;
+
+bool is_success(int status) {
+    return status >= 200 && status < 300;
+}
+
+}  // namespace
+
+/// The same request goes to the same part of a split route; over many requests the parts get their
+/// weights' shares.
+std::string forwarded_request::choose_service() const {
+    std::uint64_t total = 0;
+    for (const directory::weighted_service& part : route_.services) {
+        total += part.weight;
+    }
+    if (total == 0) {
+        return {};
+    }
+    std::uint64_t position = context_.random.below(total);
+    for (const directory::weighted_service& part : route_.services) {
+        if (position < part.weight) {
+            return part.service;
+        }
+        position -= part.weight;
+    }
+    return {};
+}
+
+void forwarded_request::send() {
+    patience_.reset();
+    if (time_left() < least_useful_time) {
+        on_time_up();
+        return;
+    }
+    attempt_began_ = context_.clock.now();
+    const auto chosen = context_.pool.choose({.service = choose_service(),
+                                              .affinity_key = is_stream() ? facts_.program : "",
+                                              .excluded = tried_},
+                                             attempt_began_);
+    if (!chosen.has_value()) {
+        answer_problem(503, "no_backend", "no back end can take the request now", true);
+        return;
+    }
+    target_ = chosen->target;
+    tried_.insert(target_.id);
+    ++attempts_;
+    attempt_open_ = true;
+    status_ = 0;
+    headers_ = {};
+    body_.clear();
+    head_seen_ = false;
+    is_foreign_ = false;
+    is_refusal_ = false;
+    call_ = context_.client.start(
+        make_call(target_),
+        {.on_head = [this](int status,
+                           const net::http_headers& headers) { on_head(status, headers); },
+         .on_chunk = [this](std::string_view bytes) { on_chunk(bytes); },
+         .on_done = [this](const absl::Status& status) { on_call_done(status); }});
+    watch_silence();
+}
+
+net::http_call forwarded_request::make_call(const directory::backend& target) const {
+    const header_names& names = context_.options.headers;
+    const net::http_request& request = exchange_->request();
+    net::http_call call{.server = target.address,
+                        .method = request.method,
+                        .target = request.target,
+                        .headers = passed_on(request.headers, names),
+                        .body = chain_text_ + request.body,
+                        .head_timeout = base::milliseconds{0},
+                        .idle_timeout = base::milliseconds{0}};
+    call.connect_timeout = context_.options.connect_timeout;
+    call.resend_when_stale = is_repeatable();
+    const auto caller_left =
+        facts_.deadline_ms.has_value()
+            ? arrived_ + base::milliseconds{*facts_.deadline_ms} - context_.clock.now()
+            : time_up_ - context_.clock.now();
+    const auto left = std::chrono::duration_cast<base::milliseconds>(caller_left);
+    call.headers.add(names.deadline, std::to_string(std::max<std::int64_t>(left.count(), 1)));
+    call.headers.add(names.target_backend, target.id);
+    return call;
+}
+
+void forwarded_request::watch_silence() {
+    if (!is_repeatable() || route_.objective_ms == 0 || !may_try_again(true)) {
+        return;
+    }
+    const auto patience =
+        context_.pool.patience(target_.id, base::milliseconds{route_.objective_ms});
+    patience_ = context_.loop.after(patience, [this] { on_silence(); });
+}
+
+void forwarded_request::on_silence() {
+    if (head_seen_ || !attempt_open_ || !may_try_again(true)) {
+        return;
+    }
+    call_.reset();
+    take_failure(base::make_error(absl::StatusCode::kDeadlineExceeded, "no answer for long",
+                                  {.step = "read",
+                                   .peer = target_.id,
+                                   .reason = "silent",
+                                   .was_executed = base::executed::unknown}));
+}
+
+void forwarded_request::on_head(int status, const net::http_headers& headers) {
+    const header_names& names = context_.options.headers;
+    status_ = status;
+    headers_ = headers;
+    head_seen_ = true;
+    context_.pool.answered(target_.id, attempt_began_);
+    const auto echoed = headers.find(names.request_id);
+    // The late answer to an earlier request of the same connection.
+    is_foreign_ = echoed.has_value() && *echoed != facts_.request_id;
+    is_refusal_ = status == 421 || headers.find(names.not_executed).has_value();
+    const bool is_unsigned = is_success(status) && !headers.find(names.signature).has_value();
+    if (is_foreign_ || (is_unsigned && !is_refusal_)) {
+        call_.reset();
+        take_failure(base::make_error(absl::StatusCode::kUnavailable,
+                                      "the answer is not this request's own",
+                                      {.step = "read",
+                                       .peer = target_.id,
+                                       .reason = is_foreign_ ? "foreign_answer" : "unsigned_answer",
+                                       .was_executed = base::executed::unknown}));
+        return;
+    }
+    if (is_stream() && is_success(status) && stage_ == answer_stage::none) {
+        stage_ = answer_stage::streaming;
+        exchange_->start_stream(status, passed_back(headers));
+    }
+}
+
+void forwarded_request::on_chunk(std::string_view bytes) {
+    if (stage_ == answer_stage::streaming) {
+        events_.feed(bytes);
+        exchange_->write(std::string(bytes));
+        return;
+    }
+    if (body_.size() + bytes.size() <= max_buffered_answer_bytes) {
+        body_.append(bytes);
+    }
+}
+
+void forwarded_request::on_call_done(const absl::Status& status) {
+    if (!status.ok()) {
+        take_failure(status);
+        return;
+    }
+    if (is_refusal_) {
+        take_refusal();
+        return;
+    }
+    take_whole_answer();
+}
+
+void forwarded_request::end_attempt(attempt_result result) {
+    attempt_open_ = false;
+    const base::instant now = context_.clock.now();
+    if (!head_seen_) {
+        context_.pool.answered(target_.id, attempt_began_);
+    }
+    const auto took =
+        is_stream() && event_count_ > 0 ? first_event_ - attempt_began_ : now - attempt_began_;
+    context_.pool.ended(target_.id, result, took, now);
+    context_.log.count_attempt(to_string(result));
+}
+
+bool forwarded_request::may_try_again(bool ran) const {
+    const std::uint32_t allowed = std::max(1U, route_.attempts);
+    return (!ran || is_repeatable()) && stage_ == answer_stage::none && attempts_ < allowed &&
+           time_left() > least_useful_time;
+}
+
+void forwarded_request::take_whole_answer() {
+    if (status_ >= 500 && may_try_again(true)) {
+        end_attempt(attempt_result::failed);
+        context_.log.notable("attempt_failed", {{"request", facts_.request_id},
+                                                {"backend", target_.id},
+                                                {"status", status_},
+                                                {"attempt", attempts_}});
+        send();
+        return;
+    }
+    end_attempt(status_ >= 500 ? attempt_result::failed : attempt_result::served);
+    pass_answer();
+}
+
+void forwarded_request::take_refusal() {
+    end_attempt(attempt_result::refused);
+    context_.log.notable("attempt_refused", {{"request", facts_.request_id},
+                                             {"backend", target_.id},
+                                             {"status", status_},
+                                             {"attempt", attempts_},
+                                             {"backends_revision", context_.pool.revision()}});
+    if (may_try_again(false)) {
+        send();
+        return;
+    }
+    answer_problem(503, "backend_refused", "the back end did not take the request", true);
+}
+
+void forwarded_request::take_failure(const absl::Status& status) {
+    const base::error_details details = base::details_of(status);
+    const bool ran = details.was_executed != base::executed::no;
+    end_attempt(ran ? attempt_result::broken : attempt_result::unreachable);
+    if (!ran) {
+        // Nothing was sent: the back end does not count as one that the request was sent to.
+        --attempts_;
+    }
+    context_.log.notable("attempt_broken", {{"request", facts_.request_id},
+                                            {"backend", target_.id},
+                                            {"address", net::to_string(target_.address)},
+                                            {"reason", details.reason},
+                                            {"sent", ran},
+                                            {"events", event_count_},
+                                            {"attempt", attempts_}});
+    if (stage_ == answer_stage::streaming) {
+        break_off(details.reason);
+        return;
+    }
+    if (may_try_again(ran)) {
+        send();
+        return;
+    }
+    if (ran) {
+        answer_problem(502, details.reason, "the back end's answer was lost", false);
+    } else {
+        answer_problem(503, details.reason, "the back end could not be reached", true);
+    }
+}
+
+}  // namespace pearbarrow::forward
--- a/src/pearbarrow/turns/relaying_caller.cc
+++ b/src/pearbarrow/turns/relaying_caller.cc
@@ -172,7 +172,8 @@
         std::count_if(this->silent_since.begin(), this->silent_since.end(), [&](const auto& entry) {
             return !entry.second.has_value() || now - *entry.second < this->options.patience;
         }));
-    return answering < this->silent_since.size() / 2 + 1;
+    const std::size_t members = this->silent_since.size();
+    return members > 0 && answering < members / 2 + 1;
 }
 
 void relaying_caller::note_asked(const base::node_id& node, base::instant at) {
--- a/tests/unit/turns/relaying_caller_test.cc
+++ b/tests/unit/turns/relaying_caller_test.cc
@@ -79,6 +79,11 @@
     cr_assert(group.caller->relayed_calls() < 40, "a relay that reached nothing rests");
 }
 
+Test(relaying_caller, without_members_nothing_is_cut) {
+    const member_group group({});
+    cr_assert(!group.caller->is_cut());
+}
+
 Test(relaying_caller, a_turn_given_up_early_is_no_sign_of_silence) {
     member_group group({{}, {}, {}});
     {
