--- a/tests/unit/fleet/soak_test.cc
+++ b/tests/unit/fleet/soak_test.cc
@@ -1,5 +1,6 @@
 // A soak of the whole fleet under random faults; what must always hold is checked at the end of
 // each request. Replay: PEARBARROW_SOAK_SEED and PEARBARROW_SOAK_SECONDS.
+#include <array>
 #include <cstdlib>
 #include <deque>
 #include <set>
@@ -73,7 +74,7 @@
     /// After the faults have ended, every turn that was answered whole can be gone on from.
     void check_all_turns() {
         heal();
-        cr_assert(run_until(fleet_.loop, [this] { return all_up(); }));
+        cr_assert(run_until(fleet_.loop, [this] { return all_up() && !retiring_.has_value(); }));
         for (const soak_program& program : programs_) {
             for (const auto& [turn, text] : program.turns) {
                 check_turn(turn, text);
@@ -84,6 +85,7 @@
     int whole_turns = 0;
     int whole_calls = 0;
     int faults = 0;
+    int retirements = 0;
 
   private:
     void step() {
@@ -210,7 +212,7 @@
     /// At most one storage member is away or catching up at a time, as far as disks are lost.
     void inject() {
         ++faults;
-        switch (random_.below(8)) {
+        switch (random_.below(9)) {
             case 0:
                 restart_edge();
                 return;
@@ -221,8 +223,7 @@
                 restart_storage(true);
                 return;
             case 3:
-                fleet_.store.set_trouble(random_.chance(0.5) ? metadata_store::trouble::refusing
-                                                             : metadata_store::trouble::silent);
+                trouble_store();
                 return;
             case 4:
                 fleet_.store.set_trouble(metadata_store::trouble::none);
@@ -235,6 +236,9 @@
                 some_runner().set_fault(random_.chance(0.5) ? runner_fault::refuse
                                                             : runner_fault::foreign_answer);
                 return;
+            case 7:
+                retire_storage();
+                return;
             default:
                 for (emulator::runner& runner : fleet_.runners) {
                     runner.set_fault(runner_fault::none);
@@ -248,6 +252,43 @@
                                    : *tools_[random_.below(tools_.size())];
     }
 
+    void trouble_store() {
+        constexpr std::array troubles{
+            metadata_store::trouble::refusing, metadata_store::trouble::silent,
+            metadata_store::trouble::losing_answers, metadata_store::trouble::deaf_watches};
+        fleet_.store.set_trouble(troubles.at(random_.below(troubles.size())));
+    }
+
+    /// A member is emptied, taken away with its disk, and comes back with an empty one.
+    void retire_storage() {
+        if (!all_up() || retiring_.has_value()) {
+            return;
+        }
+        retiring_ = random_.below(fleet_.storages.size());
+        taken_away_ = false;
+        fleet_.store.put("op/retire/storage-" + std::to_string(*retiring_), R"({"period_s":5})");
+        retirement_ = fleet_.loop.every(milliseconds{20}, [this] { finish_retirement(); });
+    }
+
+    void finish_retirement() {
+        if (!retiring_.has_value() || taken_away_) {
+            return;
+        }
+        const std::string name = "storage-" + std::to_string(*retiring_);
+        if (fleet_.store.value("status/retire/" + name).find("completed") == std::string::npos) {
+            return;
+        }
+        ++retirements;
+        taken_away_ = true;
+        fleet_.wipe_storage(*retiring_);
+        fleet_.store.remove("op/retire/" + name);
+        fleet_.store.remove("status/retire/" + name);
+        later([this, index = *retiring_] {
+            fleet_.start_storage(index);
+            retiring_.reset();
+        });
+    }
+
     void restart_edge() {
         const std::size_t index = some_edge();
         if (fleet_.edges[index] == nullptr) {
@@ -258,7 +299,7 @@
     }
 
     void restart_storage(bool wipe) {
-        if (!all_up()) {
+        if (!all_up() || retiring_.has_value()) {
             return;
         }
         const std::size_t index = random_.below(fleet_.storages.size());
@@ -298,6 +339,10 @@
     std::deque<soak_program> programs_;
     std::list<soak_call> calls_;
     std::vector<std::unique_ptr<net::timer_handle>> timers_;
+    /// The member that is to be emptied, until its successor has started.
+    std::optional<std::size_t> retiring_;
+    bool taken_away_ = false;
+    std::unique_ptr<net::timer_handle> retirement_;
     std::uint64_t last_id_ = 0;
 };
 
@@ -309,7 +354,7 @@
     soak run(seed);
     run.run(std::chrono::seconds(seconds));
     run.check_all_turns();
-    cr_log_info("seed %lu: %d faults, %d whole turns, %d whole calls", seed, run.faults,
-                run.whole_turns, run.whole_calls);
+    cr_log_info("seed %lu: %d faults, %d retirements, %d whole turns, %d whole calls", seed,
+                run.faults, run.retirements, run.whole_turns, run.whole_calls);
     cr_assert(run.whole_turns > 0 && run.whole_calls > 0);
 }
