Forward: is_success stands once

The split of forwarded_request.cc had doubled it. Nothing else changes; forward and fleet tests pass.

--- a/src/pearbarrow/forward/forwarded_attempt.cc
+++ b/src/pearbarrow/forward/forwarded_attempt.cc
@@ -11,10 +11,6 @@
 constexpr base::milliseconds least_useful_time{5};
 constexpr std::size_t max_buffered_answer_bytes = std::size_t{8} * 1024 * 1024;
 
-bool is_success(int status) {
-    return status >= 200 && status < 300;
-}
-
 }  // namespace
 
 /// The same request goes to the same part of a split route; over many requests the parts get their
--- a/src/pearbarrow/forward/forwarded_request.cc
+++ b/src/pearbarrow/forward/forwarded_request.cc
@@ -12,10 +12,6 @@
 namespace pearbarrow::forward {
 namespace {
 
-bool is_success(int status) {
-    return status >= 200 && status < 300;
-}
-
 std::string seconds_text(base::milliseconds time) {
     return fmt::format("{:.3f}", static_cast<double>(time.count()) / 1000.0);
 }
--- a/src/pearbarrow/forward/forwarded_request.h
+++ b/src/pearbarrow/forward/forwarded_request.h
@@ -76,6 +76,7 @@
     bool is_repeatable() const;
     bool is_stream() const { return route_.kind == directory::request_kind::stream; }
     std::string_view kind_name() const;
+    static bool is_success(int status) { return status >= 200 && status < 300; }
 
     forward_context& context_;
     std::shared_ptr<net::http_exchange> exchange_;
