Choice of back ends: those whose entries lapse together serve on

Ruled out: the burst of the same seconds (the log names no_backend for each refusal), members (2 storage_unavailable). Change: back ends that vanish together (a third of a service and two at least, within 1.8 s) without having been draining are used for those 1.8 s, below the 2 s that a leaving one must be left alone after. One that vanishes alone gets nothing more.

--- a/src/pearbarrow/fleet/edge_node.cc
+++ b/src/pearbarrow/fleet/edge_node.cc
@@ -91,7 +91,7 @@
             base::milliseconds{std::max(limits.header_timeout_ms, limits.idle_timeout_ms)});
     }
     if (changed.backends) {
-        pool_.set_backends(*known.backends);
+        pool_.set_backends(*known.backends, parts_.clock().now());
     }
     if (changed.storage) {
         relay_.set_view(*known.storage);
--- a/src/pearbarrow/forward/backend_pool.cc
+++ b/src/pearbarrow/forward/backend_pool.cc
@@ -41,9 +41,12 @@
 backend_pool::backend_pool(pool_options options, base::random_source& random)
     : options_(std::move(options)), random_(random) {}
 
-void backend_pool::set_backends(const directory::backend_list& list) {
+void backend_pool::set_backends(const directory::backend_list& list, base::instant now) {
     revision_ = list.revision;
     for (auto& [id, one] : entries_) {
+        if (one.listed) {
+            one.vanished_at = now;
+        }
         one.listed = false;
     }
     for (const auto& [id, backend] : list.backends) {
@@ -51,17 +54,39 @@
         one.backend = backend;
         one.listed = true;
     }
-    std::erase_if(entries_, [](const auto& item) {
-        return !item.second.listed && item.second.in_flight == 0;
+    std::erase_if(entries_, [&](const auto& item) {
+        const entry& one = item.second;
+        return !one.listed && one.in_flight == 0 && !has_just_vanished(one, now);
     });
 }
 
+bool backend_pool::has_just_vanished(const entry& one, base::instant now) const {
+    return !one.listed && !one.backend.draining && now - one.vanished_at < options_.lapse_grace;
+}
+
+bool backend_pool::has_lapsed(std::string_view service, base::instant now) const {
+    std::size_t vanished = 0;
+    std::size_t known = 0;
+    for (const auto& [id, one] : entries_) {
+        if (one.backend.service != service || one.backend.draining) {
+            continue;
+        }
+        const bool just_vanished = has_just_vanished(one, now);
+        vanished += just_vanished ? 1 : 0;
+        known += just_vanished || one.listed ? 1 : 0;
+    }
+    return vanished >= options_.least_lapsed &&
+           static_cast<double>(vanished) >= options_.lapse_share * static_cast<double>(known);
+}
+
 std::vector<backend_pool::entry*> backend_pool::candidates(const choice_request& request,
                                                            base::instant now) {
     std::vector<entry*> fit;
     std::vector<entry*> resting;
+    const bool lapsed = has_lapsed(request.service, now);
     for (auto& [id, one] : entries_) {
-        if (!one.listed || one.backend.draining || one.backend.service != request.service ||
+        const bool is_known = one.listed || (lapsed && has_just_vanished(one, now));
+        if (!is_known || one.backend.draining || one.backend.service != request.service ||
             request.excluded.count(id) > 0) {
             continue;
         }
@@ -185,7 +210,7 @@
         one.mean_time =
             one.mean_time == 0 ? time : one.mean_time + newest_weight * (time - one.mean_time);
     }
-    if (!one.listed && one.in_flight == 0) {
+    if (!one.listed && one.in_flight == 0 && !has_just_vanished(one, now)) {
         entries_.erase(found);
     }
 }
--- a/src/pearbarrow/forward/backend_pool.h
+++ b/src/pearbarrow/forward/backend_pool.h
@@ -50,6 +50,14 @@
     double silence_factor = 4;
     /// The least patience with an attempt, in times of the request's objective.
     double objective_factor = 2;
+    /// Back ends that vanish from the list together are used for this long all the same: the
+    /// outside service drops the entries of living ones when it has been away, and has them back
+    /// within about two seconds. Below the least time that a leaving one goes on serving.
+    base::milliseconds lapse_grace{1'800};
+    /// Share of a service's back ends that vanish within `lapse_grace` from which it is a lapse.
+    double lapse_share = 1.0 / 3;
+    /// Fewer than these are no lapse, whatever their share.
+    std::size_t least_lapsed = 2;
 };
 
 struct choice_request {
@@ -71,7 +79,7 @@
   public:
     backend_pool(pool_options options, base::random_source& random);
 
-    void set_backends(const directory::backend_list& list);
+    void set_backends(const directory::backend_list& list, base::instant now);
 
     /// The back end to send to, counted as sent; none when no back end is fit.
     std::optional<choice> choose(const choice_request& request, base::instant now);
@@ -91,6 +99,8 @@
     struct entry {
         directory::backend backend;
         bool listed = true;
+        /// When it left the list; it counts while `listed` is false.
+        base::instant vanished_at{};
         std::uint32_t in_flight = 0;
         std::uint32_t failures_in_row = 0;
         base::instant rests_until{};
@@ -101,6 +111,11 @@
     };
 
     std::vector<entry*> candidates(const choice_request& request, base::instant now);
+    /// Whether so many of the service's back ends have just vanished that it is no proof that they
+    /// have gone.
+    bool has_lapsed(std::string_view service, base::instant now) const;
+    /// Whether the back end left the list a short while ago without saying that it would.
+    bool has_just_vanished(const entry& one, base::instant now) const;
     bool is_resting(const entry& one, base::instant now) const;
     entry* by_affinity(const std::vector<entry*>& fit, std::string_view key) const;
     entry* by_load(const std::vector<entry*>& fit);
