Dispatch: edges know each other's load, and hold model turns back while the engines are full

Cause: in a burst every turn was sent at once in the order it came. Change: new folder dispatch/ (pure): load reports ride on the turns' messages to the storage members, which add them up and answer with the totals; a waiting line orders by (can still be in time, route's priority, program under way, earliest end). forward/admission lets in an edge's share of 0.75 of the engines' places, by its demand against all; without totals for 1 s everything goes at once as before. Affinity by bounded load over all edges instead of four of one's own.

--- a/scripts/check_includes.py
+++ b/scripts/check_includes.py
@@ -8,8 +8,8 @@
 
 FOLDERS = [
     "base", "settings", "config", "wire", "net", "platform", "membership", "journal", "program",
-    "placement", "backend", "gateway", "operator", "node", "directory", "turns", "forward", "fleet",
-    "emulator", "bench",
+    "placement", "backend", "gateway", "operator", "node", "directory", "dispatch", "turns", "forward",
+    "fleet", "emulator", "bench",
 ]
 # `settings` and `config` are plain data and may name endpoints; `emulator` and `bench` may use all.
 EXTRA = {"settings": {"net", "wire"}, "config": {"net", "wire"}}
--- /dev/null
+++ b/src/pearbarrow/dispatch/load_board.cc
@@ -0,0 +1,55 @@
+#include "pearbarrow/dispatch/load_board.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "pearbarrow/base/hash.h"
+
+namespace pearbarrow::dispatch {
+
+backend_key key_of(std::string_view backend) {
+    return static_cast<backend_key>(base::stable_hash(backend));
+}
+
+void load_board::take(const load_report& report, base::instant now) {
+    if (report.life == 0) {
+        return;
+    }
+    const auto found = this->reports.find(report.node);
+    // Reports overtake each other: they ride on messages that may be sent again.
+    if (found != this->reports.end() && found->second.report.life == report.life &&
+        found->second.report.number >= report.number) {
+        return;
+    }
+    this->reports[report.node] = {.report = report, .taken_at = now};
+}
+
+load_totals load_board::totals_without(const base::node_id& node, base::instant now) {
+    this->forget_old(now);
+    std::map<backend_key, std::uint32_t> sums;
+    load_totals totals{.is_given = true};
+    for (const auto& [other, kept] : this->reports) {
+        if (other == node) {
+            continue;
+        }
+        totals.waiting += kept.report.waiting;
+        for (const backend_load& load : kept.report.loads) {
+            sums[load.backend] += load.requests;
+        }
+    }
+    for (const auto& [backend, requests] : sums) {
+        totals.loads.push_back({.backend = backend, .requests = requests});
+    }
+    const auto gathered = std::chrono::duration_cast<base::milliseconds>(now - this->began);
+    totals.gathered_ms = static_cast<std::uint32_t>(
+        std::min<std::int64_t>(gathered.count(), std::numeric_limits<std::uint32_t>::max()));
+    return totals;
+}
+
+void load_board::forget_old(base::instant now) {
+    std::erase_if(this->reports, [&](const auto& item) {
+        return now - item.second.taken_at > this->options.report_lifetime;
+    });
+}
+
+}  // namespace pearbarrow::dispatch
--- /dev/null
+++ b/src/pearbarrow/dispatch/load_report.h
@@ -0,0 +1,69 @@
+/// What nodes tell each other about the requests that they have at back ends.
+///
+/// The messages ride on those that forwarding nodes and storage members exchange for every turn, so
+/// knowing the load of all nodes costs no message of its own.
+#pragma once
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string_view>
+#include <vector>
+
+#include "pearbarrow/base/ids.h"
+
+namespace pearbarrow::dispatch {
+
+/// A short name of a back end, for messages: two of them meet once in millions of pairs, and then
+/// only add up their loads.
+using backend_key = std::uint32_t;
+
+backend_key key_of(std::string_view backend);
+
+/// Requests at one back end.
+struct backend_load {
+    backend_key backend = 0;
+    std::uint32_t requests = 0;
+
+    bool operator==(const backend_load&) const = default;
+    MSGPACK_DEFINE(backend, requests);
+};
+
+/// What one node has under way. A report replaces the node's earlier ones.
+struct load_report {
+    base::node_id node;
+    /// Drawn at the node's start; 0: nothing is reported.
+    std::uint64_t life = 0;
+    /// Grows with each report of a life.
+    std::uint64_t number = 0;
+    std::vector<backend_load> loads;
+    /// Requests that the node holds back until there is room.
+    std::uint32_t waiting = 0;
+    /// The answer is to carry the totals.
+    bool wants_totals = false;
+
+    MSGPACK_DEFINE(node, life, number, loads, waiting, wants_totals);
+};
+
+/// What all nodes but the asking one have under way, as far as the answering one was told.
+struct load_totals {
+    /// False: the message carries no totals.
+    bool is_given = false;
+    /// For how long the answering node has gathered reports. Milliseconds.
+    std::uint32_t gathered_ms = 0;
+    std::vector<backend_load> loads;
+    std::uint32_t waiting = 0;
+
+    MSGPACK_DEFINE(is_given, gathered_ms, loads, waiting);
+};
+
+/// A node's side: gives its own report, takes the totals of the others.
+class load_exchange {
+  public:
+    virtual ~load_exchange() = default;
+    virtual load_report report(bool wants_totals) = 0;
+    /// Whether requests are held back, so that totals are wanted as soon as they change.
+    virtual bool is_waiting() const = 0;
+    virtual void take(const load_totals& totals) = 0;
+};
+
+}  // namespace pearbarrow::dispatch
--- /dev/null
+++ b/src/pearbarrow/dispatch/shared_load.cc
@@ -0,0 +1,38 @@
+#include "pearbarrow/dispatch/shared_load.h"
+
+namespace pearbarrow::dispatch {
+
+void shared_load::take(const load_totals& totals, base::instant now) {
+    if (!totals.is_given || base::milliseconds{totals.gathered_ms} < this->options.least_gathered) {
+        return;
+    }
+    this->requests.clear();
+    for (const backend_load& load : totals.loads) {
+        this->requests[load.backend] = load.requests;
+    }
+    this->waiting_elsewhere = totals.waiting;
+    this->was_told = true;
+    this->told_at = now;
+}
+
+bool shared_load::is_known(base::instant now) const {
+    return this->was_told && now - this->told_at <= this->options.longest_belief;
+}
+
+std::uint32_t shared_load::at(backend_key backend, base::instant now) const {
+    if (!this->is_known(now)) {
+        return 0;
+    }
+    const auto found = this->requests.find(backend);
+    return found == this->requests.end() ? 0 : found->second;
+}
+
+std::uint32_t shared_load::waiting(base::instant now) const {
+    return this->is_known(now) ? this->waiting_elsewhere : 0;
+}
+
+base::milliseconds shared_load::age(base::instant now) const {
+    return std::chrono::duration_cast<base::milliseconds>(now - this->told_at);
+}
+
+}  // namespace pearbarrow::dispatch
--- /dev/null
+++ b/src/pearbarrow/dispatch/shared_load.h
@@ -0,0 +1,45 @@
+/// What a forwarding node believes that the other nodes have at the back ends.
+///
+/// A pure state machine. Belief has an age: once no totals have come for a while, nothing is
+/// believed, and the node decides by what it knows itself.
+#pragma once
+
+#include <cstdint>
+#include <map>
+
+#include "pearbarrow/base/clock.h"
+#include "pearbarrow/dispatch/load_report.h"
+
+namespace pearbarrow::dispatch {
+
+struct shared_load_options {
+    /// Totals older than this are not believed: a turn lasts about as long, so none of what they
+    /// counted may still be there.
+    base::milliseconds longest_belief{1'000};
+    /// Totals of a board that has gathered for less are passed over: not every node has reported.
+    base::milliseconds least_gathered{500};
+};
+
+class shared_load {
+  public:
+    explicit shared_load(shared_load_options options) : options(options) {}
+
+    void take(const load_totals& totals, base::instant now);
+    /// Whether totals have come of late.
+    bool is_known(base::instant now) const;
+    /// Requests of other nodes; 0 when nothing is known.
+    std::uint32_t at(backend_key backend, base::instant now) const;
+    /// Requests that other nodes hold back; 0 when nothing is known.
+    std::uint32_t waiting(base::instant now) const;
+    /// Since the totals came; for logs.
+    base::milliseconds age(base::instant now) const;
+
+  private:
+    shared_load_options options;
+    std::map<backend_key, std::uint32_t> requests;
+    std::uint32_t waiting_elsewhere = 0;
+    bool was_told = false;
+    base::instant told_at{};
+};
+
+}  // namespace pearbarrow::dispatch
--- a/src/pearbarrow/fleet/edge_node.h
+++ b/src/pearbarrow/fleet/edge_node.h
@@ -40,6 +40,7 @@
     forward::forward_log log_;
     std::unique_ptr<net::http_client> client_;
     forward::backend_pool pool_;
+    forward::admission admission_;
     turns::call_relay relay_;
     turns::relaying_caller members_;
     turns::turn_client turns_;
--- a/src/pearbarrow/forward/backend_pool.cc
+++ b/src/pearbarrow/forward/backend_pool.cc
@@ -52,6 +52,7 @@
     for (const auto& [id, backend] : list.backends) {
         entry& one = entries_[id];
         one.backend = backend;
+        one.key = dispatch::key_of(id);
         one.listed = true;
     }
     std::erase_if(entries_, [&](const auto& item) {
@@ -109,13 +110,32 @@
            std::max<base::microseconds>(options_.least_silence, by_mean);
 }
 
-backend_pool::entry* backend_pool::by_affinity(const std::vector<entry*>& fit,
-                                               std::string_view key) const {
+std::uint32_t backend_pool::requests_elsewhere(const entry& one, base::instant now) const {
+    return elsewhere_ == nullptr ? 0 : elsewhere_->at(one.key, now);
+}
+
+double backend_pool::fullness(const entry& one, base::instant now) const {
+    return static_cast<double>(one.in_flight + requests_elsewhere(one, now)) /
+           std::max(1U, one.backend.slots);
+}
+
+/// The first in the key's own order that is not fuller than others by more than its prompt's memory
+/// is worth.
+backend_pool::entry* backend_pool::by_affinity(const std::vector<entry*>& fit, std::string_view key,
+                                               base::instant now) const {
+    const bool knows_others = elsewhere_ != nullptr && elsewhere_->is_known(now);
+    double mean = 0;
+    for (const entry* one : fit) {
+        mean += fullness(*one, now) / static_cast<double>(fit.size());
+    }
     entry* best = nullptr;
     std::uint64_t best_weight = 0;
     for (entry* one : fit) {
         const std::uint64_t weight = base::stable_hash(key, base::stable_hash(one->backend.id));
-        const bool has_room = one->in_flight < options_.affinity_bound;
+        const double bound = options_.affinity_factor * mean +
+                             options_.affinity_slack / std::max(1U, one->backend.slots);
+        const bool has_room =
+            knows_others ? fullness(*one, now) <= bound : one->in_flight < options_.affinity_bound;
         if (has_room && (best == nullptr || weight > best_weight)) {
             best = one;
             best_weight = weight;
@@ -124,8 +144,8 @@
     return best;
 }
 
-double backend_pool::load_of(const entry& one, double typical_time) const {
-    double load = static_cast<double>(one.in_flight + 1) / std::max(1U, one.backend.slots);
+double backend_pool::load_of(const entry& one, double typical_time, base::instant now) const {
+    double load = fullness(one, now) + 1.0 / std::max(1U, one.backend.slots);
     if (one.mean_time > typical_time) {
         load *= one.mean_time / typical_time;
     }
@@ -135,7 +155,7 @@
     return load;
 }
 
-backend_pool::entry* backend_pool::by_load(const std::vector<entry*>& fit) {
+backend_pool::entry* backend_pool::by_load(const std::vector<entry*>& fit, base::instant now) {
     std::vector<double> times;
     for (const entry* one : fit) {
         if (one->mean_time > 0) {
@@ -154,7 +174,7 @@
     const std::size_t first = random_.below(fit.size());
     for (std::size_t index = 0; index < fit.size(); ++index) {
         entry* one = fit[(first + index) % fit.size()];
-        const double load = load_of(*one, typical_time);
+        const double load = load_of(*one, typical_time, now);
         if (best == nullptr || load < best_load) {
             best = one;
             best_load = load;
@@ -170,15 +190,38 @@
     }
     entry* chosen = nullptr;
     if (!request.affinity_key.empty()) {
-        chosen = by_affinity(fit, request.affinity_key);
+        chosen = by_affinity(fit, request.affinity_key, now);
     }
     if (chosen == nullptr) {
-        chosen = by_load(fit);
+        chosen = by_load(fit, now);
     }
     ++chosen->in_flight;
     chosen->unanswered.insert(now);
-    return choice{
-        .target = chosen->backend, .in_flight = chosen->in_flight, .candidates = fit.size()};
+    return choice{.target = chosen->backend,
+                  .in_flight = chosen->in_flight,
+                  .elsewhere = requests_elsewhere(*chosen, now),
+                  .candidates = fit.size()};
+}
+
+service_load backend_pool::load_of_service(const std::string& service, base::instant now) {
+    service_load load;
+    for (const entry* one :
+         candidates({.service = service, .affinity_key = {}, .excluded = {}}, now)) {
+        load.own += one->in_flight;
+        load.elsewhere += requests_elsewhere(*one, now);
+        load.admitted += options_.admitted_share * one->backend.slots;
+    }
+    return load;
+}
+
+std::vector<dispatch::backend_load> backend_pool::own_loads() const {
+    std::vector<dispatch::backend_load> loads;
+    for (const auto& [id, one] : entries_) {
+        if (one.in_flight > 0) {
+            loads.push_back({.backend = one.key, .requests = one.in_flight});
+        }
+    }
+    return loads;
 }
 
 void backend_pool::answered(const std::string& id, base::instant began) {
--- a/src/pearbarrow/forward/backend_pool.h
+++ b/src/pearbarrow/forward/backend_pool.h
@@ -15,6 +15,8 @@
 #include "pearbarrow/base/clock.h"
 #include "pearbarrow/base/random.h"
 #include "pearbarrow/directory/snapshot.h"
+#include "pearbarrow/dispatch/load_report.h"
+#include "pearbarrow/dispatch/shared_load.h"
 
 namespace pearbarrow::forward {
 
@@ -42,8 +44,16 @@
     /// row up to the most.
     base::milliseconds least_rest{100};
     base::milliseconds most_rest{2'000};
-    /// Requests of this node at the preferred back end above which another one is taken.
+    /// Requests of this node at the preferred back end above which another one is taken, while the
+    /// load of other nodes is not known.
     std::uint32_t affinity_bound = 4;
+    /// While it is known: the preferred back end is taken up to this many times the mean load of
+    /// all, and `affinity_slack` requests more.
+    double affinity_factor = 1.2;
+    double affinity_slack = 1;
+    /// Share of the places of a model engine's batch beyond which requests are held back: more at
+    /// once slow each other down so far that none ends in time.
+    double admitted_share = 0.75;
     /// A back end that has left a request without the head of an answer for this long, and for
     /// `silence_factor` times its mean answer, is passed over while another one is fit.
     base::milliseconds least_silence{700};
@@ -72,13 +82,27 @@
     directory::backend target;
     /// For logs: requests of this node at the target, and how many back ends were fit.
     std::uint32_t in_flight = 0;
+    /// Requests of other nodes there, as far as known.
+    std::uint32_t elsewhere = 0;
     std::size_t candidates = 0;
 };
 
+/// How full the fit back ends of a service are.
+struct service_load {
+    /// Requests of this node, and of others as far as known.
+    std::uint32_t own = 0;
+    std::uint32_t elsewhere = 0;
+    /// Requests that may be there at once.
+    double admitted = 0;
+};
+
 class backend_pool {
   public:
     backend_pool(pool_options options, base::random_source& random);
 
+    /// Where the load of other nodes is looked up; it outlives the pool.
+    void set_shared_load(const dispatch::shared_load& load) { elsewhere_ = &load; }
+
     void set_backends(const directory::backend_list& list, base::instant now);
 
     /// The back end to send to, counted as sent; none when no back end is fit.
@@ -93,11 +117,15 @@
     /// one is worth trying, for a request that may run again.
     base::microseconds patience(const std::string& id, base::microseconds objective) const;
     std::size_t backend_count(std::string_view service) const;
+    service_load load_of_service(const std::string& service, base::instant now);
+    /// This node's requests at each back end that has any.
+    std::vector<dispatch::backend_load> own_loads() const;
     std::uint64_t revision() const { return revision_; }
 
   private:
     struct entry {
         directory::backend backend;
+        dispatch::backend_key key = 0;
         bool listed = true;
         /// When it left the list; it counts while `listed` is false.
         base::instant vanished_at{};
@@ -117,12 +145,17 @@
     /// Whether the back end left the list a short while ago without saying that it would.
     bool has_just_vanished(const entry& one, base::instant now) const;
     bool is_resting(const entry& one, base::instant now) const;
-    entry* by_affinity(const std::vector<entry*>& fit, std::string_view key) const;
-    entry* by_load(const std::vector<entry*>& fit);
-    double load_of(const entry& one, double typical_time) const;
+    entry* by_affinity(const std::vector<entry*>& fit, std::string_view key,
+                       base::instant now) const;
+    entry* by_load(const std::vector<entry*>& fit, base::instant now);
+    double load_of(const entry& one, double typical_time, base::instant now) const;
+    std::uint32_t requests_elsewhere(const entry& one, base::instant now) const;
+    /// Requests at the back end, of this node and all others, for each place that it has.
+    double fullness(const entry& one, base::instant now) const;
 
     pool_options options_;
     base::random_source& random_;
+    const dispatch::shared_load* elsewhere_ = nullptr;
     std::map<std::string, entry> entries_;
     std::uint64_t revision_ = 0;
 };
--- a/src/pearbarrow/forward/forward_context.h
+++ b/src/pearbarrow/forward/forward_context.h
@@ -7,6 +7,7 @@
 #include "pearbarrow/base/random.h"
 #include "pearbarrow/directory/route_table.h"
 #include "pearbarrow/directory/snapshot.h"
+#include "pearbarrow/forward/admission.h"
 #include "pearbarrow/forward/backend_pool.h"
 #include "pearbarrow/forward/forward_log.h"
 #include "pearbarrow/forward/header_names.h"
@@ -39,6 +40,7 @@
     base::random_source& random;
     net::http_client& client;
     backend_pool& pool;
+    admission& entry;
     turns::turn_client& turns;
     forward_log& log;
     forward_options options;
--- a/src/pearbarrow/forward/forwarded_request.cc
+++ b/src/pearbarrow/forward/forwarded_request.cc
@@ -153,6 +153,7 @@
         return;
     }
     stage_ = answer_stage::done;
+    waiting_.reset();
     call_.reset();
     if (attempt_open_) {
         end_attempt(attempt_result::abandoned);
@@ -168,6 +169,7 @@
         return;
     }
     const bool was_sent = attempt_open_;
+    waiting_.reset();
     call_.reset();
     turn_step_.reset();
     patience_.reset();
--- a/src/pearbarrow/forward/forwarded_turn.cc
+++ b/src/pearbarrow/forward/forwarded_turn.cc
@@ -31,6 +31,7 @@
         return;
     }
     chain_text_ = std::move(prepared.chain_text);
+    is_under_way_ = prepared.other_turns > 0;
     send();
 }
 
--- a/src/pearbarrow/forward/request_facts.cc
+++ b/src/pearbarrow/forward/request_facts.cc
@@ -84,6 +84,20 @@
     return kept;
 }
 
+absl::StatusOr<std::optional<std::uint32_t>> read_milliseconds(const net::http_request& request,
+                                                               const std::string& header) {
+    const auto text = request.headers.find(header);
+    if (!text.has_value()) {
+        return std::optional<std::uint32_t>();
+    }
+    const auto value = number(*text);
+    if (!value.has_value()) {
+        return malformed(header);
+    }
+    return std::optional<std::uint32_t>(
+        static_cast<std::uint32_t>(std::min<std::uint64_t>(*value, UINT32_MAX)));
+}
+
 absl::StatusOr<std::optional<turn_facts>> read_turn(const net::http_request& request,
                                                     const header_names& names,
                                                     const std::string& program) {
@@ -119,13 +133,13 @@
     facts.host = request.headers.find("Host").value_or("");
     facts.program = request.headers.find(names.program).value_or("");
     facts.session = request.headers.find(names.session).value_or("");
-    if (const auto deadline = request.headers.find(names.deadline); deadline.has_value()) {
-        const auto value = number(*deadline);
-        if (!value.has_value()) {
-            return malformed(names.deadline);
-        }
-        facts.deadline_ms = static_cast<std::uint32_t>(std::min<std::uint64_t>(*value, UINT32_MAX));
+    auto deadline = read_milliseconds(request, names.deadline);
+    auto program_left = read_milliseconds(request, names.program_deadline);
+    if (!deadline.ok() || !program_left.ok()) {
+        return deadline.ok() ? program_left.status() : deadline.status();
     }
+    facts.deadline_ms = *deadline;
+    facts.program_left_ms = *program_left;
     auto turn = read_turn(request, names, facts.program);
     if (!turn.ok()) {
         return turn.status();
--- a/src/pearbarrow/forward/request_facts.h
+++ b/src/pearbarrow/forward/request_facts.h
@@ -27,6 +27,8 @@
     std::optional<std::uint32_t> deadline_ms;
     std::string program;
     std::string session;
+    /// Milliseconds until the whole program should be over.
+    std::optional<std::uint32_t> program_left_ms;
     /// Present when the request has a token budget.
     std::optional<turn_facts> turn;
 };
--- a/src/pearbarrow/turns/turn_operation.h
+++ b/src/pearbarrow/turns/turn_operation.h
@@ -8,11 +8,15 @@
 
 #include "pearbarrow/base/clock.h"
 #include "pearbarrow/directory/snapshot.h"
+#include "pearbarrow/dispatch/load_report.h"
 #include "pearbarrow/turns/turn_types.h"
 
 namespace pearbarrow::turns {
 
 struct client_options {
+    /// Tells the members of this node's load, and takes what they know of the others'; null:
+    /// neither.
+    dispatch::load_exchange* loads = nullptr;
     std::string zone;
     /// Longest time for the members to confirm a reservation.
     base::milliseconds reserve_timeout{1'500};
@@ -50,6 +54,8 @@
     std::string chain_text;
     /// For logs: tokens of the program's other turns, and members that answered.
     std::uint64_t other_tokens = 0;
+    /// Other turns of the program that have reserved tokens or had an answer.
+    std::size_t other_turns = 0;
     std::size_t members_answered = 0;
     std::uint64_t view_revision = 0;
 };
--- a/src/pearbarrow/turns/turn_preparation.cc
+++ b/src/pearbarrow/turns/turn_preparation.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "pearbarrow/base/hash.h"
 #include "pearbarrow/wire/codec.h"
 
 namespace pearbarrow::turns {
@@ -47,9 +48,19 @@
     return 0;
 }
 
+/// The totals come from two members, so that one that is away or new leaves them to another.
+dispatch::load_report turn_preparation::own_load(const member_state& member) const {
+    if (options_.loads == nullptr) {
+        return {};
+    }
+    const std::size_t drawn = base::stable_hash(request_.wanted.turn.value()) % members_.size();
+    const bool wants_totals = &member == &members_[nearest()] || &member == &members_[drawn];
+    return options_.loads->report(wants_totals);
+}
+
 void turn_preparation::send_reserve(member_state& member, bool with_chain) {
     member.reserve_retry.reset();
-    const reserve_request message{request_.wanted, request_.previous, with_chain};
+    const reserve_request message{request_.wanted, request_.previous, with_chain, own_load(member)};
     member.reserve_call = caller_.call(
         member.member, wire::turn_reserve, wire::encode(message), options_.call_timeout,
         [this, &member, with_chain](const absl::StatusOr<std::string>& payload) {
@@ -73,6 +84,9 @@
     member.confirmed = true;
     member.confirmed_complete = reply->is_complete;
     known_.add(reply->reservations);
+    if (options_.loads != nullptr) {
+        options_.loads->take(reply->load);
+    }
     if (with_chain) {
         take_chain(member, reply->is_complete, reply->chain, std::move(reply->chain_text));
     }
@@ -212,6 +226,7 @@
     prepared_turn result{.outcome = outcome,
                          .chain_text = std::move(chain_).value_or(std::string()),
                          .other_tokens = known_.total_without(request_.wanted.turn),
+                         .other_turns = known_.turns_without(request_.wanted.turn),
                          .members_answered = count(&member_state::confirmed),
                          .view_revision = view_revision_};
     done(std::move(result));
--- a/src/pearbarrow/turns/turn_preparation.h
+++ b/src/pearbarrow/turns/turn_preparation.h
@@ -43,6 +43,7 @@
 
     bool wants_chain() const { return !request_.previous.value().empty(); }
     std::size_t nearest() const;
+    dispatch::load_report own_load(const member_state& member) const;
     void send_reserve(member_state& member, bool with_chain);
     void take_reserve(member_state& member, bool with_chain,
                       const absl::StatusOr<std::string>& payload);
--- a/src/pearbarrow/turns/turn_replica.cc
+++ b/src/pearbarrow/turns/turn_replica.cc
@@ -39,7 +39,8 @@
       clock_(clock),
       store_(store),
       options_(std::move(options)),
-      index_(options_.index) {
+      index_(options_.index),
+      board_({}, clock.now()) {
     register_methods();
 }
 
@@ -120,7 +121,13 @@
     check_complete();
 }
 
+dispatch::load_totals turn_replica::totals_for(const dispatch::load_report& report) {
+    return report.wants_totals ? board_.totals_without(report.node, clock_.now())
+                               : dispatch::load_totals{};
+}
+
 void turn_replica::reserve(const reserve_request& request, responder answer) {
+    board_.take(request.load, clock_.now());
     if (refusing_) {
         answer->fail(refused("member_retiring"));
         return;
@@ -141,6 +148,7 @@
     if (request.wants_chain && !request.previous.value().empty()) {
         reply.chain = read_chain(request.previous, reply.chain_text);
     }
+    reply.load = totals_for(request.load);
     answer->finish(wire::encode(reply));
 }
 
@@ -173,17 +181,20 @@
 }
 
 void turn_replica::finish(finish_request request, responder answer) {
+    board_.take(request.load, clock_.now());
     if (refusing_) {
         answer->fail(refused("member_retiring"));
         return;
     }
     store_new(std::move(request.records), std::move(request.settled),
-              [this, answer = std::move(answer)](const absl::Status& status) {
+              [this, load = std::move(request.load),
+               answer = std::move(answer)](const absl::Status& status) {
                   if (!status.ok()) {
                       answer->fail(status);
                       return;
                   }
-                  answer->finish(wire::encode(finish_reply{.is_complete = complete_}));
+                  answer->finish(wire::encode(
+                      finish_reply{.is_complete = complete_, .load = totals_for(load)}));
               });
 }
 
--- a/src/pearbarrow/turns/turn_replica.h
+++ b/src/pearbarrow/turns/turn_replica.h
@@ -18,6 +18,7 @@
 
 #include "pearbarrow/base/clock.h"
 #include "pearbarrow/directory/snapshot.h"
+#include "pearbarrow/dispatch/load_board.h"
 #include "pearbarrow/net/event_loop.h"
 #include "pearbarrow/net/peer_rpc.h"
 #include "pearbarrow/turns/turn_index.h"
@@ -105,6 +106,7 @@
                    std::function<void(absl::Status)> done);
     void apply(const store_change& change);
     void note_write(const absl::Status& status);
+    dispatch::load_totals totals_for(const dispatch::load_report& report);
     chain_result read_chain(const turn_id& last, std::string& text) const;
 
     void ask_listing(const base::node_id& node);
@@ -125,6 +127,8 @@
     turn_store& store_;
     replica_options options_;
     turn_index index_;
+    /// What forwarding nodes have told of their load.
+    dispatch::load_board board_;
     disk_id disk_;
     directory::storage_view view_;
     std::map<base::node_id, other_member> others_;
--- a/src/pearbarrow/turns/turn_types.h
+++ b/src/pearbarrow/turns/turn_types.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "pearbarrow/base/ids.h"
+#include "pearbarrow/dispatch/load_report.h"
 
 namespace pearbarrow::turns {
 
@@ -61,8 +62,10 @@
     reservation wanted;
     turn_id previous;
     bool wants_chain = false;
+    /// What the asking node has under way at the back ends.
+    dispatch::load_report load;
 
-    MSGPACK_DEFINE(wanted, previous, wants_chain);
+    MSGPACK_DEFINE(wanted, previous, wants_chain, load);
 };
 
 struct reserve_reply {
@@ -72,8 +75,9 @@
     std::vector<reservation> reservations;
     chain_result chain = chain_result::not_asked;
     std::string chain_text;
+    dispatch::load_totals load;
 
-    MSGPACK_DEFINE(is_complete, reservations, chain, chain_text);
+    MSGPACK_DEFINE(is_complete, reservations, chain, chain_text, load);
 };
 
 struct read_request {
@@ -108,14 +112,16 @@
 struct finish_request {
     std::vector<reservation> settled;
     std::vector<turn_record> records;
+    dispatch::load_report load;
 
-    MSGPACK_DEFINE(settled, records);
+    MSGPACK_DEFINE(settled, records, load);
 };
 
 struct finish_reply {
     bool is_complete = false;
+    dispatch::load_totals load;
 
-    MSGPACK_DEFINE(is_complete);
+    MSGPACK_DEFINE(is_complete, load);
 };
 
 /// Asks another member for what it has stored after a point.
--- /dev/null
+++ b/tests/unit/dispatch/load_board_test.cc
@@ -0,0 +1,101 @@
+#include "pearbarrow/dispatch/load_board.h"
+
+#include <criterion/criterion.h>
+
+#include "pearbarrow/dispatch/shared_load.h"
+
+using namespace pearbarrow;
+using namespace pearbarrow::dispatch;
+using base::milliseconds;
+
+namespace {
+
+load_report report_of(const std::string& node, std::uint64_t number, std::uint32_t requests,
+                      std::uint64_t life = 1) {
+    return {.node = base::node_id(node),
+            .life = life,
+            .number = number,
+            .loads = {{.backend = key_of("engine"), .requests = requests}},
+            .waiting = 1};
+}
+
+struct board_fixture {
+    std::uint32_t seen_by(const std::string& node) {
+        const load_totals totals = board.totals_without(base::node_id(node), now);
+        return totals.loads.empty() ? 0 : totals.loads.front().requests;
+    }
+    base::instant now{};
+    load_board board{{}, now};
+};
+
+}  // namespace
+
+Test(load_board, adds_up_all_nodes_but_the_asking_one) {
+    board_fixture fixture;
+    fixture.board.take(report_of("a", 1, 3), fixture.now);
+    fixture.board.take(report_of("b", 1, 4), fixture.now);
+    fixture.board.take(report_of("c", 1, 5), fixture.now);
+    cr_assert(fixture.seen_by("a") == 9);
+    cr_assert(fixture.board.totals_without(base::node_id("a"), fixture.now).waiting == 2);
+}
+
+Test(load_board, a_report_that_comes_late_changes_nothing) {
+    board_fixture fixture;
+    fixture.board.take(report_of("b", 2, 4), fixture.now);
+    fixture.board.take(report_of("b", 1, 9), fixture.now);
+    cr_assert(fixture.seen_by("a") == 4);
+}
+
+Test(load_board, a_node_that_started_anew_begins_its_count_again) {
+    board_fixture fixture;
+    fixture.board.take(report_of("b", 50, 9, 1), fixture.now);
+    fixture.board.take(report_of("b", 1, 0, 2), fixture.now);
+    cr_assert(fixture.seen_by("a") == 0);
+}
+
+Test(load_board, a_node_that_died_is_forgotten) {
+    board_fixture fixture;
+    fixture.board.take(report_of("b", 1, 9), fixture.now);
+    fixture.now += milliseconds{2'001};
+    cr_assert(fixture.seen_by("a") == 0);
+    cr_assert(fixture.board.node_count() == 0);
+}
+
+Test(load_board, a_message_without_a_report_is_none) {
+    board_fixture fixture;
+    fixture.board.take({}, fixture.now);
+    cr_assert(fixture.board.node_count() == 0);
+}
+
+Test(shared_load, is_not_believed_for_long) {
+    board_fixture fixture;
+    fixture.now += milliseconds{600};
+    fixture.board.take(report_of("b", 1, 4), fixture.now);
+    shared_load load({});
+    cr_assert(!load.is_known(fixture.now));
+    load.take(fixture.board.totals_without(base::node_id("a"), fixture.now), fixture.now);
+    cr_assert(load.at(key_of("engine"), fixture.now) == 4);
+    cr_assert(load.waiting(fixture.now) == 1);
+    fixture.now += milliseconds{1'001};
+    cr_assert(!load.is_known(fixture.now));
+    cr_assert(load.at(key_of("engine"), fixture.now) == 0,
+              "silence is no load, and no bound either");
+}
+
+Test(shared_load, a_board_that_has_just_begun_is_passed_over) {
+    board_fixture fixture;
+    fixture.now += milliseconds{100};
+    shared_load load({});
+    load.take(fixture.board.totals_without(base::node_id("a"), fixture.now), fixture.now);
+    cr_assert(!load.is_known(fixture.now));
+}
+
+Test(shared_load, a_reply_without_totals_leaves_what_is_known) {
+    board_fixture fixture;
+    fixture.now += milliseconds{600};
+    fixture.board.take(report_of("b", 1, 4), fixture.now);
+    shared_load load({});
+    load.take(fixture.board.totals_without(base::node_id("a"), fixture.now), fixture.now);
+    load.take({}, fixture.now);
+    cr_assert(load.at(key_of("engine"), fixture.now) == 4);
+}
