Dispatch: expected turns, engines whose answers fail, affinity by three requests; a late request tells its steps

Change: all places of a batch are let in, a program stays with its engine up to 1.2 times the mean load and three requests; whether a program can be in time goes by its expected turns (learnt by route); failures of all nodes are added up in the load reports, an engine with a quarter of them is passed over but for one trial in 20. request_ended of a late or failed request has steps and placement, pearbarrowctl trace names the costliest step. Settings under [dispatch] switch each.

--- a/src/pearbarrow/dispatch/load_board.cc
+++ b/src/pearbarrow/dispatch/load_board.cc
@@ -26,7 +26,7 @@
 
 load_totals load_board::totals_without(const base::node_id& node, base::instant now) {
     this->forget_old(now);
-    std::map<backend_key, std::uint32_t> sums;
+    std::map<backend_key, backend_load> sums;
     load_totals totals{.is_given = true};
     for (const auto& [other, kept] : this->reports) {
         if (other == node) {
@@ -34,11 +34,15 @@
         }
         totals.waiting += kept.report.waiting;
         for (const backend_load& load : kept.report.loads) {
-            sums[load.backend] += load.requests;
+            backend_load& sum = sums[load.backend];
+            sum.backend = load.backend;
+            sum.requests += load.requests;
+            sum.served += load.served;
+            sum.failed += load.failed;
         }
     }
-    for (const auto& [backend, requests] : sums) {
-        totals.loads.push_back({.backend = backend, .requests = requests});
+    for (const auto& [backend, sum] : sums) {
+        totals.loads.push_back(sum);
     }
     const auto gathered = std::chrono::duration_cast<base::milliseconds>(now - this->began);
     totals.gathered_ms = static_cast<std::uint32_t>(
--- a/src/pearbarrow/dispatch/load_report.h
+++ b/src/pearbarrow/dispatch/load_report.h
@@ -19,13 +19,17 @@
 
 backend_key key_of(std::string_view backend);
 
-/// Requests at one back end.
+/// Requests at one back end, and how the latest ones ended.
 struct backend_load {
     backend_key backend = 0;
     std::uint32_t requests = 0;
+    /// Of the last second or two, the older ones counted for less; in hundredths. Told only of back
+    /// ends that have failed something.
+    std::uint32_t served = 0;
+    std::uint32_t failed = 0;
 
     bool operator==(const backend_load&) const = default;
-    MSGPACK_DEFINE(backend, requests);
+    MSGPACK_DEFINE(backend, requests, served, failed);
 };
 
 /// What one node has under way. A report replaces the node's earlier ones.
--- a/src/pearbarrow/dispatch/shared_load.cc
+++ b/src/pearbarrow/dispatch/shared_load.cc
@@ -6,9 +6,9 @@
     if (!totals.is_given || base::milliseconds{totals.gathered_ms} < this->options.least_gathered) {
         return;
     }
-    this->requests.clear();
+    this->loads.clear();
     for (const backend_load& load : totals.loads) {
-        this->requests[load.backend] = load.requests;
+        this->loads[load.backend] = load;
     }
     this->waiting_elsewhere = totals.waiting;
     this->was_told = true;
@@ -19,12 +19,12 @@
     return this->was_told && now - this->told_at <= this->options.longest_belief;
 }
 
-std::uint32_t shared_load::at(backend_key backend, base::instant now) const {
+backend_load shared_load::at(backend_key backend, base::instant now) const {
     if (!this->is_known(now)) {
-        return 0;
+        return {};
     }
-    const auto found = this->requests.find(backend);
-    return found == this->requests.end() ? 0 : found->second;
+    const auto found = this->loads.find(backend);
+    return found == this->loads.end() ? backend_load{} : found->second;
 }
 
 std::uint32_t shared_load::waiting(base::instant now) const {
--- a/src/pearbarrow/dispatch/shared_load.h
+++ b/src/pearbarrow/dispatch/shared_load.h
@@ -27,8 +27,8 @@
     void take(const load_totals& totals, base::instant now);
     /// Whether totals have come of late.
     bool is_known(base::instant now) const;
-    /// Requests of other nodes; 0 when nothing is known.
-    std::uint32_t at(backend_key backend, base::instant now) const;
+    /// What other nodes have told of the back end; zeros when nothing is known.
+    backend_load at(backend_key backend, base::instant now) const;
     /// Requests that other nodes hold back; 0 when nothing is known.
     std::uint32_t waiting(base::instant now) const;
     /// Since the totals came; for logs.
@@ -36,7 +36,7 @@
 
   private:
     shared_load_options options;
-    std::map<backend_key, std::uint32_t> requests;
+    std::map<backend_key, backend_load> loads;
     std::uint32_t waiting_elsewhere = 0;
     bool was_told = false;
     base::instant told_at{};
--- a/src/pearbarrow/dispatch/waiting_line.cc
+++ b/src/pearbarrow/dispatch/waiting_line.cc
@@ -1,14 +1,16 @@
 #include "pearbarrow/dispatch/waiting_line.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
 namespace pearbarrow::dispatch {
 namespace {
 
-bool is_late(const urgency& order, base::instant now, base::microseconds work_left) {
-    return order.wanted_by < now + work_left;
+bool is_late(const urgency& order, base::instant now, base::microseconds turn_time) {
+    const double work_left = order.turns_left * static_cast<double>(turn_time.count());
+    return order.wanted_by < now + base::microseconds(static_cast<std::int64_t>(work_left));
 }
 
 }  // namespace
@@ -29,14 +31,14 @@
 }
 
 std::optional<waiting_request> waiting_line::take_next(base::instant now,
-                                                       base::microseconds work_left) {
+                                                       base::microseconds turn_time) {
     if (this->entries.empty()) {
         return std::nullopt;
     }
     const auto key = [&](const entry& one) {
         const urgency& order = one.request.order;
-        return std::make_tuple(is_late(order, now, work_left), order.priority, !order.is_under_way,
-                               order.wanted_by, one.number);
+        return std::make_tuple(is_late(order, now, turn_time), order.priority,
+                               std::floor(order.turns_left), order.wanted_by, one.number);
     };
     return this->take_out(std::min_element(
         this->entries.begin(), this->entries.end(),
@@ -53,10 +55,10 @@
     return this->take_out(found);
 }
 
-std::size_t waiting_line::count_in_time(base::instant now, base::microseconds work_left) const {
+std::size_t waiting_line::count_in_time(base::instant now, base::microseconds turn_time) const {
     return static_cast<std::size_t>(std::count_if(
         this->entries.begin(), this->entries.end(),
-        [&](const entry& one) { return !is_late(one.request.order, now, work_left); }));
+        [&](const entry& one) { return !is_late(one.request.order, now, turn_time); }));
 }
 
 std::optional<base::instant> waiting_line::next_limit() const {
--- a/src/pearbarrow/fleet/edge_node.cc
+++ b/src/pearbarrow/fleet/edge_node.cc
@@ -20,6 +20,24 @@
     return options;
 }
 
+forward::pool_options pool_options(const settings::fleet_settings& settings) {
+    forward::pool_options options{.zone = settings.zone};
+    options.affinity_factor = settings.dispatch.affinity_factor;
+    options.affinity_slack = settings.dispatch.affinity_slack;
+    options.admitted_share = settings.dispatch.admitted_share;
+    options.lapse_grace = settings.dispatch.lapse_grace;
+    return options;
+}
+
+forward::admission_options admission_options(const settings::fleet_settings& settings,
+                                             base::random_source& random) {
+    forward::admission_options options{.node = settings.node, .life = random.next() | 1U};
+    options.longest_wait = settings.dispatch.longest_wait;
+    options.hold_back = settings.dispatch.hold_back;
+    options.share_load = settings.dispatch.share_load;
+    return options;
+}
+
 net::http_server_options caller_options(const settings::fleet_settings& settings) {
     net::http_server_options options;
     options.listen = to_endpoint(settings.caller);
@@ -35,8 +53,8 @@
     : parts_(loop, clock, settings, [this](const auto& changed) { take_changes(changed); }),
       log_(clock, parts_.metrics(), {}),
       client_(net::make_http_client(loop, client_options())),
-      pool_({.zone = settings.zone}, parts_.random()),
-      admission_(loop, clock, pool_, {.node = settings.node, .life = parts_.random().next() | 1U}),
+      pool_(pool_options(settings), parts_.random()),
+      admission_(loop, clock, pool_, admission_options(settings, parts_.random())),
       relay_(parts_.rpc()),
       members_(loop, parts_.rpc(), clock, {}, [this] { return relay_peer(); }),
       turns_(loop, members_, {.loads = &admission_, .zone = settings.zone}),
@@ -46,6 +64,7 @@
                .client = *client_,
                .pool = pool_,
                .entry = admission_,
+               .progress = progress_,
                .turns = turns_,
                .log = log_,
                .options = std::move(options),
--- a/src/pearbarrow/fleet/edge_node.h
+++ b/src/pearbarrow/fleet/edge_node.h
@@ -41,6 +41,7 @@
     std::unique_ptr<net::http_client> client_;
     forward::backend_pool pool_;
     forward::admission admission_;
+    dispatch::program_progress progress_;
     turns::call_relay relay_;
     turns::relaying_caller members_;
     turns::turn_client turns_;
--- a/src/pearbarrow/forward/admission.cc
+++ b/src/pearbarrow/forward/admission.cc
@@ -79,7 +79,7 @@
 
 bool admission::has_room(const std::string& service, service_line& waiting) {
     const base::instant now = this->clock.now();
-    if (!this->others.is_known(now)) {
+    if (!this->options.hold_back || !this->others.is_known(now)) {
         return true;
     }
     const service_load load = this->pool.load_of_service(service, now);
@@ -91,10 +91,13 @@
 }
 
 dispatch::load_report admission::report(bool wants_totals) {
+    if (!this->options.share_load) {
+        return {};
+    }
     dispatch::load_report report{.node = this->options.node,
                                  .life = this->options.life,
                                  .number = ++this->last_report,
-                                 .loads = this->pool.own_loads(),
+                                 .loads = this->pool.own_loads(this->clock.now()),
                                  .wants_totals = wants_totals};
     const base::instant now = this->clock.now();
     for (const auto& [service, waiting] : this->lines) {
--- a/src/pearbarrow/forward/admission.h
+++ b/src/pearbarrow/forward/admission.h
@@ -30,6 +30,10 @@
     base::milliseconds look_interval{20};
     /// Part of a mean turn's time that counts as the least a turn needs.
     double least_share_of_turn = 0.7;
+    /// False: every request goes at once, and only its back end is chosen by the load of all nodes.
+    bool hold_back = true;
+    /// False: this node neither tells its load nor hears of the others'.
+    bool share_load = true;
 };
 
 class admission final : public dispatch::load_exchange {
--- a/src/pearbarrow/forward/backend_pool.cc
+++ b/src/pearbarrow/forward/backend_pool.cc
@@ -10,6 +10,8 @@
 
 /// Weight of the newest answer in the mean time.
 constexpr double newest_weight = 0.2;
+/// Counts of results travel as whole hundredths.
+constexpr double hundredths = 100;
 /// Load that a back end in another zone is charged, in requests.
 constexpr double other_zone_load = 0.5;
 
@@ -38,6 +40,16 @@
     return "unknown";
 }
 
+std::string_view to_string(choice_reason reason) {
+    switch (reason) {
+        case choice_reason::affinity:
+            return "affinity";
+        case choice_reason::least_load:
+            return "least_load";
+    }
+    return "unknown";
+}
+
 backend_pool::backend_pool(pool_options options, base::random_source& random)
     : options_(std::move(options)), random_(random) {}
 
@@ -91,12 +103,29 @@
             request.excluded.count(id) > 0) {
             continue;
         }
-        (is_resting(one, now) ? resting : fit).push_back(&one);
+        const bool passed_over =
+            is_resting(one, now) ||
+            (is_failing(one, now) && random_.below(options_.trial_interval) != 0);
+        (passed_over ? resting : fit).push_back(&one);
     }
     // A resting back end may have recovered: better than none.
     return fit.empty() ? resting : fit;
 }
 
+bool backend_pool::is_failing(const entry& one, base::instant now) const {
+    const dispatch::backend_load others = elsewhere(one, now);
+    const double failed = one.results.failed(now) + others.failed / hundredths;
+    const double served = one.results.served(now) + others.served / hundredths;
+    return failed >= options_.least_failures &&
+           failed >= options_.failing_share * (failed + served);
+}
+
+std::size_t backend_pool::failing_count(base::instant now) const {
+    return static_cast<std::size_t>(std::count_if(
+        entries_.begin(), entries_.end(),
+        [&](const auto& item) { return item.second.listed && is_failing(item.second, now); }));
+}
+
 bool backend_pool::is_resting(const entry& one, base::instant now) const {
     if (one.rests_until > now) {
         return true;
@@ -110,12 +139,12 @@
            std::max<base::microseconds>(options_.least_silence, by_mean);
 }
 
-std::uint32_t backend_pool::requests_elsewhere(const entry& one, base::instant now) const {
-    return elsewhere_ == nullptr ? 0 : elsewhere_->at(one.key, now);
+dispatch::backend_load backend_pool::elsewhere(const entry& one, base::instant now) const {
+    return elsewhere_ == nullptr ? dispatch::backend_load{} : elsewhere_->at(one.key, now);
 }
 
 double backend_pool::fullness(const entry& one, base::instant now) const {
-    return static_cast<double>(one.in_flight + requests_elsewhere(one, now)) /
+    return static_cast<double>(one.in_flight + elsewhere(one, now).requests) /
            std::max(1U, one.backend.slots);
 }
 
@@ -192,6 +221,8 @@
     if (!request.affinity_key.empty()) {
         chosen = by_affinity(fit, request.affinity_key, now);
     }
+    const choice_reason reason =
+        chosen == nullptr ? choice_reason::least_load : choice_reason::affinity;
     if (chosen == nullptr) {
         chosen = by_load(fit, now);
     }
@@ -199,7 +230,9 @@
     chosen->unanswered.insert(now);
     return choice{.target = chosen->backend,
                   .in_flight = chosen->in_flight,
-                  .elsewhere = requests_elsewhere(*chosen, now),
+                  .elsewhere = elsewhere(*chosen, now).requests,
+                  .elsewhere_known = elsewhere_ != nullptr && elsewhere_->is_known(now),
+                  .reason = reason,
                   .candidates = fit.size()};
 }
 
@@ -208,17 +241,22 @@
     for (const entry* one :
          candidates({.service = service, .affinity_key = {}, .excluded = {}}, now)) {
         load.own += one->in_flight;
-        load.elsewhere += requests_elsewhere(*one, now);
+        load.elsewhere += elsewhere(*one, now).requests;
         load.admitted += options_.admitted_share * one->backend.slots;
     }
     return load;
 }
 
-std::vector<dispatch::backend_load> backend_pool::own_loads() const {
+std::vector<dispatch::backend_load> backend_pool::own_loads(base::instant now) const {
     std::vector<dispatch::backend_load> loads;
     for (const auto& [id, one] : entries_) {
-        if (one.in_flight > 0) {
-            loads.push_back({.backend = one.key, .requests = one.in_flight});
+        const auto failed = static_cast<std::uint32_t>(one.results.failed(now) * hundredths);
+        const auto served = static_cast<std::uint32_t>(one.results.served(now) * hundredths);
+        if (one.in_flight > 0 || failed > 0) {
+            loads.push_back({.backend = one.key,
+                             .requests = one.in_flight,
+                             .served = failed > 0 ? served : 0,
+                             .failed = failed});
         }
     }
     return loads;
@@ -243,6 +281,9 @@
     }
     entry& one = found->second;
     --one.in_flight;
+    if (result != attempt_result::abandoned && result != attempt_result::refused) {
+        one.results.add(result != attempt_result::served, now);
+    }
     if (counts_against(result)) {
         const auto doubled = options_.least_rest * (1 << std::min(one.failures_in_row, 5U));
         one.rests_until = now + std::min<base::milliseconds>(doubled, options_.most_rest);
--- a/src/pearbarrow/forward/backend_pool.h
+++ b/src/pearbarrow/forward/backend_pool.h
@@ -17,6 +17,7 @@
 #include "pearbarrow/directory/snapshot.h"
 #include "pearbarrow/dispatch/load_report.h"
 #include "pearbarrow/dispatch/shared_load.h"
+#include "pearbarrow/forward/recent_results.h"
 
 namespace pearbarrow::forward {
 
@@ -50,16 +51,22 @@
     /// While it is known: the preferred back end is taken up to this many times the mean load of
     /// all, and `affinity_slack` requests more.
     double affinity_factor = 1.2;
-    double affinity_slack = 1;
-    /// Share of the places of a model engine's batch beyond which requests are held back: more at
-    /// once slow each other down so far that none ends in time.
-    double admitted_share = 0.75;
+    double affinity_slack = 3;
+    /// Requests let in at once, in places of an engine's batch. More would wait at the engine,
+    /// first come first served.
+    double admitted_share = 1;
     /// A back end that has left a request without the head of an answer for this long, and for
     /// `silence_factor` times its mean answer, is passed over while another one is fit.
     base::milliseconds least_silence{700};
     double silence_factor = 4;
     /// The least patience with an attempt, in times of the request's objective.
     double objective_factor = 2;
+    /// A back end of which this share of the latest requests of all nodes has failed, and so many,
+    /// is passed over while another one is fit; one request in `trial_interval` tries it all the
+    /// same.
+    double failing_share = 0.25;
+    double least_failures = 2;
+    std::uint32_t trial_interval = 20;
     /// Back ends that vanish from the list together are used for this long all the same: the
     /// outside service drops the entries of living ones when it has been away, and has them back
     /// within about two seconds. Below the least time that a leaving one goes on serving.
@@ -78,12 +85,24 @@
     std::set<std::string> excluded;
 };
 
+/// Why a back end was chosen.
+enum class choice_reason {
+    /// The key's own, which isn't overloaded: its memory may hold the program's prompt.
+    affinity,
+    /// The least loaded.
+    least_load,
+};
+
+std::string_view to_string(choice_reason reason);
+
 struct choice {
     directory::backend target;
     /// For logs: requests of this node at the target, and how many back ends were fit.
     std::uint32_t in_flight = 0;
-    /// Requests of other nodes there, as far as known.
+    /// Requests of other nodes there; 0 when they are not known.
     std::uint32_t elsewhere = 0;
+    bool elsewhere_known = false;
+    choice_reason reason = choice_reason::least_load;
     std::size_t candidates = 0;
 };
 
@@ -118,8 +137,10 @@
     base::microseconds patience(const std::string& id, base::microseconds objective) const;
     std::size_t backend_count(std::string_view service) const;
     service_load load_of_service(const std::string& service, base::instant now);
-    /// This node's requests at each back end that has any.
-    std::vector<dispatch::backend_load> own_loads() const;
+    /// This node's requests at each back end that has any, and what has failed of late.
+    std::vector<dispatch::backend_load> own_loads(base::instant now) const;
+    /// Back ends that are passed over since their requests fail.
+    std::size_t failing_count(base::instant now) const;
     std::uint64_t revision() const { return revision_; }
 
   private:
@@ -134,6 +155,7 @@
         base::instant rests_until{};
         /// When the attempts began that have no head of an answer yet.
         std::multiset<base::instant> unanswered;
+        recent_results results;
         /// Mean time of recent answers, in microseconds; 0: none yet.
         double mean_time = 0;
     };
@@ -145,11 +167,12 @@
     /// Whether the back end left the list a short while ago without saying that it would.
     bool has_just_vanished(const entry& one, base::instant now) const;
     bool is_resting(const entry& one, base::instant now) const;
+    bool is_failing(const entry& one, base::instant now) const;
     entry* by_affinity(const std::vector<entry*>& fit, std::string_view key,
                        base::instant now) const;
     entry* by_load(const std::vector<entry*>& fit, base::instant now);
     double load_of(const entry& one, double typical_time, base::instant now) const;
-    std::uint32_t requests_elsewhere(const entry& one, base::instant now) const;
+    dispatch::backend_load elsewhere(const entry& one, base::instant now) const;
     /// Requests at the back end, of this node and all others, for each place that it has.
     double fullness(const entry& one, base::instant now) const;
 
--- a/src/pearbarrow/forward/forward_context.h
+++ b/src/pearbarrow/forward/forward_context.h
@@ -7,6 +7,7 @@
 #include "pearbarrow/base/random.h"
 #include "pearbarrow/directory/route_table.h"
 #include "pearbarrow/directory/snapshot.h"
+#include "pearbarrow/dispatch/program_progress.h"
 #include "pearbarrow/forward/admission.h"
 #include "pearbarrow/forward/backend_pool.h"
 #include "pearbarrow/forward/forward_log.h"
@@ -41,6 +42,7 @@
     net::http_client& client;
     backend_pool& pool;
     admission& entry;
+    dispatch::program_progress& progress;
     turns::turn_client& turns;
     forward_log& log;
     forward_options options;
--- a/src/pearbarrow/forward/forwarded_attempt.cc
+++ b/src/pearbarrow/forward/forwarded_attempt.cc
@@ -50,15 +50,14 @@
 
 dispatch::urgency forwarded_request::order_of_turn() const {
     const base::milliseconds wanted_in{facts_.program_left_ms.value_or(route_.objective_ms)};
-    return {.priority = route_.priority,
-            .is_under_way = is_under_way_,
-            .wanted_by = arrived_ + wanted_in};
+    return {
+        .priority = route_.priority, .turns_left = turns_left_, .wanted_by = arrived_ + wanted_in};
 }
 
 void forwarded_request::place() {
     attempt_began_ = context_.clock.now();
     if (is_stream()) {
-        waited_ += attempt_began_ - waiting_since_;
+        steps_.waiting += attempt_began_ - waiting_since_;
     }
     placed_ = context_.pool.choose({.service = service_,
                                     .affinity_key = is_stream() ? facts_.program : "",
@@ -135,6 +134,8 @@
     status_ = status;
     headers_ = headers;
     head_seen_ = true;
+    head_at_ = context_.clock.now();
+    steps_.to_head = head_at_ - attempt_began_;
     context_.pool.answered(target_.id, attempt_began_);
     const auto echoed = headers.find(names.request_id);
     // The late answer to an earlier request of the same connection.
--- a/src/pearbarrow/forward/forwarded_request.cc
+++ b/src/pearbarrow/forward/forwarded_request.cc
@@ -31,10 +31,7 @@
       on_over_(std::move(on_over)),
       arrived_(context.clock.now()),
       events_([this](const net::server_sent_event& event) {
-          if (event_count_ == 0) {
-              first_event_ = context_.clock.now();
-          }
-          ++event_count_;
+          note_event();
           if (route_.keeps_history) {
               output_ += event.data;
               output_.push_back('\n');
@@ -194,25 +191,55 @@
 }
 
 void forwarded_request::log_end(int status, std::string_view reason) {
-    const auto took = context_.clock.now() - arrived_;
+    const base::instant now = context_.clock.now();
+    const auto took = now - arrived_;
     context_.log.count_answer(kind_name(), status, reason, took);
-    const nlohmann::json fields = {{"request", facts_.request_id},
-                                   {"program", facts_.program},
-                                   {"route", route_.name},
-                                   {"config", active_->config.version},
-                                   {"backend", target_.id},
-                                   {"attempts", attempts_},
-                                   {"status", status},
-                                   {"reason", reason},
-                                   {"events", event_count_},
-                                   {"milliseconds", took.count() / 1000}};
-    const bool is_slow =
-        route_.objective_ms > 0 && !is_stream() && took > base::milliseconds{route_.objective_ms};
-    if (reason == "served" && !is_slow) {
-        context_.log.routine("request_ended", fields);
+    nlohmann::json fields = {{"request", facts_.request_id},
+                             {"program", facts_.program},
+                             {"route", route_.name},
+                             {"config", active_->config.version},
+                             {"backend", target_.id},
+                             {"attempts", attempts_},
+                             {"status", status},
+                             {"reason", reason},
+                             {"events", event_count_},
+                             {"milliseconds", took.count() / 1000}};
+    if (reason == "served" && !is_late(now)) {
+        context_.log.routine("request_ended", std::move(fields));
+        return;
+    }
+    fields["steps"] = to_json(steps_);
+    if (placed_.has_value()) {
+        fields["placement"] = to_json(*placed_);
+    }
+    if (is_stream()) {
+        fields["turns_left"] = turns_left_;
+        fields["program_left_ms"] = facts_.program_left_ms.value_or(0);
+    }
+    context_.log.notable("request_ended", std::move(fields));
+}
+
+void forwarded_request::note_event() {
+    const base::instant now = context_.clock.now();
+    if (event_count_ == 0) {
+        first_event_ = now;
+        steps_.to_first_event = now - head_at_;
     } else {
-        context_.log.notable("request_ended", fields);
+        steps_.longest_gap = std::max<base::microseconds>(steps_.longest_gap, now - last_event_);
+        steps_.generating = now - first_event_;
+    }
+    last_event_ = now;
+    ++event_count_;
+}
+
+/// A stream is judged by its first event, or by its program's end when that has passed.
+bool forwarded_request::is_late(base::instant now) const {
+    if (facts_.program_left_ms.has_value() &&
+        now - arrived_ > base::milliseconds{*facts_.program_left_ms}) {
+        return true;
     }
+    const base::instant judged = is_stream() && event_count_ > 0 ? first_event_ : now;
+    return route_.objective_ms > 0 && judged - arrived_ > base::milliseconds{route_.objective_ms};
 }
 
 }  // namespace pearbarrow::forward
--- a/src/pearbarrow/forward/forwarded_request.h
+++ b/src/pearbarrow/forward/forwarded_request.h
@@ -16,6 +16,7 @@
 
 #include "pearbarrow/forward/forward_context.h"
 #include "pearbarrow/forward/request_facts.h"
+#include "pearbarrow/forward/request_steps.h"
 #include "pearbarrow/net/server_sent_events.h"
 
 namespace pearbarrow::forward {
@@ -73,7 +74,10 @@
     void on_caller_gone();
     void on_time_up();
     void finish(int status, std::string_view reason);
+    void note_event();
     void log_end(int status, std::string_view reason);
+    /// Whether the answer came so late that its line is always kept.
+    bool is_late(base::instant now) const;
 
     base::milliseconds time_left() const;
     bool is_repeatable() const;
@@ -101,12 +105,12 @@
     bool reserved_ = false;
     bool settled_ = false;
 
-    /// Earlier turns of the same program have run.
-    bool is_under_way_ = false;
+    /// Turns that the program is expected to have, this one among them.
+    double turns_left_ = 1;
     /// Holds the request's place among those that wait for room.
     std::unique_ptr<admission::ticket> waiting_;
     base::instant waiting_since_{};
-    base::microseconds waited_{0};
+    request_steps steps_;
 
     std::unique_ptr<net::http_call_handle> call_;
     std::string service_;
@@ -130,6 +134,8 @@
     std::string output_;
     std::uint64_t event_count_ = 0;
     base::instant first_event_{};
+    base::instant last_event_{};
+    base::instant head_at_{};
 
     answer_stage stage_ = answer_stage::none;
     /// The stream is whole and waits for its turn to be stored.
--- a/src/pearbarrow/forward/forwarded_turn.cc
+++ b/src/pearbarrow/forward/forwarded_turn.cc
@@ -24,14 +24,15 @@
 }
 
 void forwarded_request::take_preparation(turns::prepared_turn prepared) {
-    context_.log.count_turn_step("prepare", turns::to_string(prepared.outcome),
-                                 context_.clock.now() - turn_step_began_);
+    steps_.preparing += context_.clock.now() - turn_step_began_;
+    context_.log.count_turn_step("prepare", turns::to_string(prepared.outcome), steps_.preparing);
     if (prepared.outcome != turns::turn_outcome::may_run) {
         refuse_turn(prepared);
         return;
     }
     chain_text_ = std::move(prepared.chain_text);
-    is_under_way_ = prepared.other_turns > 0;
+    context_.progress.note_turn(route_.name, prepared.other_turns);
+    turns_left_ = context_.progress.turns_left(route_.name, prepared.other_turns);
     send();
 }
 
@@ -102,8 +103,9 @@
                                .retention_seconds = route_.retention_seconds});
     turn_step_ = context_.turns.store(
         std::move(request), context_.options.store_timeout, [this](const absl::Status& status) {
+            steps_.storing = context_.clock.now() - turn_step_began_;
             context_.log.count_turn_step("store", status.ok() ? "stored" : "not_stored",
-                                         context_.clock.now() - turn_step_began_);
+                                         steps_.storing);
             if (!status.ok()) {
                 break_off("turn_not_stored");
                 return;
--- /dev/null
+++ b/src/pearbarrow/forward/request_steps.cc
@@ -0,0 +1,30 @@
+#include "pearbarrow/forward/request_steps.h"
+
+namespace pearbarrow::forward {
+namespace {
+
+std::int64_t in_milliseconds(base::microseconds time) {
+    return std::chrono::duration_cast<base::milliseconds>(time).count();
+}
+
+}  // namespace
+
+nlohmann::json to_json(const request_steps& steps) {
+    return {{"preparing", in_milliseconds(steps.preparing)},
+            {"waiting", in_milliseconds(steps.waiting)},
+            {"to_head", in_milliseconds(steps.to_head)},
+            {"to_first_event", in_milliseconds(steps.to_first_event)},
+            {"generating", in_milliseconds(steps.generating)},
+            {"longest_gap", in_milliseconds(steps.longest_gap)},
+            {"storing", in_milliseconds(steps.storing)}};
+}
+
+nlohmann::json to_json(const choice& placed) {
+    return {{"own", placed.in_flight},
+            {"elsewhere", placed.elsewhere},
+            {"elsewhere_known", placed.elsewhere_known},
+            {"candidates", placed.candidates},
+            {"reason", to_string(placed.reason)}};
+}
+
+}  // namespace pearbarrow::forward
--- a/src/pearbarrow/operator/trace.cc
+++ b/src/pearbarrow/operator/trace.cc
@@ -102,6 +102,27 @@
     return trace;
 }
 
+std::optional<costliest_step> find_costliest_step(const request_trace& trace) {
+    // A part of another step.
+    constexpr std::string_view longest_gap = "longest_gap";
+    std::optional<costliest_step> costliest;
+    for (const trace_line& line : trace.lines) {
+        const auto steps = line.fields.find("steps");
+        if (!line.of_request || steps == line.fields.end() || !steps->is_object()) {
+            continue;
+        }
+        for (const auto& [name, value] : steps->items()) {
+            const std::int64_t took = value.is_number_integer() ? value.get<std::int64_t>() : 0;
+            if (name != longest_gap && took > (costliest ? costliest->milliseconds : 0)) {
+                costliest = {.name = name,
+                             .milliseconds = took,
+                             .of_milliseconds = line.fields.value("milliseconds", std::int64_t{0})};
+            }
+        }
+    }
+    return costliest;
+}
+
 std::string trace_text(const request_trace& trace) {
     std::string out;
     for (std::size_t index = 0; index < trace.lines.size(); ++index) {
@@ -115,6 +136,10 @@
         }
         out.push_back('\n');
     }
+    if (const auto step = find_costliest_step(trace); step.has_value()) {
+        out += fmt::format("   costliest step: {}, {} of {} ms\n", step->name, step->milliseconds,
+                           step->of_milliseconds);
+    }
     return out;
 }
 
--- a/src/pearbarrow/operator/trace.h
+++ b/src/pearbarrow/operator/trace.h
@@ -44,7 +44,19 @@
     std::vector<trace_line> of_nodes_;
 };
 
-/// The trace for a person, one line each; the deciding one begins with "=>".
+/// The step of the request that took the longest.
+struct costliest_step {
+    std::string name;
+    std::int64_t milliseconds = 0;
+    /// Of the whole request.
+    std::int64_t of_milliseconds = 0;
+};
+
+/// None when the request's end was not logged with its steps.
+std::optional<costliest_step> find_costliest_step(const request_trace& trace);
+
+/// The trace for a person, one line each; the deciding one begins with "=>". The costliest step
+/// stands last.
 std::string trace_text(const request_trace& trace);
 
 }  // namespace pearbarrow::operators
--- a/src/pearbarrow/settings/fleet_settings.cc
+++ b/src/pearbarrow/settings/fleet_settings.cc
@@ -33,6 +33,26 @@
     }
 }
 
+/// A fraction is given in hundredths, as a whole number.
+void read_hundredths(field_reader& reader, std::string_view path, std::uint64_t least,
+                     std::uint64_t most, double& target) {
+    auto value = static_cast<std::uint64_t>(target * 100);
+    reader.read_integer(path, least, most, value);
+    target = static_cast<double>(value) / 100;
+}
+
+void read_dispatch(field_reader& reader, dispatch_settings& dispatch) {
+    reader.read_flag("dispatch.hold_back", dispatch.hold_back);
+    reader.read_flag("dispatch.share_load", dispatch.share_load);
+    read_hundredths(reader, "dispatch.admitted_percent", 10, 1'000, dispatch.admitted_share);
+    reader.read_milliseconds("dispatch.longest_wait_ms", base::milliseconds{0},
+                             base::milliseconds{60'000}, dispatch.longest_wait);
+    read_hundredths(reader, "dispatch.affinity_percent", 100, 1'000, dispatch.affinity_factor);
+    read_hundredths(reader, "dispatch.affinity_slack_percent", 0, 10'000, dispatch.affinity_slack);
+    reader.read_milliseconds("dispatch.lapse_grace_ms", base::milliseconds{0},
+                             base::milliseconds{10'000}, dispatch.lapse_grace);
+}
+
 fleet_settings_result read_document(const toml::table& document) {
     fleet_settings_result result;
     fleet_settings& settings = result.settings;
@@ -55,6 +75,7 @@
     if (settings.role == fleet_role::edge) {
         read_required(reader, "listen.caller", endpoint_use::listen, settings.caller);
         read_required(reader, "listen.ready", endpoint_use::listen, settings.ready);
+        read_dispatch(reader, settings.dispatch);
     } else {
         reader.require("data_folder");
         reader.read("data_folder", settings.data_folder, max_path_bytes);
--- a/src/pearbarrow/settings/fleet_settings.h
+++ b/src/pearbarrow/settings/fleet_settings.h
@@ -20,6 +20,23 @@
     storage,
 };
 
+/// How an edge spreads requests over back ends and when it holds them back. Each figure's reason
+/// stands with the option that it sets (`forward/backend_pool.h`, `forward/admission.h`).
+struct dispatch_settings {
+    /// Model turns wait for room; false: each is sent as it comes.
+    bool hold_back = true;
+    /// Edges and storage members tell each other the load; false: each edge knows its own only.
+    bool share_load = true;
+    /// Requests let in, in places of an engine's batch.
+    double admitted_share = 1;
+    base::milliseconds longest_wait{1'500};
+    /// Load up to which a program stays with its engine, in times of the mean load and in requests.
+    double affinity_factor = 1.2;
+    double affinity_slack = 3;
+    /// How long back ends that vanish together are used; 0: not at all.
+    base::milliseconds lapse_grace{1'800};
+};
+
 struct fleet_settings {
     fleet_role role = fleet_role::edge;
     base::node_id node;
@@ -43,6 +60,8 @@
     bool first_start = false;
     /// Longest time from the order to stop to the end of the process.
     base::milliseconds stop_timeout{8'000};
+    /// Edges only.
+    dispatch_settings dispatch;
 };
 
 struct fleet_settings_result {
--- a/tests/unit/forward/backend_pool_test.cc
+++ b/tests/unit/forward/backend_pool_test.cc
@@ -151,3 +151,53 @@
         cr_assert(fixture.choose() == "1");
     }
 }
+
+Test(backend_pool, one_whose_answers_fail_is_passed_over_but_for_trials) {
+    pool_fixture fixture({backend_of("bad"), backend_of("good")});
+    for (int index = 0; index < 3; ++index) {
+        cr_assert(fixture.pool.choose(
+            {.service = "service", .affinity_key = {}, .excluded = {"good"}}, fixture.now));
+        fixture.pool.answered("bad", fixture.now);
+        fixture.pool.ended("bad", attempt_result::failed, milliseconds{1}, fixture.now);
+    }
+    cr_assert(fixture.pool.failing_count(fixture.now) == 1);
+    int trials = 0;
+    for (int index = 0; index < 100; ++index) {
+        const std::string chosen = fixture.choose();
+        trials += chosen == "bad" ? 1 : 0;
+        fixture.pool.answered(chosen, fixture.now);
+        fixture.pool.ended(chosen, attempt_result::abandoned, milliseconds{1}, fixture.now);
+    }
+    cr_assert(trials < 20, "an idle one that fails at once must not draw the requests");
+    fixture.now += milliseconds{3'000};
+    cr_assert(fixture.pool.failing_count(fixture.now) == 0, "forgiven after some time");
+}
+
+Test(backend_pool, failures_that_other_nodes_saw_count) {
+    pool_fixture fixture({backend_of("bad"), backend_of("good")});
+    dispatch::shared_load others({});
+    fixture.pool.set_shared_load(others);
+    others.take(
+        {.is_given = true,
+         .gathered_ms = 1'000,
+         .loads =
+             {{.backend = dispatch::key_of("bad"), .requests = 0, .served = 300, .failed = 300}}},
+        fixture.now);
+    cr_assert(fixture.pool.failing_count(fixture.now) == 1);
+}
+
+Test(backend_pool, the_load_of_other_nodes_counts) {
+    pool_fixture fixture({backend_of("busy"), backend_of("idle")});
+    dispatch::shared_load others({});
+    fixture.pool.set_shared_load(others);
+    others.take({.is_given = true,
+                 .gathered_ms = 1'000,
+                 .loads = {{.backend = dispatch::key_of("busy"), .requests = 5}}},
+                fixture.now);
+    for (int index = 0; index < 5; ++index) {
+        cr_assert(fixture.choose() == "idle");
+    }
+    const service_load load = fixture.pool.load_of_service("service", fixture.now);
+    cr_assert(load.own == 5 && load.elsewhere == 5);
+    cr_assert(load.admitted == 8);
+}
--- a/tests/unit/operator/trace_test.cc
+++ b/tests/unit/operator/trace_test.cc
@@ -52,3 +52,23 @@
     cr_assert(collector.finish().deciding == 0U);
     cr_assert(trace_collector("other").finish().lines.empty());
 }
+
+Test(trace, names_the_step_that_cost_most) {
+    trace_collector collector("r1");
+    collector.add_line(
+        line("05.3", "edge-1",
+             R"("event":"request_ended","request":"r1","reason":"served","milliseconds":1500,)"
+             R"("steps":{"preparing":4,"waiting":1203,"to_first_event":40,"longest_gap":1400})"));
+    const auto trace = collector.finish();
+    const auto step = find_costliest_step(trace);
+    cr_assert(step.has_value() && step->name == "waiting" && step->milliseconds == 1203);
+    cr_assert(trace_text(trace).find("costliest step: waiting, 1203 of 1500 ms") !=
+              std::string::npos);
+}
+
+Test(trace, without_steps_no_costliest_one_is_named) {
+    trace_collector collector("r1");
+    collector.add_line(
+        line("05.3", "edge-1", R"("event":"request_ended","request":"r1","steps":7)"));
+    cr_assert(!find_costliest_step(collector.finish()).has_value());
+}
