--- a/src/pearbarrow/dispatch/load_board.cc
+++ b/src/pearbarrow/dispatch/load_board.cc
@@ -7,6 +7,24 @@
 
 namespace pearbarrow::dispatch {
 
+namespace {
+
+/// Of two nodes' paces of the same back end, each by its requests there.
+std::uint32_t mean_pace(const backend_load& left, const backend_load& right) {
+    if (left.pace_us == 0 || right.pace_us == 0) {
+        return std::max(left.pace_us, right.pace_us);
+    }
+    const std::uint64_t requests = std::uint64_t{left.requests} + right.requests;
+    if (requests == 0) {
+        return (left.pace_us + right.pace_us) / 2;
+    }
+    return static_cast<std::uint32_t>((std::uint64_t{left.pace_us} * left.requests +
+                                       std::uint64_t{right.pace_us} * right.requests) /
+                                      requests);
+}
+
+}  // namespace
+
 backend_key key_of(std::string_view backend) {
     return static_cast<backend_key>(base::stable_hash(backend));
 }
@@ -32,10 +50,10 @@
         if (other == node) {
             continue;
         }
-        totals.waiting += kept.report.waiting;
         for (const backend_load& load : kept.report.loads) {
             backend_load& sum = sums[load.backend];
             sum.backend = load.backend;
+            sum.pace_us = mean_pace(sum, load);
             sum.requests += load.requests;
             sum.served += load.served;
             sum.failed += load.failed;
--- a/src/pearbarrow/dispatch/load_report.h
+++ b/src/pearbarrow/dispatch/load_report.h
@@ -27,9 +27,11 @@
     /// ends that have failed something.
     std::uint32_t served = 0;
     std::uint32_t failed = 0;
+    /// Mean time of one event of a stream, or of a whole answer that is none; 0: not known.
+    std::uint32_t pace_us = 0;
 
     bool operator==(const backend_load&) const = default;
-    MSGPACK_DEFINE(backend, requests, served, failed);
+    MSGPACK_DEFINE(backend, requests, served, failed, pace_us);
 };
 
 /// What one node has under way. A report replaces the node's earlier ones.
@@ -40,12 +42,10 @@
     /// Grows with each report of a life.
     std::uint64_t number = 0;
     std::vector<backend_load> loads;
-    /// Requests that the node holds back until there is room.
-    std::uint32_t waiting = 0;
     /// The answer is to carry the totals.
     bool wants_totals = false;
 
-    MSGPACK_DEFINE(node, life, number, loads, waiting, wants_totals);
+    MSGPACK_DEFINE(node, life, number, loads, wants_totals);
 };
 
 /// What all nodes but the asking one have under way, as far as the answering one was told.
@@ -55,9 +55,8 @@
     /// For how long the answering node has gathered reports. Milliseconds.
     std::uint32_t gathered_ms = 0;
     std::vector<backend_load> loads;
-    std::uint32_t waiting = 0;
 
-    MSGPACK_DEFINE(is_given, gathered_ms, loads, waiting);
+    MSGPACK_DEFINE(is_given, gathered_ms, loads);
 };
 
 /// A node's side: gives its own report, takes the totals of the others.
@@ -65,8 +64,6 @@
   public:
     virtual ~load_exchange() = default;
     virtual load_report report(bool wants_totals) = 0;
-    /// Whether requests are held back, so that totals are wanted as soon as they change.
-    virtual bool is_waiting() const = 0;
     virtual void take(const load_totals& totals) = 0;
 };
 
--- a/src/pearbarrow/dispatch/shared_load.cc
+++ b/src/pearbarrow/dispatch/shared_load.cc
@@ -10,7 +10,6 @@
     for (const backend_load& load : totals.loads) {
         this->loads[load.backend] = load;
     }
-    this->waiting_elsewhere = totals.waiting;
     this->was_told = true;
     this->told_at = now;
 }
@@ -27,10 +26,6 @@
     return found == this->loads.end() ? backend_load{} : found->second;
 }
 
-std::uint32_t shared_load::waiting(base::instant now) const {
-    return this->is_known(now) ? this->waiting_elsewhere : 0;
-}
-
 base::milliseconds shared_load::age(base::instant now) const {
     return std::chrono::duration_cast<base::milliseconds>(now - this->told_at);
 }
--- a/src/pearbarrow/dispatch/shared_load.h
+++ b/src/pearbarrow/dispatch/shared_load.h
@@ -29,15 +29,12 @@
     bool is_known(base::instant now) const;
     /// What other nodes have told of the back end; zeros when nothing is known.
     backend_load at(backend_key backend, base::instant now) const;
-    /// Requests that other nodes hold back; 0 when nothing is known.
-    std::uint32_t waiting(base::instant now) const;
     /// Since the totals came; for logs.
     base::milliseconds age(base::instant now) const;
 
   private:
     shared_load_options options;
     std::map<backend_key, backend_load> loads;
-    std::uint32_t waiting_elsewhere = 0;
     bool was_told = false;
     base::instant told_at{};
 };
--- a/src/pearbarrow/fleet/edge_node.cc
+++ b/src/pearbarrow/fleet/edge_node.cc
@@ -24,18 +24,15 @@
     forward::pool_options options{.zone = settings.zone};
     options.affinity_factor = settings.dispatch.affinity_factor;
     options.affinity_slack = settings.dispatch.affinity_slack;
-    options.admitted_share = settings.dispatch.admitted_share;
     options.lapse_grace = settings.dispatch.lapse_grace;
     return options;
 }
 
-forward::admission_options admission_options(const settings::fleet_settings& settings,
-                                             base::random_source& random) {
-    forward::admission_options options{.node = settings.node, .life = random.next() | 1U};
-    options.longest_wait = settings.dispatch.longest_wait;
-    options.hold_back = settings.dispatch.hold_back;
-    options.share_load = settings.dispatch.share_load;
-    return options;
+forward::reporter_options reporter_options(const settings::fleet_settings& settings,
+                                           base::random_source& random) {
+    return {.node = settings.node,
+            .life = random.next() | 1U,
+            .share_load = settings.dispatch.share_load};
 }
 
 net::http_server_options caller_options(const settings::fleet_settings& settings) {
@@ -54,17 +51,15 @@
       log_(clock, parts_.metrics(), {}),
       client_(net::make_http_client(loop, client_options())),
       pool_(pool_options(settings), parts_.random()),
-      admission_(loop, clock, pool_, admission_options(settings, parts_.random())),
+      load_(clock, pool_, reporter_options(settings, parts_.random())),
       relay_(parts_.rpc()),
       members_(loop, parts_.rpc(), clock, {}, [this] { return relay_peer(); }),
-      turns_(loop, members_, {.loads = &admission_, .zone = settings.zone}),
+      turns_(loop, members_, {.loads = &load_, .zone = settings.zone}),
       context_{.loop = loop,
                .clock = clock,
                .random = parts_.random(),
                .client = *client_,
                .pool = pool_,
-               .entry = admission_,
-               .progress = progress_,
                .turns = turns_,
                .log = log_,
                .options = std::move(options),
--- a/src/pearbarrow/fleet/edge_node.h
+++ b/src/pearbarrow/fleet/edge_node.h
@@ -8,6 +8,7 @@
 
 #include "pearbarrow/fleet/node_parts.h"
 #include "pearbarrow/forward/forward_service.h"
+#include "pearbarrow/forward/load_reporter.h"
 #include "pearbarrow/turns/call_relay.h"
 #include "pearbarrow/turns/relaying_caller.h"
 
@@ -40,8 +41,7 @@
     forward::forward_log log_;
     std::unique_ptr<net::http_client> client_;
     forward::backend_pool pool_;
-    forward::admission admission_;
-    dispatch::program_progress progress_;
+    forward::load_reporter load_;
     turns::call_relay relay_;
     turns::relaying_caller members_;
     turns::turn_client turns_;
--- a/src/pearbarrow/forward/backend_pool.cc
+++ b/src/pearbarrow/forward/backend_pool.cc
@@ -10,6 +10,8 @@
 
 /// Weight of the newest answer in the mean time.
 constexpr double newest_weight = 0.2;
+/// Weight of the newest event in the mean gap: a stream has ten to thirty of them.
+constexpr double newest_gap_weight = 0.1;
 /// Counts of results travel as whole hundredths.
 constexpr double hundredths = 100;
 /// Load that a back end in another zone is charged, in requests.
@@ -144,27 +146,65 @@
 }
 
 double backend_pool::fullness(const entry& one, base::instant now) const {
-    return static_cast<double>(one.in_flight + elsewhere(one, now).requests) /
+    return static_cast<double>(one.in_flight + elsewhere(one, now).requests + 1) /
            std::max(1U, one.backend.slots);
 }
 
+double backend_pool::pace_of(const entry& one, base::instant now) const {
+    const double own = one.mean_gap > 0 ? one.mean_gap : one.mean_time;
+    const dispatch::backend_load others = elsewhere(one, now);
+    if (own == 0 || others.pace_us == 0) {
+        return std::max<double>(own, others.pace_us);
+    }
+    const double requests = one.in_flight + others.requests;
+    return requests == 0
+               ? (own + others.pace_us) / 2
+               : (own * one.in_flight + double{1} * others.pace_us * others.requests) / requests;
+}
+
+std::vector<backend_pool::loaded_entry> backend_pool::with_load(const std::vector<entry*>& fit,
+                                                                base::instant now) const {
+    std::vector<double> paces;
+    for (const entry* one : fit) {
+        if (const double pace = pace_of(*one, now); pace > 0) {
+            paces.push_back(pace);
+        }
+    }
+    double typical = 0;
+    if (!paces.empty()) {
+        const auto middle = paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / 2);
+        std::nth_element(paces.begin(), middle, paces.end());
+        typical = *middle;
+    }
+    std::vector<loaded_entry> loaded;
+    for (entry* one : fit) {
+        const double slowness = typical > 0 ? pace_of(*one, now) / typical : 1.0;
+        const double counted = slowness > options_.tolerated_slowness
+                                   ? std::min(slowness, options_.most_slowness)
+                                   : 1.0;
+        loaded.push_back({.one = one, .load = fullness(*one, now) * counted});
+    }
+    return loaded;
+}
+
 /// The first in the key's own order that is not fuller than others by more than its prompt's memory
 /// is worth.
-backend_pool::entry* backend_pool::by_affinity(const std::vector<entry*>& fit, std::string_view key,
-                                               base::instant now) const {
+backend_pool::entry* backend_pool::by_affinity(const std::vector<loaded_entry>& fit,
+                                               std::string_view key, base::instant now) const {
     const bool knows_others = elsewhere_ != nullptr && elsewhere_->is_known(now);
     double mean = 0;
-    for (const entry* one : fit) {
-        mean += fullness(*one, now) / static_cast<double>(fit.size());
+    for (const loaded_entry& item : fit) {
+        mean += item.load / static_cast<double>(fit.size());
     }
     entry* best = nullptr;
     std::uint64_t best_weight = 0;
-    for (entry* one : fit) {
+    for (const loaded_entry& item : fit) {
+        entry* one = item.one;
         const std::uint64_t weight = base::stable_hash(key, base::stable_hash(one->backend.id));
         const double bound = options_.affinity_factor * mean +
                              options_.affinity_slack / std::max(1U, one->backend.slots);
         const bool has_room =
-            knows_others ? fullness(*one, now) <= bound : one->in_flight < options_.affinity_bound;
+            knows_others ? item.load <= bound : one->in_flight < options_.affinity_bound;
         if (has_room && (best == nullptr || weight > best_weight)) {
             best = one;
             best_weight = weight;
@@ -173,39 +213,17 @@
     return best;
 }
 
-double backend_pool::load_of(const entry& one, double typical_time, base::instant now) const {
-    double load = fullness(one, now) + 1.0 / std::max(1U, one.backend.slots);
-    if (one.mean_time > typical_time) {
-        load *= one.mean_time / typical_time;
-    }
-    if (one.backend.zone != options_.zone) {
-        load += other_zone_load / std::max(1U, one.backend.slots);
-    }
-    return load;
-}
-
-backend_pool::entry* backend_pool::by_load(const std::vector<entry*>& fit, base::instant now) {
-    std::vector<double> times;
-    for (const entry* one : fit) {
-        if (one->mean_time > 0) {
-            times.push_back(one->mean_time);
-        }
-    }
-    double typical_time = 1e18;
-    if (!times.empty()) {
-        std::nth_element(times.begin(),
-                         times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2),
-                         times.end());
-        typical_time = times[times.size() / 2];
-    }
+backend_pool::entry* backend_pool::by_load(const std::vector<loaded_entry>& fit) {
     entry* best = nullptr;
     double best_load = 0;
     const std::size_t first = random_.below(fit.size());
     for (std::size_t index = 0; index < fit.size(); ++index) {
-        entry* one = fit[(first + index) % fit.size()];
-        const double load = load_of(*one, typical_time, now);
+        const loaded_entry& item = fit[(first + index) % fit.size()];
+        const double place = 1.0 / std::max(1U, item.one->backend.slots);
+        const bool is_far = item.one->backend.zone != options_.zone;
+        const double load = item.load + (is_far ? other_zone_load * place : 0);
         if (best == nullptr || load < best_load) {
-            best = one;
+            best = item.one;
             best_load = load;
         }
     }
@@ -217,14 +235,15 @@
     if (fit.empty()) {
         return std::nullopt;
     }
+    const std::vector<loaded_entry> loaded = with_load(fit, now);
     entry* chosen = nullptr;
     if (!request.affinity_key.empty()) {
-        chosen = by_affinity(fit, request.affinity_key, now);
+        chosen = by_affinity(loaded, request.affinity_key, now);
     }
     const choice_reason reason =
         chosen == nullptr ? choice_reason::least_load : choice_reason::affinity;
     if (chosen == nullptr) {
-        chosen = by_load(fit, now);
+        chosen = by_load(loaded);
     }
     ++chosen->in_flight;
     chosen->unanswered.insert(now);
@@ -236,17 +255,6 @@
                   .candidates = fit.size()};
 }
 
-service_load backend_pool::load_of_service(const std::string& service, base::instant now) {
-    service_load load;
-    for (const entry* one :
-         candidates({.service = service, .affinity_key = {}, .excluded = {}}, now)) {
-        load.own += one->in_flight;
-        load.elsewhere += elsewhere(*one, now).requests;
-        load.admitted += options_.admitted_share * one->backend.slots;
-    }
-    return load;
-}
-
 std::vector<dispatch::backend_load> backend_pool::own_loads(base::instant now) const {
     std::vector<dispatch::backend_load> loads;
     for (const auto& [id, one] : entries_) {
@@ -256,7 +264,9 @@
             loads.push_back({.backend = one.key,
                              .requests = one.in_flight,
                              .served = failed > 0 ? served : 0,
-                             .failed = failed});
+                             .failed = failed,
+                             .pace_us = static_cast<std::uint32_t>(
+                                 one.mean_gap > 0 ? one.mean_gap : one.mean_time)});
         }
     }
     return loads;
@@ -273,6 +283,16 @@
     }
 }
 
+void backend_pool::note_event(const std::string& id, base::microseconds gap) {
+    const auto found = entries_.find(id);
+    if (found == entries_.end()) {
+        return;
+    }
+    double& mean = found->second.mean_gap;
+    const auto time = static_cast<double>(gap.count());
+    mean = mean == 0 ? time : mean + newest_gap_weight * (time - mean);
+}
+
 void backend_pool::ended(const std::string& id, attempt_result result, base::microseconds took,
                          base::instant now) {
     const auto found = entries_.find(id);
--- a/src/pearbarrow/forward/backend_pool.h
+++ b/src/pearbarrow/forward/backend_pool.h
@@ -52,9 +52,11 @@
     /// all, and `affinity_slack` requests more.
     double affinity_factor = 1.2;
     double affinity_slack = 3;
-    /// Requests let in at once, in places of an engine's batch. More would wait at the engine,
-    /// first come first served.
-    double admitted_share = 1;
+    /// The requests of a back end that is slower than the middle one by more than the first count
+    /// for as much more as it is slower, up to the second: it gets less, not none. A full batch is
+    /// slower than an idle one by about the first, and its load is counted already.
+    double tolerated_slowness = 2;
+    double most_slowness = 10;
     /// A back end that has left a request without the head of an answer for this long, and for
     /// `silence_factor` times its mean answer, is passed over while another one is fit.
     base::milliseconds least_silence{700};
@@ -106,15 +108,6 @@
     std::size_t candidates = 0;
 };
 
-/// How full the fit back ends of a service are.
-struct service_load {
-    /// Requests of this node, and of others as far as known.
-    std::uint32_t own = 0;
-    std::uint32_t elsewhere = 0;
-    /// Requests that may be there at once.
-    double admitted = 0;
-};
-
 class backend_pool {
   public:
     backend_pool(pool_options options, base::random_source& random);
@@ -132,11 +125,12 @@
     /// only.
     void ended(const std::string& id, attempt_result result, base::microseconds took,
                base::instant now);
+    /// An event of a stream has come, `gap` after the one before.
+    void note_event(const std::string& id, base::microseconds gap);
     /// How long an attempt at the back end may stay without the head of an answer before another
     /// one is worth trying, for a request that may run again.
     base::microseconds patience(const std::string& id, base::microseconds objective) const;
     std::size_t backend_count(std::string_view service) const;
-    service_load load_of_service(const std::string& service, base::instant now);
     /// This node's requests at each back end that has any, and what has failed of late.
     std::vector<dispatch::backend_load> own_loads(base::instant now) const;
     /// Back ends that are passed over since their requests fail.
@@ -158,6 +152,15 @@
         recent_results results;
         /// Mean time of recent answers, in microseconds; 0: none yet.
         double mean_time = 0;
+        /// Mean time between events of recent streams, in microseconds; 0: none yet.
+        double mean_gap = 0;
+    };
+
+    /// A back end with the load that counts in a choice.
+    struct loaded_entry {
+        entry* one = nullptr;
+        /// Requests for each place, those at a slow back end counted for as much more.
+        double load = 0;
     };
 
     std::vector<entry*> candidates(const choice_request& request, base::instant now);
@@ -168,12 +171,14 @@
     bool has_just_vanished(const entry& one, base::instant now) const;
     bool is_resting(const entry& one, base::instant now) const;
     bool is_failing(const entry& one, base::instant now) const;
-    entry* by_affinity(const std::vector<entry*>& fit, std::string_view key,
+    entry* by_affinity(const std::vector<loaded_entry>& fit, std::string_view key,
                        base::instant now) const;
-    entry* by_load(const std::vector<entry*>& fit, base::instant now);
-    double load_of(const entry& one, double typical_time, base::instant now) const;
+    entry* by_load(const std::vector<loaded_entry>& fit);
+    std::vector<loaded_entry> with_load(const std::vector<entry*>& fit, base::instant now) const;
+    /// Mean pace of the back end over all nodes. Microseconds; 0: not known.
+    double pace_of(const entry& one, base::instant now) const;
     dispatch::backend_load elsewhere(const entry& one, base::instant now) const;
-    /// Requests at the back end, of this node and all others, for each place that it has.
+    /// Requests at the back end, of this node and all others, with one more, for each place.
     double fullness(const entry& one, base::instant now) const;
 
     pool_options options_;
--- a/src/pearbarrow/forward/forward_context.h
+++ b/src/pearbarrow/forward/forward_context.h
@@ -7,8 +7,6 @@
 #include "pearbarrow/base/random.h"
 #include "pearbarrow/directory/route_table.h"
 #include "pearbarrow/directory/snapshot.h"
-#include "pearbarrow/dispatch/program_progress.h"
-#include "pearbarrow/forward/admission.h"
 #include "pearbarrow/forward/backend_pool.h"
 #include "pearbarrow/forward/forward_log.h"
 #include "pearbarrow/forward/header_names.h"
@@ -41,8 +39,6 @@
     base::random_source& random;
     net::http_client& client;
     backend_pool& pool;
-    admission& entry;
-    dispatch::program_progress& progress;
     turns::turn_client& turns;
     forward_log& log;
     forward_options options;
--- a/src/pearbarrow/forward/forwarded_attempt.cc
+++ b/src/pearbarrow/forward/forwarded_attempt.cc
@@ -39,27 +39,8 @@
         on_time_up();
         return;
     }
-    service_ = choose_service();
-    if (!is_stream()) {
-        place();
-        return;
-    }
-    waiting_since_ = context_.clock.now();
-    waiting_ = context_.entry.enter(service_, order_of_turn(), time_left(), [this] { place(); });
-}
-
-dispatch::urgency forwarded_request::order_of_turn() const {
-    const base::milliseconds wanted_in{facts_.program_left_ms.value_or(route_.objective_ms)};
-    return {
-        .priority = route_.priority, .turns_left = turns_left_, .wanted_by = arrived_ + wanted_in};
-}
-
-void forwarded_request::place() {
     attempt_began_ = context_.clock.now();
-    if (is_stream()) {
-        steps_.waiting += attempt_began_ - waiting_since_;
-    }
-    placed_ = context_.pool.choose({.service = service_,
+    placed_ = context_.pool.choose({.service = choose_service(),
                                     .affinity_key = is_stream() ? facts_.program : "",
                                     .excluded = tried_},
                                    attempt_began_);
@@ -190,9 +171,6 @@
     const auto took =
         is_stream() && event_count_ > 0 ? first_event_ - attempt_began_ : now - attempt_began_;
     context_.pool.ended(target_.id, result, took, now);
-    const bool is_whole_stream = is_stream() && result == attempt_result::served;
-    context_.entry.note_ended(service_,
-                              is_whole_stream ? now - attempt_began_ : base::microseconds{0});
     context_.log.count_attempt(to_string(result));
 }
 
--- a/src/pearbarrow/forward/forwarded_request.cc
+++ b/src/pearbarrow/forward/forwarded_request.cc
@@ -150,7 +150,6 @@
         return;
     }
     stage_ = answer_stage::done;
-    waiting_.reset();
     call_.reset();
     if (attempt_open_) {
         end_attempt(attempt_result::abandoned);
@@ -166,7 +165,6 @@
         return;
     }
     const bool was_sent = attempt_open_;
-    waiting_.reset();
     call_.reset();
     turn_step_.reset();
     patience_.reset();
@@ -213,7 +211,6 @@
         fields["placement"] = to_json(*placed_);
     }
     if (is_stream()) {
-        fields["turns_left"] = turns_left_;
         fields["program_left_ms"] = facts_.program_left_ms.value_or(0);
     }
     context_.log.notable("request_ended", std::move(fields));
@@ -226,6 +223,7 @@
         steps_.to_first_event = now - head_at_;
     } else {
         steps_.longest_gap = std::max<base::microseconds>(steps_.longest_gap, now - last_event_);
+        context_.pool.note_event(target_.id, now - last_event_);
         steps_.generating = now - first_event_;
     }
     last_event_ = now;
--- a/src/pearbarrow/forward/forwarded_request.h
+++ b/src/pearbarrow/forward/forwarded_request.h
@@ -48,10 +48,7 @@
     turns::reservation reserved() const;
 
     // Attempts.
-    /// Sends the request once it may go to a back end: model turns wait while those are full.
     void send();
-    dispatch::urgency order_of_turn() const;
-    void place();
     net::http_call make_call(const directory::backend& target) const;
     std::string choose_service() const;
     void on_head(int status, const net::http_headers& headers);
@@ -105,15 +102,9 @@
     bool reserved_ = false;
     bool settled_ = false;
 
-    /// Turns that the program is expected to have, this one among them.
-    double turns_left_ = 1;
-    /// Holds the request's place among those that wait for room.
-    std::unique_ptr<admission::ticket> waiting_;
-    base::instant waiting_since_{};
     request_steps steps_;
 
     std::unique_ptr<net::http_call_handle> call_;
-    std::string service_;
     std::optional<choice> placed_;
     directory::backend target_;
     std::set<std::string> tried_;
--- a/src/pearbarrow/forward/forwarded_turn.cc
+++ b/src/pearbarrow/forward/forwarded_turn.cc
@@ -31,8 +31,6 @@
         return;
     }
     chain_text_ = std::move(prepared.chain_text);
-    context_.progress.note_turn(route_.name, prepared.other_turns);
-    turns_left_ = context_.progress.turns_left(route_.name, prepared.other_turns);
     send();
 }
 
--- /dev/null
+++ b/src/pearbarrow/forward/load_reporter.cc
@@ -0,0 +1,27 @@
+#include "pearbarrow/forward/load_reporter.h"
+
+#include <utility>
+
+namespace pearbarrow::forward {
+
+load_reporter::load_reporter(const base::clock& clock, backend_pool& pool, reporter_options options)
+    : clock(clock), pool(pool), options(std::move(options)), others({}) {
+    this->pool.set_shared_load(this->others);
+}
+
+dispatch::load_report load_reporter::report(bool wants_totals) {
+    if (!this->options.share_load) {
+        return {};
+    }
+    return {.node = this->options.node,
+            .life = this->options.life,
+            .number = ++this->last_report,
+            .loads = this->pool.own_loads(this->clock.now()),
+            .wants_totals = wants_totals};
+}
+
+void load_reporter::take(const dispatch::load_totals& totals) {
+    this->others.take(totals, this->clock.now());
+}
+
+}  // namespace pearbarrow::forward
--- a/src/pearbarrow/forward/request_steps.h
+++ b/src/pearbarrow/forward/request_steps.h
@@ -8,12 +8,10 @@
 
 namespace pearbarrow::forward {
 
-/// Each is of the last attempt, but for the first two, which add up over all of them.
+/// Each is of the last attempt, but for the preparation, which comes before all of them.
 struct request_steps {
     /// On the storage members, before the turn may run.
     base::microseconds preparing{0};
-    /// Held back until the back ends had room.
-    base::microseconds waiting{0};
     /// From sending to the head of the answer.
     base::microseconds to_head{0};
     /// From the head to the first event: the prompt's reading, and the engine's own queue.
--- a/src/pearbarrow/settings/fleet_settings.cc
+++ b/src/pearbarrow/settings/fleet_settings.cc
@@ -42,11 +42,7 @@
 }
 
 void read_dispatch(field_reader& reader, dispatch_settings& dispatch) {
-    reader.read_flag("dispatch.hold_back", dispatch.hold_back);
     reader.read_flag("dispatch.share_load", dispatch.share_load);
-    read_hundredths(reader, "dispatch.admitted_percent", 10, 1'000, dispatch.admitted_share);
-    reader.read_milliseconds("dispatch.longest_wait_ms", base::milliseconds{0},
-                             base::milliseconds{60'000}, dispatch.longest_wait);
     read_hundredths(reader, "dispatch.affinity_percent", 100, 1'000, dispatch.affinity_factor);
     read_hundredths(reader, "dispatch.affinity_slack_percent", 0, 10'000, dispatch.affinity_slack);
     reader.read_milliseconds("dispatch.lapse_grace_ms", base::milliseconds{0},
--- a/src/pearbarrow/settings/fleet_settings.h
+++ b/src/pearbarrow/settings/fleet_settings.h
@@ -20,16 +20,11 @@
     storage,
 };
 
-/// How an edge spreads requests over back ends and when it holds them back. Each figure's reason
-/// stands with the option that it sets (`forward/backend_pool.h`, `forward/admission.h`).
+/// How an edge spreads requests over back ends. Each figure's reason stands with the option that it
+/// sets (`forward/backend_pool.h`).
 struct dispatch_settings {
-    /// Model turns wait for room; false: each is sent as it comes.
-    bool hold_back = true;
     /// Edges and storage members tell each other the load; false: each edge knows its own only.
     bool share_load = true;
-    /// Requests let in, in places of an engine's batch.
-    double admitted_share = 1;
-    base::milliseconds longest_wait{1'500};
     /// Load up to which a program stays with its engine, in times of the mean load and in requests.
     double affinity_factor = 1.2;
     double affinity_slack = 3;
--- a/src/pearbarrow/turns/budget_check.cc
+++ b/src/pearbarrow/turns/budget_check.cc
@@ -1,7 +1,5 @@
 #include "pearbarrow/turns/budget_check.h"
 
-#include <algorithm>
-
 namespace pearbarrow::turns {
 
 void reservation_union::add(const std::vector<reservation>& reservations) {
@@ -23,12 +21,6 @@
     return total;
 }
 
-std::size_t reservation_union::turns_without(const turn_id& except) const {
-    return static_cast<std::size_t>(std::count_if(
-        entries_.begin(), entries_.end(),
-        [&](const auto& item) { return item.first != except && item.second.tokens > 0; }));
-}
-
 budget_verdict judge_first(const reservation_union& known, const reservation& wanted,
                            std::uint64_t budget) {
     const std::uint64_t total = known.total_without(wanted.turn) + wanted.tokens;
--- a/src/pearbarrow/turns/budget_check.h
+++ b/src/pearbarrow/turns/budget_check.h
@@ -28,8 +28,6 @@
     void add(const std::vector<reservation>& reservations);
     /// Tokens of all turns but `except`.
     std::uint64_t total_without(const turn_id& except) const;
-    /// Other turns than `except` that cost tokens or may still.
-    std::size_t turns_without(const turn_id& except) const;
 
   private:
     std::map<turn_id, reservation> entries_;
--- a/src/pearbarrow/turns/majority_write.cc
+++ b/src/pearbarrow/turns/majority_write.cc
@@ -27,7 +27,7 @@
       timeout_(timeout),
       callbacks_(std::move(callbacks)) {
     if (options_.loads != nullptr) {
-        request.load = options_.loads->report(options_.loads->is_waiting());
+        request.load = options_.loads->report(false);
     }
     payload_ = wire::encode(request);
     for (const directory::storage_member& member : voters_of(view)) {
@@ -54,21 +54,10 @@
     part.retry.reset();
     part.call = caller_.call(part.member, wire::turn_finish, payload_, options_.call_timeout,
                              [this, &part](const absl::StatusOr<std::string>& reply) {
-                                 take_load(reply);
                                  take_reply(part, reply.status());
                              });
 }
 
-void majority_write::take_load(const absl::StatusOr<std::string>& payload) {
-    if (options_.loads == nullptr || !payload.ok()) {
-        return;
-    }
-    // A reply that can't be read still confirms the write: only its totals are passed over.
-    if (const auto reply = wire::decode<finish_reply>(*payload); reply.ok()) {
-        options_.loads->take(reply->load);
-    }
-}
-
 void majority_write::take_reply(member_write& part, const absl::Status& status) {
     if (!status.ok()) {
         part.retry = loop_.after(options_.retry_interval, [this, &part] { send(part); });
--- a/src/pearbarrow/turns/majority_write.h
+++ b/src/pearbarrow/turns/majority_write.h
@@ -45,7 +45,6 @@
     };
 
     void send(member_write& part);
-    void take_load(const absl::StatusOr<std::string>& payload);
     void take_reply(member_write& part, const absl::Status& status);
     void report(const absl::Status& status);
     void end();
--- a/src/pearbarrow/turns/turn_operation.h
+++ b/src/pearbarrow/turns/turn_operation.h
@@ -54,8 +54,6 @@
     std::string chain_text;
     /// For logs: tokens of the program's other turns, and members that answered.
     std::uint64_t other_tokens = 0;
-    /// Other turns of the program that have reserved tokens or had an answer.
-    std::size_t other_turns = 0;
     std::size_t members_answered = 0;
     std::uint64_t view_revision = 0;
 };
--- a/src/pearbarrow/turns/turn_preparation.cc
+++ b/src/pearbarrow/turns/turn_preparation.cc
@@ -226,7 +226,6 @@
     prepared_turn result{.outcome = outcome,
                          .chain_text = std::move(chain_).value_or(std::string()),
                          .other_tokens = known_.total_without(request_.wanted.turn),
-                         .other_turns = known_.turns_without(request_.wanted.turn),
                          .members_answered = count(&member_state::confirmed),
                          .view_revision = view_revision_};
     done(std::move(result));
--- a/src/pearbarrow/turns/turn_replica.cc
+++ b/src/pearbarrow/turns/turn_replica.cc
@@ -187,14 +187,12 @@
         return;
     }
     store_new(std::move(request.records), std::move(request.settled),
-              [this, load = std::move(request.load),
-               answer = std::move(answer)](const absl::Status& status) {
+              [this, answer = std::move(answer)](const absl::Status& status) {
                   if (!status.ok()) {
                       answer->fail(status);
                       return;
                   }
-                  answer->finish(wire::encode(
-                      finish_reply{.is_complete = complete_, .load = totals_for(load)}));
+                  answer->finish(wire::encode(finish_reply{.is_complete = complete_}));
               });
 }
 
--- a/src/pearbarrow/turns/turn_types.h
+++ b/src/pearbarrow/turns/turn_types.h
@@ -112,6 +112,7 @@
 struct finish_request {
     std::vector<reservation> settled;
     std::vector<turn_record> records;
+    /// Asks for no totals: the answer has none.
     dispatch::load_report load;
 
     MSGPACK_DEFINE(settled, records, load);
@@ -119,9 +120,8 @@
 
 struct finish_reply {
     bool is_complete = false;
-    dispatch::load_totals load;
 
-    MSGPACK_DEFINE(is_complete, load);
+    MSGPACK_DEFINE(is_complete);
 };
 
 /// Asks another member for what it has stored after a point.
--- a/tests/unit/dispatch/load_board_test.cc
+++ b/tests/unit/dispatch/load_board_test.cc
@@ -15,8 +15,7 @@
     return {.node = base::node_id(node),
             .life = life,
             .number = number,
-            .loads = {{.backend = key_of("engine"), .requests = requests}},
-            .waiting = 1};
+            .loads = {{.backend = key_of("engine"), .requests = requests}}};
 }
 
 struct board_fixture {
@@ -36,7 +35,6 @@
     fixture.board.take(report_of("b", 1, 4), fixture.now);
     fixture.board.take(report_of("c", 1, 5), fixture.now);
     cr_assert(fixture.seen_by("a") == 9);
-    cr_assert(fixture.board.totals_without(base::node_id("a"), fixture.now).waiting == 2);
 }
 
 Test(load_board, a_report_that_comes_late_changes_nothing) {
@@ -75,7 +73,6 @@
     cr_assert(!load.is_known(fixture.now));
     load.take(fixture.board.totals_without(base::node_id("a"), fixture.now), fixture.now);
     cr_assert(load.at(key_of("engine"), fixture.now).requests == 4);
-    cr_assert(load.waiting(fixture.now) == 1);
     fixture.now += milliseconds{1'001};
     cr_assert(!load.is_known(fixture.now));
     cr_assert(load.at(key_of("engine"), fixture.now).requests == 0,
@@ -112,3 +109,16 @@
     cr_assert(totals.loads.front().served == 200);
     cr_assert(totals.loads.front().failed == 500);
 }
+
+Test(load_board, the_pace_is_the_mean_by_requests) {
+    board_fixture fixture;
+    load_report slow = report_of("b", 1, 3);
+    slow.loads.front().pace_us = 1'000;
+    load_report fast = report_of("c", 1, 1);
+    fast.loads.front().pace_us = 200;
+    fixture.board.take(slow, fixture.now);
+    fixture.board.take(fast, fixture.now);
+    fixture.board.take(report_of("d", 1, 5), fixture.now);
+    const load_totals totals = fixture.board.totals_without(base::node_id("a"), fixture.now);
+    cr_assert(totals.loads.front().pace_us == 800, "one that has no pace yet says nothing of it");
+}
--- a/tests/unit/forward/backend_pool_test.cc
+++ b/tests/unit/forward/backend_pool_test.cc
@@ -197,7 +197,16 @@
     for (int index = 0; index < 5; ++index) {
         cr_assert(fixture.choose() == "idle");
     }
-    const service_load load = fixture.pool.load_of_service("service", fixture.now);
-    cr_assert(load.own == 5 && load.elsewhere == 5);
-    cr_assert(load.admitted == 8);
+}
+
+Test(backend_pool, a_slow_one_gets_less_but_not_nothing) {
+    pool_fixture fixture({backend_of("slow"), backend_of("1"), backend_of("2")});
+    fixture.pool.note_event("slow", milliseconds{100});
+    fixture.pool.note_event("1", milliseconds{20});
+    fixture.pool.note_event("2", milliseconds{20});
+    std::map<std::string, int> taken;
+    for (int index = 0; index < 22; ++index) {
+        ++taken[fixture.choose()];
+    }
+    cr_assert(taken["slow"] == 2, "a fifth of the others' share");
 }
