Links: the first attempts at a silent peer are short

Cause: after a loss of power edges and storage members start within 0.4 s of each other. An edge that starts first calls members whose machines are still dark; nothing refuses the connection, and the attempt hung for its 500 ms while the member was up after 80 to 200 ms. Change: the first attempt lasts 120 ms, doubled after each that met silence, up to 500 ms as before; a refusal changes nothing. Off by default for the embedded node. Test: peer_rpc, two new ones (17 passed).

--- a/src/pearbarrow/fleet/node_parts.cc
+++ b/src/pearbarrow/fleet/node_parts.cc
@@ -13,6 +13,8 @@
     options.cluster = cluster_name;
     options.listen = to_endpoint(settings.peer);
     options.connect_timeout = base::milliseconds{500};
+    // Some round trips between zones and a peer's pause of a tenth of a second (a spent quota).
+    options.first_connect_timeout = base::milliseconds{120};
     options.silence_before_probe = base::milliseconds{400};
     options.silence_before_loss = base::milliseconds{1'200};
     options.write_timeout = base::milliseconds{2'000};
--- a/src/pearbarrow/net/peer_calls.h
+++ b/src/pearbarrow/net/peer_calls.h
@@ -86,6 +86,8 @@
     std::set<std::shared_ptr<outgoing_call>> local_calls;
     /// Peers whose loss is in the log, until a link to them holds again.
     std::set<std::pair<base::node_id, endpoint>> known_as_lost;
+    /// Attempts to connect that have failed since the last link that came up.
+    std::map<std::pair<base::node_id, endpoint>, std::uint32_t> failed_connects;
     std::uint64_t last_call = 0;
     bool stopping = false;
     bool shut_down = false;
--- a/src/pearbarrow/net/peer_link.cc
+++ b/src/pearbarrow/net/peer_link.cc
@@ -10,6 +10,11 @@
 namespace pearbarrow::net {
 namespace {
 
+/// Peers that left for good must not fill the memory.
+constexpr std::size_t most_lost_peers = 4'096;
+
+constexpr char hello_timeout[] = "hello_timeout";
+
 connection_options limits_of(const peer_rpc_options& options) {
     constexpr std::size_t read_bytes = std::size_t{16} * 1024;
     // Above the bound of requests, so that cancel and probe frames still fit.
@@ -39,9 +44,8 @@
     : core_(std::move(core)),
       link_(std::move(link)),
       decoder_(core_->options.max_frame_bytes),
-      hello_deadline_(
-          core_->context,
-          [this] { lose(bad_link("no hello in time", link_->peer(), "hello_timeout")); }),
+      hello_deadline_(core_->context,
+                      [this] { lose(bad_link("no hello in time", link_->peer(), hello_timeout)); }),
       silence_(core_->context, [this] { on_silence(); }) {
     hello_deadline_.set_after(core_->options.connect_timeout);
 }
@@ -162,7 +166,27 @@
       node_(std::move(node)),
       address_(std::move(address)) {}
 
+base::milliseconds peer_link::time_to_connect() const {
+    constexpr std::uint32_t most_doublings = 10;
+    const peer_rpc_options& options = core_->options;
+    if (options.first_connect_timeout.count() == 0) {
+        return options.connect_timeout;
+    }
+    const auto found = core_->failed_connects.find({node_, address_});
+    const std::uint32_t failed = found == core_->failed_connects.end() ? 0 : found->second;
+    return std::min(options.connect_timeout,
+                    options.first_connect_timeout * (1U << std::min(failed, most_doublings)));
+}
+
+void peer_link::count_failed_connect() {
+    if (core_->failed_connects.size() >= most_lost_peers) {
+        core_->failed_connects.clear();
+    }
+    ++core_->failed_connects[{node_, address_}];
+}
+
 void peer_link::start() {
+    expect_hello_within(time_to_connect());
     link_->connect(address_, [self = std::static_pointer_cast<peer_link>(shared_from_this())](
                                  const absl::Status& status) {
         if (self->has_ended()) {
@@ -178,8 +202,6 @@
 }
 
 bool peer_link::loss_is_news() {
-    // Peers that left for good must not fill the memory.
-    constexpr std::size_t most_lost_peers = 4'096;
     if (core_->known_as_lost.size() >= most_lost_peers) {
         core_->known_as_lost.clear();
     }
@@ -219,6 +241,7 @@
                         to_string(address_), "wrong_node");
     }
     core_->known_as_lost.erase({node_, address_});
+    core_->failed_connects.erase({node_, address_});
     for (waiting_frame& frame : waiting_) {
         if (const auto found = calls_.find(frame.call); found != calls_.end()) {
             found->second.position = link_->queued_position();
@@ -305,6 +328,10 @@
         core_->outbound.erase(found);
     }
     base::error_details details = base::details_of(status);
+    // A refusal says at once that nobody listens yet: only silence makes the next attempt longer.
+    if (details.reason == hello_timeout) {
+        count_failed_connect();
+    }
     if (details.reason == "connection_closed") {
         details.reason = "connection_lost";
     }
--- a/src/pearbarrow/net/peer_link.h
+++ b/src/pearbarrow/net/peer_link.h
@@ -36,6 +36,8 @@
     void begin();
     void send(const peer_frame& frame) { link_->write(encode_frame(frame)); }
     void send_hello();
+    /// Gives the link up unless the other side's hello comes in this time from now.
+    void expect_hello_within(base::milliseconds time) { hello_deadline_.set_after(time); }
     /// Starts the search for a silent peer, when calls begin on an idle link.
     void watch_silence();
     bool is_ready() const { return hello_seen_; }
@@ -85,6 +87,8 @@
     bool loss_is_news() override;
     void ended(const absl::Status& status) override;
 
+    base::milliseconds time_to_connect() const;
+    void count_failed_connect();
     std::shared_ptr<outgoing_call> take_call(std::uint64_t id);
     bool withdraw(std::uint64_t id);
     bool may_have_sent(const pending_call& pending) const;
--- a/src/pearbarrow/net/peer_rpc.h
+++ b/src/pearbarrow/net/peer_rpc.h
@@ -37,6 +37,10 @@
     std::size_t max_queued_bytes = std::size_t{64} * 1024 * 1024;
     /// Longest time to connect and to exchange hello frames.
     base::milliseconds connect_timeout{1'000};
+    /// The same for the first attempt at a peer, doubled after each that failed in a row; zero: as
+    /// long as the others. A machine without power leaves an attempt hanging, and is back before a
+    /// long attempt ends.
+    base::milliseconds first_connect_timeout{0};
     /// Requests of one caller under way at once; more fail with reason `peer_queue_full`.
     std::size_t max_open_requests = 65'536;
     /// Links from other nodes at once; more are closed.
--- a/tests/unit/net/peer_rpc_test.cc
+++ b/tests/unit/net/peer_rpc_test.cc
@@ -263,3 +263,38 @@
     run_for(pair.loop, milliseconds(10));
     cr_assert(!call.done());
 }
+
+namespace {
+
+/// Milliseconds until a call to a peer that takes the connection and says nothing fails.
+std::int64_t time_to_give_up(event_loop& loop, peer_rpc& client, const endpoint& silent) {
+    const base::system_clock_source clock;
+    const base::instant began = clock.now();
+    call_result call(loop);
+    call.start(client, "silent", silent, echo_method, "x");
+    call.wait();
+    cr_assert(call.details().reason == "hello_timeout", "%s", call.text().c_str());
+    return std::chrono::duration_cast<base::milliseconds>(clock.now() - began).count();
+}
+
+}  // namespace
+
+Test(peer_rpc, the_first_attempts_at_a_silent_peer_are_short) {
+    peer_rpc_options options = options_of("client");
+    options.connect_timeout = base::milliseconds{3'000};
+    options.first_connect_timeout = base::milliseconds{50};
+    peer_pair peers(options);
+    raw_server silent;
+    // A busy machine makes each attempt longer, never shorter.
+    cr_assert(time_to_give_up(peers.loop, *peers.client, silent.local_endpoint()) < 2'000);
+    cr_assert(time_to_give_up(peers.loop, *peers.client, silent.local_endpoint()) >= 100);
+    cr_assert(time_to_give_up(peers.loop, *peers.client, silent.local_endpoint()) >= 200);
+}
+
+Test(peer_rpc, without_a_shorter_first_attempt_all_are_alike) {
+    peer_rpc_options options = options_of("client");
+    options.connect_timeout = base::milliseconds{200};
+    peer_pair peers(options);
+    raw_server silent;
+    cr_assert(time_to_give_up(peers.loop, *peers.client, silent.local_endpoint()) >= 200);
+}
