Requests and writes that have ended go with their node, not with the loop: the soak's silence traced and mended

Cause: a request that ended inside its own callback was freed by a task of the loop. When the edge is taken down, callers are broken off and the loop outlives the edge: questions still open were then taken back at a freed relaying_caller, a search in a freed tree that may never end. Ruled out: RocksDB and the harness; the log's last lines are the two requests of the edge that went down. Change: net/ended_objects keeps what has ended as a member of its owner; forward_service and turn_client use it. Tests: two, which failed first (3 questions outlive the node) and need no sanitizer.

--- a/src/pearbarrow/forward/forward_service.cc
+++ b/src/pearbarrow/forward/forward_service.cc
@@ -44,10 +44,9 @@
 }
 
 void forward_service::forget(std::uint64_t number) {
-    // Freed from the loop: the request is in the middle of its own call.
+    // Freed later: the request is in the middle of its own call.
     auto node = requests_.extract(number);
-    std::shared_ptr<forwarded_request> ended = std::move(node.mapped());
-    context_.loop.post([ended] {});
+    ended_.add(std::move(node.mapped()));
 }
 
 void forward_service::refuse(net::http_exchange& exchange, int status, std::string_view reason,
--- a/src/pearbarrow/forward/forward_service.h
+++ b/src/pearbarrow/forward/forward_service.h
@@ -7,12 +7,13 @@
 
 #include "pearbarrow/forward/forward_context.h"
 #include "pearbarrow/forward/forwarded_request.h"
+#include "pearbarrow/net/ended_objects.h"
 
 namespace pearbarrow::forward {
 
 class forward_service {
   public:
-    explicit forward_service(forward_context& context) : context_(context) {}
+    explicit forward_service(forward_context& context) : context_(context), ended_(context.loop) {}
     ~forward_service();
     forward_service(const forward_service&) = delete;
     forward_service& operator=(const forward_service&) = delete;
@@ -30,6 +31,7 @@
 
     forward_context& context_;
     std::map<std::uint64_t, std::unique_ptr<forwarded_request>> requests_;
+    net::ended_objects<std::unique_ptr<forwarded_request>> ended_;
     std::uint64_t last_request_ = 0;
 };
 
--- a/src/pearbarrow/turns/turn_client.cc
+++ b/src/pearbarrow/turns/turn_client.cc
@@ -45,7 +45,7 @@
 }
 
 turn_client::turn_client(net::event_loop& loop, member_caller& caller, client_options options)
-    : loop_(loop), caller_(caller), options_(std::move(options)) {}
+    : loop_(loop), caller_(caller), options_(std::move(options)), ended_(loop) {}
 
 turn_client::~turn_client() = default;
 
@@ -64,9 +64,9 @@
     auto write = std::make_shared<majority_write>(
         loop_, caller_, options_, view_, std::move(request), timeout,
         majority_write::callbacks{.done = std::move(done), .over = [this, number] {
-                                      // Freed from the loop: this callback is a part of it.
-                                      loop_.post([ended = writes_.at(number)] {});
-                                      writes_.erase(number);
+                                      // Freed later: this callback is a part of it.
+                                      auto node = writes_.extract(number);
+                                      ended_.add(std::move(node.mapped()));
                                   }});
     writes_[number] = write;
     write->start();
--- a/src/pearbarrow/turns/turn_client.h
+++ b/src/pearbarrow/turns/turn_client.h
@@ -15,6 +15,7 @@
 
 #include "pearbarrow/base/clock.h"
 #include "pearbarrow/directory/snapshot.h"
+#include "pearbarrow/net/ended_objects.h"
 #include "pearbarrow/net/event_loop.h"
 #include "pearbarrow/turns/majority_write.h"
 #include "pearbarrow/turns/turn_operation.h"
@@ -48,6 +49,7 @@
     directory::storage_view view_;
     /// Writes that have not reached every member yet.
     std::map<std::uint64_t, std::shared_ptr<majority_write>> writes_;
+    net::ended_objects<std::shared_ptr<majority_write>> ended_;
     std::uint64_t last_write_ = 0;
 };
 
--- /dev/null
+++ b/tests/unit/forward/forward_service_test.cc
@@ -0,0 +1,120 @@
+#include "pearbarrow/forward/forward_service.h"
+
+#include "../net/net_fixture.h"
+#include "../turns/counting_caller.h"
+#include "pearbarrow/base/clock.h"
+#include "pearbarrow/base/metrics.h"
+
+#include <criterion/criterion.h>
+
+using namespace pearbarrow;
+using namespace pearbarrow::forward;
+using turns::testing::counting_caller;
+
+namespace {
+
+/// A request whose caller the test takes away.
+class scripted_exchange final : public net::http_exchange {
+  public:
+    explicit scripted_exchange(net::http_request request) : asked(std::move(request)) {}
+    const net::http_request& request() const override { return this->asked; }
+    void respond(net::http_response response) override { this->answer = std::move(response); }
+    void start_stream(int /*status*/, net::http_headers /*headers*/) override {}
+    void write(std::string /*chunk*/) override {}
+    void finish() override {}
+    void abort() override {}
+    std::size_t pending_bytes() const override { return 0; }
+    void on_closed(std::function<void()> callback) override { this->closed = std::move(callback); }
+
+    net::http_request asked;
+    std::optional<net::http_response> answer;
+    std::function<void()> closed;
+};
+
+header_names names() {
+    header_names names;
+    names.request_id = "Request-Id";
+    names.program = "Program-Id";
+    names.token_budget = "Token-Budget";
+    names.token_usage = "Token-Usage";
+    return names;
+}
+
+directory::configuration one_route() {
+    directory::configuration config;
+    config.version = 1;
+    directory::route route;
+    route.name = "turns";
+    route.host = "shop.example";
+    route.path_prefix = "/turn/";
+    route.kind = directory::request_kind::stream;
+    route.services = {{.service = "model", .weight = 1}};
+    config.routes.push_back(std::move(route));
+    return config;
+}
+
+/// A forwarding node in front of storage members that never answer.
+struct silent_members_fixture {
+    silent_members_fixture() {
+        this->turns->set_view(turns::testing::view_of_three());
+        this->service->set_configuration(one_route());
+    }
+
+    std::shared_ptr<scripted_exchange> ask() {
+        net::http_request request;
+        request.method = "POST";
+        request.target = "/turn/x";
+        request.headers = {{"Host", "shop.example"},   {"Request-Id", "r1"},
+                           {"Program-Id", "p1"},       {"Token-Budget", "100"},
+                           {"Token-Usage", "10,20"}};
+        auto exchange = std::make_shared<scripted_exchange>(std::move(request));
+        this->service->handle(exchange);
+        return exchange;
+    }
+
+    net::event_loop loop;
+    base::system_clock_source clock;
+    base::random_source random{1};
+    base::metrics_registry metrics;
+    forward_log log{clock, metrics, {}};
+    std::unique_ptr<net::http_client> client = net::make_http_client(loop);
+    backend_pool pool{{}, random};
+    counting_caller caller;
+    std::unique_ptr<turns::turn_client> turns =
+        std::make_unique<turns::turn_client>(loop, caller, turns::client_options{});
+    forward_context context{.loop = loop,
+                            .clock = clock,
+                            .random = random,
+                            .client = *client,
+                            .pool = pool,
+                            .turns = *turns,
+                            .log = log,
+                            .options = {.headers = names()},
+                            .active = nullptr};
+    std::unique_ptr<forward_service> service = std::make_unique<forward_service>(context);
+};
+
+}  // namespace
+
+// A node that stops breaks off its callers first and then takes its parts down: a request that
+// ended a moment ago may not outlive what it refers to.
+Test(forward_service, a_request_whose_caller_has_gone_ends_with_the_node) {
+    silent_members_fixture node;
+    const auto exchange = node.ask();
+    cr_assert(*node.caller.open == 3, "the turn is being prepared");
+    exchange->closed();
+    node.service.reset();
+    node.turns.reset();
+    cr_assert(*node.caller.open == 0, "%d questions outlive the node", *node.caller.open);
+    net::testing::run_for(node.loop, std::chrono::milliseconds(5));
+}
+
+Test(forward_service, a_request_whose_caller_has_gone_is_freed_by_the_loop) {
+    silent_members_fixture node;
+    const auto exchange = node.ask();
+    exchange->closed();
+    cr_assert(node.service->open_requests() == 0);
+    // What is left is the word of the turn's cost, which is told to every member.
+    net::testing::run_for(node.loop, std::chrono::milliseconds(5));
+    cr_assert(*node.caller.open == 3);
+}
--- a/tests/unit/turns/turn_client_test.cc
+++ b/tests/unit/turns/turn_client_test.cc
@@ -1,5 +1,6 @@
 #include "pearbarrow/turns/turn_client.h"
 
+#include "counting_caller.h"
 #include "member_fixture.h"
 
 #include <criterion/criterion.h>
@@ -97,3 +98,22 @@
     cr_assert(run_until(group.loop, [&] { return result.has_value(); }));
     cr_assert(!result->ok());
 }
+
+// A question that outlived the client would, when it ends, speak to a caller that is gone.
+Test(turn_client, nothing_is_open_once_the_client_has_gone) {
+    net::event_loop loop;
+    counting_caller caller;
+    auto client = std::make_unique<turn_client>(loop, caller, client_options{});
+    client->set_view(view_of_three());
+    std::optional<int> left_open;
+    const auto write = client->store({}, milliseconds(5), [&](const absl::Status& status) {
+        cr_assert(!status.ok(), "no member answers");
+        loop.post([&] {
+            client.reset();
+            left_open = *caller.open;
+        });
+    });
+    cr_assert(*caller.open == 3);
+    cr_assert(run_until(loop, [&] { return left_open.has_value(); }));
+    cr_assert(*left_open == 0, "%d questions are open still", *left_open);
+}
