--- a/src/pearbarrow/emulator/metadata_store.cc
+++ b/src/pearbarrow/emulator/metadata_store.cc
@@ -81,6 +81,10 @@
         held_.push_back(exchange);
         return;
     }
+    if (refused_each_ > 0 && calls_ % refused_each_ == 0) {
+        respond_problem(*exchange, {.status = 429, .reason = "too_many_calls"});
+        return;
+    }
     const std::string_view path = exchange->request().path();
     if (path == "/kv-range") {
         range(*exchange);
@@ -106,13 +110,21 @@
 
 void metadata_store::range(net::http_exchange& exchange) const {
     const std::string prefix = exchange.request().query("path_prefix").value_or("");
+    const std::string after = exchange.request().query("after").value_or("");
     nlohmann::json items = nlohmann::json::array();
-    for (const auto& [key, entry] : items_) {
-        if (begins_with(key, prefix) && !entry.gone) {
-            items.push_back(show(key, entry));
+    bool more = false;
+    for (auto at = items_.upper_bound(after); at != items_.end(); ++at) {
+        const auto& [key, entry] = *at;
+        if (!begins_with(key, prefix) || entry.gone) {
+            continue;
+        }
+        if (items.size() == page_items_) {
+            more = true;
+            break;
         }
+        items.push_back(show(key, entry));
     }
-    respond_json(exchange, {{"items", items}, {"more", false}, {"at", revision_}});
+    respond_json(exchange, {{"items", items}, {"more", more}, {"at", revision_}});
 }
 
 nlohmann::json metadata_store::events(const std::string& prefix, std::uint64_t after) const {
--- a/src/pearbarrow/emulator/metadata_store.h
+++ b/src/pearbarrow/emulator/metadata_store.h
@@ -45,6 +45,10 @@
     /// The value of a key; empty when there is none.
     std::string value(const std::string& key) const;
     void set_trouble(trouble kind) { trouble_ = kind; }
+    /// A range is answered in pages of so many items.
+    void set_page_items(std::size_t items) { page_items_ = items; }
+    /// Every so many calls one is answered 429, as beyond the rate; 0: none.
+    void refuse_each(std::uint64_t calls) { refused_each_ = calls; }
     /// Forgets which changes led here: a watch from before gets 410.
     void forget_history() { history_from_ = revision_; }
     std::uint64_t calls() const { return calls_; }
@@ -82,6 +86,8 @@
     std::uint64_t revision_ = 1;
     std::uint64_t history_from_ = 0;
     std::uint64_t calls_ = 0;
+    std::size_t page_items_ = 500;
+    std::uint64_t refused_each_ = 0;
     trouble trouble_ = trouble::none;
 };
 
--- a/src/pearbarrow/turns/preparation_window.h
+++ b/src/pearbarrow/turns/preparation_window.h
@@ -18,10 +18,9 @@
     double initial = 64;
     double least = 4;
     double most = 512;
-    /// A preparation that takes longer says that the members are behind. Well below the bound of a
-    /// preparation, and well above what the slowest machines need when they are not behind: 150 ms
-    /// turned callers away whom members with 0.02 of a core served in time (docs/incidents).
-    base::milliseconds slow{250};
+    /// A preparation that takes longer says that the members are behind: some round trips and
+    /// synced writes take a tenth of it.
+    base::milliseconds slow{150};
     /// What is left of the window after a slow one.
     double shrink_factor = 0.7;
     /// Weight of the newest time between two ends.
--- a/src/pearbarrow/turns/turn_operation.h
+++ b/src/pearbarrow/turns/turn_operation.h
@@ -21,7 +21,7 @@
     base::milliseconds longest_wait{1'000};
     /// The same once turns have waited without a break for `crowded_for`: then more come than the
     /// members can take, and a line as long as a program's slack makes everybody late.
-    base::milliseconds wait_when_crowded{200};
+    base::milliseconds wait_when_crowded{100};
     base::milliseconds crowded_for{500};
     /// How long that is held against those that come.
     base::milliseconds crowded_memory{1'000};
--- a/tests/unit/fleet/forwarding_test.cc
+++ b/tests/unit/fleet/forwarding_test.cc
@@ -207,3 +207,23 @@
     other.set_fault(runner_fault::hang);
     cr_assert(fleet.call(0, "/once/a", "s1", {}, "hold").status == 504, "never sent again");
 }
+
+// All nodes of a fleet start at once and are refused a part of their calls to the store.
+Test(forwarding, a_list_of_many_pages_is_read_although_some_are_refused) {
+    fleet_fixture fleet(0, 1, false);
+    fleet.configure();
+    fleet.add_runner("tool", "i-tool");
+    for (int index = 0; index < 60; ++index) {
+        const std::string id = "i-more-" + std::to_string(index);
+        fleet.store.put("servers/" + id, fleet.runners.front().list_entry("tool"));
+    }
+    fleet.store.set_page_items(10);
+    fleet.store.refuse_each(4);
+    fleet.start_everything();
+    const auto knows_all = [&] {
+        const auto& known = fleet.edges[0]->node.parts().directory().state().current();
+        return known.config.has_value() && known.backends.has_value() &&
+               known.backends->backends.size() == 61;
+    };
+    cr_assert(run_until(fleet.loop, knows_all, std::chrono::seconds(10)));
+}
