--- a/src/pearbarrow/forward/request_steps.h
+++ b/src/pearbarrow/forward/request_steps.h
@@ -8,7 +8,8 @@
 
 namespace pearbarrow::forward {
 
-/// Each is of the last attempt, but for the wait and the preparation, which come before all of them.
+/// Each is of the last attempt, but for the wait and the preparation, which come before all of
+/// them.
 struct request_steps {
     /// Until the storage members had room for the turn.
     base::microseconds waiting{0};
--- a/src/pearbarrow/turns/rocksdb_turn_store.cc
+++ b/src/pearbarrow/turns/rocksdb_turn_store.cc
@@ -18,8 +18,8 @@
 namespace {
 
 // Keys: one letter, then the name. `i` identity of the disk, `c` its completeness, `t` a turn,
-// `r` a reservation (program, NUL, turn), `d` the directory, `p` the other members' positions, `n` the
-// largest number of a change that was dropped, or a larger one.
+// `r` a reservation (program, NUL, turn), `d` the directory, `p` the other members' positions, `n`
+// the largest number of a change that was dropped, or a larger one.
 constexpr char identity_key[] = "i";
 constexpr char complete_key[] = "c";
 constexpr char directory_key[] = "d";
--- a/src/pearbarrow/turns/turn_admission.cc
+++ b/src/pearbarrow/turns/turn_admission.cc
@@ -29,9 +29,9 @@
         const base::milliseconds tolerated = this->owner.tolerated_wait(this->came);
         const auto wait = this->owner.open.expected_wait(this->owner.queue.size() - 1);
         if (wait.has_value() && *wait > tolerated) {
-            this->come_back_after = std::clamp(
-                std::chrono::duration_cast<base::milliseconds>(*wait - tolerated),
-                options.least_retry_after, options.most_retry_after);
+            this->come_back_after =
+                std::clamp(std::chrono::duration_cast<base::milliseconds>(*wait - tolerated),
+                           options.least_retry_after, options.most_retry_after);
             this->limit = this->owner.loop.after(base::milliseconds{0}, [this] { this->end(); });
             return;
         }
@@ -44,8 +44,8 @@
         this->stage = stages::preparing;
         this->began = this->owner.clock.now();
         this->owner.open.begin();
-        this->step = this->owner.begin(
-            std::move(this->request), [this](prepared_turn prepared) { this->take(prepared); });
+        this->step = this->owner.begin(std::move(this->request),
+                                       [this](prepared_turn prepared) { this->take(prepared); });
     }
 
     bool may_be_in_time(base::instant now) const { return this->request.aim > now; }
@@ -107,11 +107,7 @@
 
 turn_admission::turn_admission(net::event_loop& loop, const base::clock& clock,
                                admission_options options, begin_step begin)
-    : loop(loop),
-      clock(clock),
-      options(options),
-      begin(std::move(begin)),
-      open(options.window) {}
+    : loop(loop), clock(clock), options(options), begin(std::move(begin)), open(options.window) {}
 
 turn_admission::~turn_admission() = default;
 
--- a/src/pearbarrow/turns/turn_admission.h
+++ b/src/pearbarrow/turns/turn_admission.h
@@ -1,8 +1,8 @@
 /// Turns wait here while the storage members have enough to do.
 ///
-/// Those of programs that can still be in time go first, each kind in the order it came. A turn that
-/// would wait too long is turned away at once with the time to come back, and the members never
-/// hear of it: time spent on a turn whose caller no longer waits is taken from the others.
+/// Those of programs that can still be in time go first, each kind in the order it came. A turn
+/// that would wait too long is turned away at once with the time to come back, and the members
+/// never hear of it: time spent on a turn whose caller no longer waits is taken from the others.
 #pragma once
 
 #include <cstdint>
--- a/src/pearbarrow/turns/turn_operation.h
+++ b/src/pearbarrow/turns/turn_operation.h
@@ -21,8 +21,8 @@
     base::milliseconds longest_wait{1'000};
     /// The same once turns have waited without a break for `crowded_for`: then more come than the
     /// members can take, and a line as long as a program's slack makes everybody late.
-    base::milliseconds wait_when_crowded{100};
-    base::milliseconds crowded_for{500};
+    base::milliseconds wait_when_crowded{300};
+    base::milliseconds crowded_for{1'000};
     /// How long that is held against those that come.
     base::milliseconds crowded_memory{1'000};
     /// Bounds of what a turn that is turned away is told.
--- a/tests/unit/forward/forward_service_test.cc
+++ b/tests/unit/forward/forward_service_test.cc
@@ -64,8 +64,10 @@
         net::http_request request;
         request.method = "POST";
         request.target = "/turn/x";
-        request.headers = {{"Host", "shop.example"},   {"Request-Id", "r1"},
-                           {"Program-Id", "p1"},       {"Token-Budget", "100"},
+        request.headers = {{"Host", "shop.example"},
+                           {"Request-Id", "r1"},
+                           {"Program-Id", "p1"},
+                           {"Token-Budget", "100"},
                            {"Token-Usage", "10,20"}};
         auto exchange = std::make_shared<scripted_exchange>(std::move(request));
         this->service->handle(exchange);
--- a/tests/unit/turns/overload_test.cc
+++ b/tests/unit/turns/overload_test.cc
@@ -123,15 +123,16 @@
                 continue;
             }
             ++came;
-            in_time += one.served_after.has_value() && *one.served_after < milliseconds(500) ? 1 : 0;
+            in_time +=
+                one.served_after.has_value() && *one.served_after < milliseconds(500) ? 1 : 0;
         }
         return came == 0 ? 0 : in_time / came;
     }
 
     /// Turns served since a point, a second.
     double served_per_second(base::instant since) const {
-        const auto served = std::count_if(
-            this->callers.begin(), this->callers.end(), [since](const caller& one) {
+        const auto served =
+            std::count_if(this->callers.begin(), this->callers.end(), [since](const caller& one) {
                 return one.served_after.has_value() && one.came + *one.served_after >= since;
             });
         const std::chrono::duration<double> time = this->clock.now() - since;
@@ -149,18 +150,19 @@
         ++one.tries;
         const turn_id turn("turn-" + std::to_string(++this->last_turn));
         const reservation wanted{base::program_id("program-" + turn.value()), turn, 10};
-        one.step = this->client.prepare(
-            {.wanted = wanted, .budget = 1'000, .previous = {}},
-            [this, &one, wanted](const prepared_turn& prepared) {
-                if (prepared.was_asked) {
-                    this->client.settle(wanted);
-                }
-                if (prepared.outcome == turn_outcome::may_run) {
-                    one.served_after = this->clock.now() - one.came;
-                } else if (one.tries < 3) {
-                    one.pause = this->loop.after(milliseconds(250), [this, &one] { this->ask(one); });
-                }
-            });
+        one.step =
+            this->client.prepare({.wanted = wanted, .budget = 1'000, .previous = {}},
+                                 [this, &one, wanted](const prepared_turn& prepared) {
+                                     if (prepared.was_asked) {
+                                         this->client.settle(wanted);
+                                     }
+                                     if (prepared.outcome == turn_outcome::may_run) {
+                                         one.served_after = this->clock.now() - one.came;
+                                     } else if (one.tries < 3) {
+                                         one.pause = this->loop.after(
+                                             milliseconds(250), [this, &one] { this->ask(one); });
+                                     }
+                                 });
     }
 
     std::uint64_t last_turn = 0;
--- a/tests/unit/turns/turn_replica_test.cc
+++ b/tests/unit/turns/turn_replica_test.cc
@@ -168,7 +168,8 @@
     const base::system_clock_source clock;
     std::vector<list_request> asked;
     const auto other = net::make_peer_rpc(
-        loop, {.self = base::node_id("other"), .cluster = "test", .listen = net::testing::loopback});
+        loop,
+        {.self = base::node_id("other"), .cluster = "test", .listen = net::testing::loopback});
     other->register_method(wire::turn_list, [&](std::string_view payload, auto answer) {
         asked.push_back(*wire::decode<list_request>(payload));
         answer->finish(wire::encode(list_reply{.disk = disk_id("disk of other"),
@@ -193,7 +194,8 @@
     cr_assert(asked.size() == 1 && asked.back().after == change_number());
 
     const auto rpc = net::make_peer_rpc(
-        loop, {.self = base::node_id("first"), .cluster = "test", .listen = net::testing::loopback});
+        loop,
+        {.self = base::node_id("first"), .cluster = "test", .listen = net::testing::loopback});
     memory_store store("disk of first");
     store.positions = kept;
     turn_replica again(loop, *rpc, clock, store, member::options("first"));
