--- a/tests/process/test_changed_sites.py
+++ b/tests/process/test_changed_sites.py
@@ -68,6 +68,11 @@
         self.assertTrue(all(share <= before for share, before in zip(self.numbers("cpu_share"), [0.12, 0.3])))
         self.assertIn("[tolerate]\nmachines = 2", self.grown)
 
+    def test_storage_machines_get_a_part_of_their_processor(self):
+        small = self.script.with_store_cpu(SITE, 0.1)
+        self.assertIn('class = "store", zone = "a", count = 3, spare = 1, cpu_share = 0.0300', small)
+        self.assertIn('class = "front", cpu_share = 0.12,', small)
+
     def test_a_seed_makes_the_same_site_again(self):
         self.assertEqual(self.script.changed_site(SITE, 7, 2.0), self.script.changed_site(SITE, 7, 2.0))
         self.assertNotEqual(self.script.changed_site(SITE, 7), self.script.changed_site(SITE, 8))
