--- a/src/pearbarrow/turns/preparation_window.h
+++ b/src/pearbarrow/turns/preparation_window.h
@@ -43,7 +43,6 @@
     /// while no two preparations have ended yet.
     std::optional<base::microseconds> expected_wait(std::size_t waiting) const;
     std::size_t size() const { return static_cast<std::size_t>(this->limit); }
-    std::size_t in_use() const { return this->under_way; }
 
   private:
     void grow();
--- a/src/pearbarrow/turns/turn_operation.h
+++ b/src/pearbarrow/turns/turn_operation.h
@@ -39,8 +39,9 @@
     base::milliseconds reserve_timeout{1'500};
     /// Before a member that failed is asked again.
     base::milliseconds retry_interval{150};
-    /// Longest time of the first question to one member. A question that was not answered in time
-    /// is asked again with twice that: the member may be behind, and each copy is work for it.
+    /// Longest time of one question to one member: as long as a preparation may take, since the
+    /// member may be behind, and each copy of a question is work for it. A turn that is stored is
+    /// told again, each time with twice as long.
     base::milliseconds call_timeout{1'500};
     /// A member that does not give the chain within this time is helped by the others.
     base::milliseconds chain_patience{60};
