--- a/src/pearbarrow/turns/turn_catch_up.cc
+++ b/src/pearbarrow/turns/turn_catch_up.cc
@@ -112,12 +112,20 @@
     if (now - positions_kept_at_ < options_.positions_interval) {
         return;
     }
-    positions_kept_at_ = now;
-    store_change change;
-    change.positions.emplace();
+    std::vector<peer_position> positions;
     for (const auto& [node, other] : others_) {
-        change.positions->push_back({node, other.disk, other.taken});
+        if (other.taken != change_number()) {
+            positions.push_back({node, other.disk, other.taken});
+        }
     }
+    if (positions == written_positions_) {
+        // A fleet at rest writes nothing.
+        return;
+    }
+    positions_kept_at_ = now;
+    written_positions_ = positions;
+    store_change change;
+    change.positions = std::move(positions);
     store_.write(std::move(change), [this, alive = alive_](const absl::Status& status) {
         if (*alive) {
             note_write(status);
--- a/src/pearbarrow/turns/turn_replica.h
+++ b/src/pearbarrow/turns/turn_replica.h
@@ -141,6 +141,7 @@
     std::map<base::node_id, listed_position> listed_by_;
     /// As read at the start, for members that come into the view after it.
     std::map<base::node_id, peer_position> kept_positions_;
+    std::vector<peer_position> written_positions_;
     base::instant positions_kept_at_{};
     std::function<void()> on_complete_;
     std::function<void()> on_listed_;
--- a/src/pearbarrow/turns/turn_store.h
+++ b/src/pearbarrow/turns/turn_store.h
@@ -41,6 +41,7 @@
     disk_id disk;
     change_number taken;
 
+    bool operator==(const peer_position&) const = default;
     MSGPACK_DEFINE(node, disk, taken);
 };
 
--- a/tests/unit/turns/turn_replica_test.cc
+++ b/tests/unit/turns/turn_replica_test.cc
@@ -29,6 +29,7 @@
                               .last_number = {}};
     }
     void write(store_change change, std::function<void(absl::Status)> done) override {
+        ++this->writes;
         for (stored_turn& turn : change.turns) {
             this->turns[turn.record.turn] = std::move(turn.record);
         }
@@ -58,6 +59,7 @@
 
     std::string disk;
     bool held = false;
+    std::size_t writes = 0;
     std::map<turn_id, turn_record> turns;
     std::vector<peer_position> positions;
     std::vector<std::function<void(absl::Status)>> waiting;
@@ -207,3 +209,12 @@
     cr_assert(asked.back().after == change_number(7));
     cr_assert(asked.back().disk == disk_id("disk of other"), "on another disk it begins anew");
 }
+
+Test(turn_replica, members_at_rest_write_nothing) {
+    two_members pair;
+    // Both list each other all the time, as they do while one is to be taken away.
+    pair.set_view(true);
+    cr_assert(run_until(pair.loop, [&] { return pair.is_level(); }));
+    net::testing::run_for(pair.loop, std::chrono::milliseconds(300));
+    cr_assert(pair.staying.store.writes == 0, "%zu writes", pair.staying.store.writes);
+}
