--- a/tests/unit/fleet/fleet_fixture.h
+++ b/tests/unit/fleet/fleet_fixture.h
@@ -244,8 +244,8 @@
     std::list<emulator::runner> runners;
     emulator::runner* tool = nullptr;
     emulator::runner* model = nullptr;
-    /// Of edges that start from here on: the product's own, since a disk that others use too takes up
-    /// to 2.6 s for one synced write. A test that waits for it to pass sets a short one.
+    /// Of edges that start from here on: the product's own, since a disk that others use too takes
+    /// up to 2.6 s for one synced write. A test that waits for it to pass sets a short one.
     base::milliseconds store_timeout = forward::forward_options().store_timeout;
     std::vector<settings::fleet_settings> edge_settings;
     std::vector<settings::fleet_settings> storage_settings;
