--- a/tests/unit/fleet/soak_test.cc
+++ b/tests/unit/fleet/soak_test.cc
@@ -55,8 +55,17 @@
 
 class soak {
   public:
-    explicit soak(std::uint64_t seed) : random_(seed), fleet_(4, 3) {
+    soak(std::uint64_t seed, std::size_t storage_count, std::uint32_t groups)
+        : random_(seed), fleet_(storage_count, 3, false) {
+        if (groups > 1) {
+            for (settings::fleet_settings& one : fleet_.storage_settings) {
+                one.tolerated_losses = 0;
+            }
+        }
+        fleet_.start_everything();
         fleet_.make_ready();
+        const auto& view = fleet_.edges[0]->node.parts().directory().state().current().storage;
+        cr_assert(view->groups == groups, "%u groups", view->groups);
         models_ = {fleet_.model, &fleet_.add_runner("model", "i-model-b")};
         tools_ = {fleet_.tool, &fleet_.add_runner("tool", "i-tool-b")};
         cr_assert(run_until(fleet_.loop, [this] { return fleet_.is_settled(); }));
@@ -351,7 +360,19 @@
 Test(soak, nothing_is_lost_doubled_or_overspent_under_faults, .timeout = 200) {
     const std::uint64_t seed = number_from("PEARBARROW_SOAK_SEED", 1);
     const std::uint64_t seconds = number_from("PEARBARROW_SOAK_SECONDS", 8);
-    soak run(seed);
+    soak run(seed, 4, 1);
+    run.run(std::chrono::seconds(seconds));
+    run.check_all_turns();
+    cr_log_info("seed %lu: %d faults, %d retirements, %d whole turns, %d whole calls", seed,
+                run.faults, run.retirements, run.whole_turns, run.whole_calls);
+    cr_assert(run.whole_turns > 0 && run.whole_calls > 0);
+}
+
+// Programs of three groups; at the end one of another group goes on from each turn.
+Test(soak, nothing_is_lost_with_replica_groups, .timeout = 200) {
+    const std::uint64_t seed = number_from("PEARBARROW_SOAK_SEED", 1);
+    const std::uint64_t seconds = number_from("PEARBARROW_SOAK_SECONDS", 8);
+    soak run(seed, 9, 3);
     run.run(std::chrono::seconds(seconds));
     run.check_all_turns();
     cr_log_info("seed %lu: %d faults, %d retirements, %d whole turns, %d whole calls", seed,
--- a/tests/unit/fleet/translation_test.cc
+++ b/tests/unit/fleet/translation_test.cc
@@ -55,3 +55,27 @@
     cr_assert(copy.ok() && copy->revision == 9 && copy->members == view.members);
     cr_assert(!platform::read_storage_view("{}", 1).ok());
 }
+
+Test(translation, a_view_keeps_its_groups_and_one_from_before_there_were_any_has_one) {
+    directory::storage_view view{.revision = 0, .members = {}, .groups = 2};
+    view.members.push_back({.node = base::node_id("s1"),
+                            .address = {"10.0.0.1", 7000},
+                            .zone = "a",
+                            .retiring = true,
+                            .group = 1});
+    const auto read = platform::read_storage_view(platform::write_storage_view(view), 7);
+    cr_assert(read.ok() && read->revision == 7 && read->groups == 2);
+    cr_assert(read->members == view.members);
+
+    const auto before = platform::read_storage_view(
+        R"({"members":[{"node":"s1","address":"10.0.0.1:7000","zone":"a","retiring":false}]})", 3);
+    cr_assert(before.ok() && before->groups == 1 && before->members.front().group == 0);
+}
+
+Test(translation, a_member_announces_itself_as_it_will_stand_in_the_view) {
+    const directory::storage_member member{
+        .node = base::node_id("s1"), .address = {"10.0.0.1", 7000}, .zone = "a"};
+    const auto read = platform::read_storage_member(platform::write_storage_member(member));
+    cr_assert(read.ok() && *read == member);
+    cr_assert(!platform::read_storage_member("{}").ok());
+}
--- a/tests/unit/fleet/turns_test.cc
+++ b/tests/unit/fleet/turns_test.cc
@@ -1,5 +1,6 @@
 // Turns of agent programs through a whole fleet: history, budget, lost members.
 #include "fleet_fixture.h"
+#include "pearbarrow/turns/replica_groups.h"
 
 #include <criterion/criterion.h>
 
@@ -132,3 +133,88 @@
     fleet.wipe_storage(0);
     cr_assert(fleet.turn(1, "last", previous, "more", 1'000'000).whole);
 }
+
+namespace {
+
+/// Nine storage members in three replica groups.
+struct fleet_of_groups : fleet_fixture {
+    fleet_of_groups() : fleet_fixture(9, 2, false) {
+        for (settings::fleet_settings& one : storage_settings) {
+            one.tolerated_losses = 0;
+        }
+        start_everything();
+        make_ready();
+    }
+    const directory::storage_view& view() {
+        return *edges[0]->node.parts().directory().state().current().storage;
+    }
+    /// A program that the group keeps.
+    std::string program_in(std::uint32_t group) {
+        for (int index = 0;; ++index) {
+            const std::string program = "program-" + std::to_string(index);
+            if (turns::group_of(view(), base::program_id(program)) == group) {
+                return program;
+            }
+        }
+    }
+    client_answer turn_of(const std::string& program, const std::string& id,
+                          const std::string& previous, const std::string& body) {
+        net::http_headers headers{{"Pearbarrow-Program-Id", program},
+                                  {"Pearbarrow-Token-Budget", "1000"},
+                                  {"Pearbarrow-Token-Usage", "100,50"}};
+        if (!previous.empty()) {
+            headers.add("Pearbarrow-Previous-Turn", previous);
+        }
+        return call(0, "/turn/x", id, headers, body);
+    }
+    void stop_one_of(std::uint32_t group) {
+        for (std::size_t index = 0; index < storages.size(); ++index) {
+            const auto* entry = view().find(storage_settings[index].node);
+            if (entry->group == group && storages[index] != nullptr) {
+                storages[index].reset();
+                return;
+            }
+        }
+    }
+};
+
+}  // namespace
+
+Test(turns, a_program_of_one_group_goes_on_from_one_of_another) {
+    fleet_of_groups fleet;
+    cr_assert(fleet.view().groups == 3);
+    cr_assert(fleet.turn_of(fleet.program_in(0), "t1", "", "one ").whole);
+    cr_assert(fleet.turn_of(fleet.program_in(0), "t2", "t1", "two ").whole);
+    cr_assert(fleet.turn_of(fleet.program_in(1), "t3", "t2", "three").whole);
+    cr_assert(fleet.model->runs().back().body ==
+              "one i-model-1\ni-model-2\ni-model-3\ntwo i-model-1\ni-model-2\ni-model-3\nthree");
+    // The second group has it all now: the first is not needed any more.
+    for (int member = 0; member < 3; ++member) {
+        fleet.stop_one_of(0);
+    }
+    const auto answer = fleet.turn_of(fleet.program_in(1), "t4", "t3", "four");
+    cr_assert(answer.status == 200 && answer.whole, "%d", answer.status);
+    cr_assert(fleet.model->runs().back().body.find("one i-model-1") == 0);
+}
+
+Test(turns, each_group_bears_the_loss_of_a_member) {
+    fleet_of_groups fleet;
+    for (std::uint32_t group = 0; group < 3; ++group) {
+        const std::string name = std::to_string(group);
+        cr_assert(fleet.turn_of(fleet.program_in(group), "a" + name, "", "hello").whole);
+        fleet.stop_one_of(group);
+    }
+    for (std::uint32_t group = 0; group < 3; ++group) {
+        const std::string name = std::to_string(group);
+        const auto answer = fleet.turn_of(fleet.program_in(group), "b" + name, "a" + name, "again");
+        cr_assert(answer.status == 200 && answer.whole, "group %u: %d", group, answer.status);
+    }
+}
+
+Test(turns, an_unknown_turn_is_404_only_while_every_member_of_every_group_answers) {
+    fleet_of_groups fleet;
+    cr_assert(fleet.turn_of(fleet.program_in(0), "t1", "never", "hello").status == 404);
+    fleet.stop_one_of(2);
+    cr_assert(fleet.turn_of(fleet.program_in(0), "t2", "never", "hello").status == 503);
+    cr_assert(fleet.model->runs().empty());
+}
