--- a/src/pearbarrow/fleet/edge_node.cc
+++ b/src/pearbarrow/fleet/edge_node.cc
@@ -17,7 +17,8 @@
     net::http_client_options options;
     options.max_idle_connections_per_server = 8;
     // A node of a large fleet comes back to an engine every 4 s in the mean: with 4 s 22,900
-    // connections were opened for 98,000 requests, with 9 s 16,500, and no more were cut.
+    // connections were opened for 95,600 requests, with 9 s and an even draw among equal back
+    // ends 16,500 for 98,000 (one day each).
     options.idle_lifetime = base::milliseconds{9'000};
     return options;
 }
--- a/src/pearbarrow/forward/backend_pool.cc
+++ b/src/pearbarrow/forward/backend_pool.cc
@@ -231,7 +231,7 @@
 /// The first in the key's own order that is not fuller than others by more than its prompt's memory
 /// is worth; where the own zone has many, one in another only when none of these has room. Every
 /// node of a zone finds the same one: the calls of a program come by many nodes, and with an order
-/// of each node's own engines read twice as many tokens anew.
+/// of each node's own engines 50.9 million tokens were read, with this one 36.2 (one day).
 backend_pool::entry* backend_pool::by_affinity(const std::vector<loaded_entry>& fit,
                                                std::string_view key, base::instant now) const {
     const bool knows_others = elsewhere_ != nullptr && elsewhere_->is_known(now);
--- a/src/pearbarrow/forward/backend_pool.h
+++ b/src/pearbarrow/forward/backend_pool.h
@@ -46,14 +46,14 @@
     std::string zone;
     /// A node works with as many back ends of a service as make it send one of them a request every
     /// so often, and with others once those are fuller: a connection that is opened for a single
-    /// request costs its back end the handshake. Of 259 nodes before 153 back ends each connection
-    /// was used twice, and is six times.
+    /// request costs its back end the handshake. 259 nodes opened 36,046 connections to 153 back
+    /// ends for 95,581 requests before, 22,885 for 95,551 with this and `least_in_zone` (one day).
     base::milliseconds reuse_interval{1'500};
     std::size_t least_near = 4;
     /// A program's back end is looked for in the own zone first where that has so many: among
-    /// fewer, programs of a burst don't spread. With 4 in a zone worth fell by 0.04
-    /// (resol-catalogo, three days, two seeds each); with 17 connections fell by a third and
-    /// prompts were found as often.
+    /// fewer, programs of a burst don't spread. With 4 in a zone worth fell by 0.046 +- 0.026
+    /// (three days, three seeds). With 17 it saves connections and pays in prompts: 36.2 million
+    /// tokens were read where 24.2 had been, since callers change zones (one day).
     std::size_t least_in_zone = 8;
     /// Load that a back end beyond those is charged, in requests: about what a handshake's time and
     /// a cold prompt are worth.
