New programs wait for room at the engines; engines hear how urgent a turn is; shares of a limit hold some of the slack

Change: first turns are turned away while the engines of all nodes are full (program_gate, two ways side by side: open and by fullness); turns carry a priority, late ones last.

Shares hold 0.6 of the slack besides now.

--- a/src/pearbarrow/fleet/edge_node.cc
+++ b/src/pearbarrow/fleet/edge_node.cc
@@ -40,6 +40,12 @@
             .share_load = settings.dispatch.share_load};
 }
 
+std::unique_ptr<forward::program_gate> make_gate(const settings::fleet_settings& settings,
+                                                 base::random_source& random) {
+    return settings.dispatch.bounds_programs ? forward::make_fullness_gate({}, random)
+                                             : forward::make_open_gate();
+}
+
 net::http_server_options caller_options(const settings::fleet_settings& settings) {
     net::http_server_options options;
     options.listen = to_endpoint(settings.caller);
@@ -57,6 +63,7 @@
       client_(net::make_http_client(loop, client_options())),
       pool_(pool_options(settings), parts_.random()),
       load_(clock, pool_, reporter_options(settings, parts_.random())),
+      gate_(make_gate(settings, parts_.random())),
       relay_(parts_.rpc()),
       members_(loop, parts_.rpc(), clock, {}, [this] { return relay_peer(); }),
       turns_(loop, clock, members_, {.loads = &load_, .zone = settings.zone}),
@@ -68,6 +75,7 @@
                .pool = pool_,
                .turns = turns_,
                .quotas = quotas_,
+               .gate = *gate_,
                .log = log_,
                .options = std::move(options),
                .active = nullptr,
@@ -77,6 +85,7 @@
                        return exchange.peer_count() == 0 || exchange.is_connected();
                    }},
       service_(context_) {
+    context_.options.tells_priority = settings.dispatch.tells_priority;
     parts_.gauges().add([this](base::metrics_registry& registry) { collect(registry); });
 }
 
--- a/src/pearbarrow/fleet/edge_node.h
+++ b/src/pearbarrow/fleet/edge_node.h
@@ -42,6 +42,7 @@
     std::unique_ptr<net::http_client> client_;
     forward::backend_pool pool_;
     forward::load_reporter load_;
+    std::unique_ptr<forward::program_gate> gate_;
     turns::call_relay relay_;
     turns::relaying_caller members_;
     turns::turn_client turns_;
--- a/src/pearbarrow/fleet/storage_node.cc
+++ b/src/pearbarrow/fleet/storage_node.cc
@@ -12,14 +12,14 @@
 namespace {
 
 constexpr char store_folder[] = "/turns";
-/// Part of the operator's slack that overdrafts may use; the rest is for the rounding of small
-/// shares and for members that change.
-constexpr double overdraft_part = 0.6;
+/// Part of the operator's slack that shares hold beyond the burst; the rest is for members that
+/// start and for those that have been replaced.
+constexpr double extra_part = 0.6;
 
 tenants::quota_options quota_options(const settings::fleet_settings& settings) {
     tenants::quota_options options{.self = settings.node};
-    options.overdraft = overdraft_part * static_cast<double>(settings.quota_slack) /
-                        static_cast<double>(tenants::quota_shares);
+    options.extra = extra_part * static_cast<double>(settings.quota_slack) /
+                    static_cast<double>(tenants::quota_shares);
     return options;
 }
 
--- a/src/pearbarrow/forward/backend_pool.h
+++ b/src/pearbarrow/forward/backend_pool.h
@@ -17,6 +17,7 @@
 #include "pearbarrow/directory/snapshot.h"
 #include "pearbarrow/dispatch/load_report.h"
 #include "pearbarrow/dispatch/shared_load.h"
+#include "pearbarrow/forward/program_gate.h"
 #include "pearbarrow/forward/recent_results.h"
 #include "pearbarrow/forward/request_rate.h"
 
@@ -149,6 +150,8 @@
     /// How long an attempt at the back end may stay without the head of an answer before another
     /// one is worth trying, for a request that may run again.
     base::microseconds patience(const std::string& id, base::microseconds objective) const;
+    /// The service's back ends together, as far as they take requests.
+    service_load load_of(std::string_view service, base::instant now) const;
     std::size_t backend_count(std::string_view service) const;
     /// This node's requests at each back end that has any, and what has failed of late.
     std::vector<dispatch::backend_load> own_loads(base::instant now) const;
@@ -206,6 +209,10 @@
     std::vector<loaded_entry> with_load(const std::vector<entry*>& fit, base::instant now) const;
     /// Mean pace of the back end over all nodes. Microseconds; 0: not known.
     double pace_of(const entry& one, base::instant now) const;
+    /// The middle pace of some back ends; 0: none is known.
+    double typical_pace(const std::vector<const entry*>& entries, base::instant now) const;
+    /// How often the typical pace the back end takes, where that is more than tolerated; else 1.
+    double slowness_of(const entry& one, double typical, base::instant now) const;
     dispatch::backend_load elsewhere(const entry& one, base::instant now) const;
     /// Requests at the back end, of this node and all others, with one more, for each place.
     double fullness(const entry& one, base::instant now) const;
--- a/src/pearbarrow/forward/forward_context.h
+++ b/src/pearbarrow/forward/forward_context.h
@@ -11,6 +11,7 @@
 #include "pearbarrow/forward/backend_pool.h"
 #include "pearbarrow/forward/forward_log.h"
 #include "pearbarrow/forward/header_names.h"
+#include "pearbarrow/forward/program_gate.h"
 #include "pearbarrow/net/event_loop.h"
 #include "pearbarrow/net/http.h"
 #include "pearbarrow/tenants/quota_client.h"
@@ -35,6 +36,8 @@
     /// Longest time to store a turn that has ended.
     base::milliseconds store_timeout{4'000};
     base::milliseconds connect_timeout{500};
+    /// Engines are told how urgent a turn is (`engine_priority.h`).
+    bool tells_priority = true;
 };
 
 struct forward_context {
@@ -45,6 +48,7 @@
     backend_pool& pool;
     turns::turn_client& turns;
     tenants::quota_client& quotas;
+    program_gate& gate;
     forward_log& log;
     forward_options options;
     /// Null while no configuration is known.
--- a/src/pearbarrow/forward/forwarded_attempt.cc
+++ b/src/pearbarrow/forward/forwarded_attempt.cc
@@ -116,6 +116,9 @@
     if (!facts_.tenant.empty()) {
         call.headers.add(names.tenant, facts_.tenant);
     }
+    if (facts_.turn.has_value() && context_.options.tells_priority) {
+        call.headers.add(names.engine_priority, std::to_string(priority_at_engine()));
+    }
     return call;
 }
 
--- /dev/null
+++ b/src/pearbarrow/forward/forwarded_program.cc
@@ -0,0 +1,49 @@
+// What a turn's program means for it: whether a new one may begin, how urgent one under way is.
+#include <algorithm>
+
+#include "pearbarrow/forward/engine_priority.h"
+#include "pearbarrow/forward/forwarded_request.h"
+
+namespace pearbarrow::forward {
+
+/// Where the fleet keeps the history, a first turn goes on from none, and a sub-agent's from its
+/// parent's. Else only the storage members know whether the program has spent anything.
+bool forwarded_request::begins_program() const {
+    if (!facts_.turn.has_value() || !facts_.turn->previous_turn.empty()) {
+        return false;
+    }
+    return route_.keeps_history || (prepared_ && other_tokens_ == 0);
+}
+
+bool forwarded_request::is_turned_away() {
+    if (has_begun_ || !begins_program() || route_.services.empty()) {
+        return false;
+    }
+    has_begun_ = true;
+    const base::instant now = context_.clock.now();
+    const service_load load = context_.pool.load_of(route_.services.front().service, now);
+    const auto come_back_after = context_.gate.judge(load, now);
+    if (!come_back_after.has_value()) {
+        return false;
+    }
+    context_.log.notable("program_turned_away", {{"request", facts_.request_id},
+                                                 {"program", facts_.program},
+                                                 {"tenant", facts_.tenant},
+                                                 {"requests", load.requests},
+                                                 {"places", load.places},
+                                                 {"load_known", load.is_known},
+                                                 {"retry_after_ms", come_back_after->count()}});
+    answer_problem(503, "engines_full", "the engines have no room for another program now",
+                   spread(*come_back_after));
+    return true;
+}
+
+std::uint32_t forwarded_request::priority_at_engine() const {
+    const auto left = facts_.program_left_ms;
+    const auto passed = context_.clock.now() - arrived_;
+    return engine_priority({.rank = route_.priority,
+                            .is_first = begins_program(),
+                            .is_late = left.has_value() && passed >= base::milliseconds{*left}});
+}
+
+}  // namespace pearbarrow::forward
--- a/src/pearbarrow/forward/forwarded_request.cc
+++ b/src/pearbarrow/forward/forwarded_request.cc
@@ -62,6 +62,9 @@
 /// Takes the next step before an attempt: the limit first, which costs one short question and turns
 /// a tenant beyond its limit away before the storage members have worked for it.
 void forwarded_request::go_on() {
+    if (is_turned_away()) {
+        return;
+    }
     if (!holds_grant()) {
         ask_quota();
     } else if (facts_.turn.has_value() && !prepared_) {
--- a/src/pearbarrow/forward/forwarded_request.h
+++ b/src/pearbarrow/forward/forwarded_request.h
@@ -48,6 +48,13 @@
     void take_quota(const tenants::quota_decision& decision);
     void refuse_by_quota(const tenants::quota_decision& decision);
 
+    // New programs, forwarded_program.cc.
+    /// Whether this is known to be the first turn of its program.
+    bool begins_program() const;
+    /// True: the request has been answered, its program may not begin now.
+    bool is_turned_away();
+    std::uint32_t priority_at_engine() const;
+
     // Turns, forwarded_turn.cc.
     void prepare_turn();
     void take_preparation(turns::prepared_turn prepared);
@@ -122,6 +129,10 @@
 
     std::unique_ptr<turns::turn_operation> turn_step_;
     bool prepared_ = false;
+    /// Tokens of the program's other turns, as the storage members know them.
+    std::uint64_t other_tokens_ = 0;
+    /// The gate for new programs has been passed.
+    bool has_begun_ = false;
     base::instant turn_step_began_{};
     std::string chain_text_;
     /// Turns of other programs that this one goes on from, to be stored with it.
--- a/src/pearbarrow/forward/forwarded_turn.cc
+++ b/src/pearbarrow/forward/forwarded_turn.cc
@@ -38,6 +38,7 @@
     }
     chain_text_ = std::move(prepared.chain_text);
     copied_turns_ = std::move(prepared.copied);
+    other_tokens_ = prepared.other_tokens;
     prepared_ = true;
     go_on();
 }
--- /dev/null
+++ b/src/pearbarrow/forward/program_gate.h
@@ -0,0 +1,59 @@
+/// Whether a new program may begin, by what its engines have to do.
+///
+/// Pure: loads and random numbers are given. A program that has begun is never held up here: what
+/// it has cost so far is lost if it doesn't end. So load beyond what the engines carry in time is
+/// turned away at first turns, at once and with a time to come back.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string_view>
+
+#include "pearbarrow/base/clock.h"
+#include "pearbarrow/base/random.h"
+
+namespace pearbarrow::forward {
+
+/// The engines of a service, as one forwarding node knows them.
+struct service_load {
+    /// Requests that they work on at once without slowing down; a slow engine's count for as much
+    /// less as it is slower, a failing one's not at all.
+    double places = 0;
+    /// Requests of all nodes there.
+    double requests = 0;
+    /// Whether those of the other nodes are known.
+    bool is_known = false;
+
+    double fullness() const { return places > 0 ? requests / places : 0; }
+};
+
+class program_gate {
+  public:
+    virtual ~program_gate() = default;
+    /// None: the program may begin. Otherwise when to come back.
+    virtual std::optional<base::milliseconds> judge(const service_load& load,
+                                                    base::instant now) = 0;
+};
+
+struct gate_options {
+    /// Requests for each place from which some new programs are turned away, and from which all
+    /// are. Programs that have begun go on asking for seconds, so it closes before all places are
+    /// taken.
+    double narrows_at = 0.8;
+    double closes_at = 1.1;
+    /// While the load of other nodes is not known (half a second after a start): programs that may
+    /// begin here in each span of this length. Twice what the busiest node of the measured sheets
+    /// begins; after a common restart it keeps everybody's return from coming at once.
+    std::uint32_t unknown_programs = 8;
+    base::milliseconds unknown_span{500};
+    /// Told to callers; spread to twice as much.
+    base::milliseconds retry_after{500};
+};
+
+/// Lets every program begin.
+std::unique_ptr<program_gate> make_open_gate();
+/// Narrows between the two bounds of fullness, so that nodes which all hear the same load late
+/// don't open and close together.
+std::unique_ptr<program_gate> make_fullness_gate(gate_options options, base::random_source& random);
+
+}  // namespace pearbarrow::forward
--- a/src/pearbarrow/settings/fleet_settings.h
+++ b/src/pearbarrow/settings/fleet_settings.h
@@ -28,6 +28,10 @@
     /// Load up to which a program stays with its engine, in times of the mean load and in requests.
     double affinity_factor = 1.2;
     double affinity_slack = 3;
+    /// New programs are turned away while their engines are full (`forward/program_gate.h`).
+    bool bounds_programs = true;
+    /// Engines are told how urgent each turn is (`forward/engine_priority.h`).
+    bool tells_priority = true;
     /// How long back ends that vanish together are used; 0: not at all.
     base::milliseconds lapse_grace{1'800};
 };
@@ -57,7 +61,7 @@
     /// replica groups (`turns/replica_groups.h`).
     std::size_t tolerated_losses = 1;
     /// Requests that a tenant may send beyond its limit in one window of the operator's count;
-    /// storage members only. Sets what programs under way may overdraw (`tenants/quota_ledger.h`).
+    /// storage members only. Sets what a share holds beyond the burst (`tenants/quota_ledger.h`).
     std::uint64_t quota_slack = 0;
     /// Longest time from the order to stop to the end of the process.
     base::milliseconds stop_timeout{8'000};
--- a/src/pearbarrow/tenants/quota_ledger.cc
+++ b/src/pearbarrow/tenants/quota_ledger.cc
@@ -59,20 +59,21 @@
         }
         const auto parts = static_cast<double>(members.size());
         share& one = next[tenant.name];
+        one.left = this->options.at_start;
         if (const auto held = this->shares.find(tenant.name); held != this->shares.end()) {
             one = std::move(held->second);
             fill(one, now);
         }
         one.rate = tenant.rate / parts;
-        one.burst = std::max(tenant.burst / parts, 1.0);
-        one.left = std::min(one.left, one.burst);
+        one.most = std::max(tenant.burst / parts + this->options.extra, 1.0);
+        one.left = std::min(one.left, one.most);
         one.filled_at = now;
     }
     this->shares = std::move(next);
 }
 
 void quota_ledger::fill(share& one, base::instant now) {
-    one.left = std::min(one.burst, one.left + one.rate * seconds_between(one.filled_at, now));
+    one.left = std::min(one.most, one.left + one.rate * seconds_between(one.filled_at, now));
     one.filled_at = now;
 }
 
@@ -87,13 +88,13 @@
            (question.program != 0 && one.programs.count(question.program) > 0);
 }
 
-/// A new program leaves a part of the burst to those that have begun, and these may take some of
-/// the slack as well. A request that belongs to no program is whole by itself.
+/// A new program leaves a part of the share to those that have begun. A request that belongs to no
+/// program is whole by itself.
 double quota_ledger::least_left(const share& one, const quota_question& question) const {
-    if (this->is_under_way(one, question)) {
-        return -this->options.overdraft;
+    if (question.program == 0 || this->is_under_way(one, question)) {
+        return 0;
     }
-    return question.program == 0 ? 0 : (one.burst - 1) * this->options.kept_for_programs;
+    return (one.most - 1) * this->options.kept_for_programs;
 }
 
 std::uint32_t quota_ledger::wait_for(const share& one, double missing) {
--- a/src/pearbarrow/tenants/quota_ledger.h
+++ b/src/pearbarrow/tenants/quota_ledger.h
@@ -7,7 +7,8 @@
 /// one, since it does not know what was granted before.
 ///
 /// Invariant: in any span of w seconds a member grants a tenant at most
-/// rate x w / n + max(burst / n, 1) + overdraft requests, n members counting the tenant.
+/// rate x w / n + burst / n + extra requests, n members counting the tenant, and `at_start` more
+/// for each start of the member in the span.
 #pragma once
 
 #include <cstdint>
@@ -23,12 +24,15 @@
 
 struct quota_options {
     base::node_id self;
-    /// Requests that programs under way may take beyond an empty share. Three members with 4 each
-    /// use 12 of a slack of 20 requests a window.
-    double overdraft = 4;
-    /// Part of a share's burst that is left to programs under way: a program that is refused midway
-    /// has wasted all that it took.
-    double kept_for_programs = 0.5;
+    /// Requests that a share holds beyond its part of the burst. Three members with 4 each use 12
+    /// of a slack of 20 requests a window. Without it a tenant of 2 requests a second, whose
+    /// programs send them in clumps, is refused below its limit: 0.052 of all on a calm day.
+    double extra = 4;
+    /// Of these, what a member that begins to count a tenant has at once.
+    double at_start = 1;
+    /// Part of a share that is left to programs under way: a program that is refused midway has
+    /// wasted all that it took.
+    double kept_for_programs = 0.3;
     /// A program that has asked for nothing for this long is over, or idle.
     base::milliseconds program_idle{3'000};
     /// A share of this many requests a second is so large that the other members' shares are in the
@@ -54,7 +58,8 @@
     struct share {
         /// A second.
         double rate = 0;
-        double burst = 0;
+        /// Most that it holds: its part of the burst, and the extra.
+        double most = 0;
         double left = 0;
         base::instant filled_at;
         /// By program: when it last asked.
--- a/tests/unit/forward/forward_service_test.cc
+++ b/tests/unit/forward/forward_service_test.cc
@@ -84,6 +84,7 @@
     counting_caller caller;
     std::unique_ptr<turns::turn_client> turns =
         std::make_unique<turns::turn_client>(loop, clock, caller, turns::client_options{});
+    std::unique_ptr<program_gate> gate = make_open_gate();
     tenants::quota_client quotas{loop, clock, caller, {}};
     forward_context context{.loop = loop,
                             .clock = clock,
@@ -92,6 +93,7 @@
                             .pool = pool,
                             .turns = *turns,
                             .quotas = quotas,
+                            .gate = *gate,
                             .log = log,
                             .options = {.headers = names()},
                             .active = nullptr};
