Limits are counted in the operator's window; the gate for new programs learns from late turns

Its bounds go down now while a quarter of a node's turns has its first event after the objective, and up again while under a tenth has.

--- a/src/pearbarrow/fleet/edge_node.cc
+++ b/src/pearbarrow/fleet/edge_node.cc
@@ -42,7 +42,7 @@
 
 std::unique_ptr<forward::program_gate> make_gate(const settings::fleet_settings& settings,
                                                  base::random_source& random) {
-    return settings.dispatch.bounds_programs ? forward::make_fullness_gate({}, random)
+    return settings.dispatch.bounds_programs ? forward::make_learning_gate({}, random)
                                              : forward::make_open_gate();
 }
 
--- a/src/pearbarrow/fleet/storage_node.cc
+++ b/src/pearbarrow/fleet/storage_node.cc
@@ -20,6 +20,7 @@
     tenants::quota_options options{.self = settings.node};
     options.extra = extra_part * static_cast<double>(settings.quota_slack) /
                     static_cast<double>(tenants::quota_shares);
+    options.window = settings.quota_window;
     return options;
 }
 
--- a/src/pearbarrow/forward/forwarded_program.cc
+++ b/src/pearbarrow/forward/forwarded_program.cc
@@ -39,6 +39,12 @@
     return true;
 }
 
+void forwarded_request::note_turn(bool in_time) {
+    if (facts_.turn.has_value() && route_.objective_ms > 0) {
+        context_.gate.note_turn(in_time, context_.clock.now());
+    }
+}
+
 std::uint32_t forwarded_request::priority_at_engine() const {
     const auto left = facts_.program_left_ms;
     const auto passed = context_.clock.now() - arrived_;
--- a/src/pearbarrow/forward/forwarded_request.cc
+++ b/src/pearbarrow/forward/forwarded_request.cc
@@ -184,6 +184,7 @@
     quota_step_.reset();
     patience_.reset();
     if (attempt_open_) {
+        note_turn(event_count_ > 0);
         end_attempt(attempt_result::broken);
     }
     if (was_sent) {
@@ -238,6 +239,7 @@
     if (event_count_ == 0) {
         first_event_ = now;
         steps_.to_first_event = now - head_at_;
+        note_turn(now - attempt_began_ <= base::milliseconds{route_.objective_ms});
     } else {
         steps_.longest_gap = std::max<base::microseconds>(steps_.longest_gap, now - last_event_);
         context_.pool.note_event(target_.id, now - last_event_);
--- a/src/pearbarrow/forward/forwarded_request.h
+++ b/src/pearbarrow/forward/forwarded_request.h
@@ -54,6 +54,8 @@
     /// True: the request has been answered, its program may not begin now.
     bool is_turned_away();
     std::uint32_t priority_at_engine() const;
+    /// Whether the engine's first event came in time, for the gate.
+    void note_turn(bool in_time);
 
     // Turns, forwarded_turn.cc.
     void prepare_turn();
--- a/src/pearbarrow/forward/program_gate.cc
+++ b/src/pearbarrow/forward/program_gate.cc
@@ -1,5 +1,7 @@
 #include "pearbarrow/forward/program_gate.h"
 
+#include <algorithm>
+
 namespace pearbarrow::forward {
 namespace {
 
@@ -11,7 +13,7 @@
     }
 };
 
-class fullness_gate final : public program_gate {
+class fullness_gate : public program_gate {
   public:
     fullness_gate(gate_options options, base::random_source& random)
         : options(options), random(random) {}
@@ -22,11 +24,16 @@
         return may_begin ? std::nullopt : std::optional(this->options.retry_after);
     }
 
+  protected:
+    /// Times the bounds of the options.
+    double scale = 1;
+    gate_options options;
+
   private:
     bool has_room(double fullness) {
-        const double width = this->options.closes_at - this->options.narrows_at;
-        const double refused = (fullness - this->options.narrows_at) / width;
-        return !this->random.chance(refused);
+        const double closes_at = this->options.closes_at * this->scale;
+        const double narrows_at = this->options.narrows_at * this->scale;
+        return !this->random.chance((fullness - narrows_at) / (closes_at - narrows_at));
     }
 
     bool is_among_first(base::instant now) {
@@ -38,12 +45,43 @@
         return this->begun <= this->options.unknown_programs;
     }
 
-    gate_options options;
     base::random_source& random;
     base::instant span_began{};
     std::uint32_t begun = 0;
 };
 
+class learning_gate final : public fullness_gate {
+  public:
+    using fullness_gate::fullness_gate;
+
+    void note_turn(bool in_time, base::instant now) override {
+        ++this->turns;
+        this->late += in_time ? 0 : 1;
+        if (now - this->learning_since < this->options.learning_span ||
+            this->turns < this->options.least_turns) {
+            return;
+        }
+        this->learn(static_cast<double>(this->late) / this->turns);
+        this->learning_since = now;
+        this->turns = 0;
+        this->late = 0;
+    }
+
+  private:
+    void learn(double late_share) {
+        const double least = this->options.least_closes_at / this->options.closes_at;
+        if (late_share > this->options.late_share) {
+            this->scale = std::max(least, this->scale * this->options.shrink_factor);
+        } else if (late_share < this->options.calm_share) {
+            this->scale = std::min(1.0, this->scale + this->options.growth);
+        }
+    }
+
+    base::instant learning_since{};
+    std::uint32_t turns = 0;
+    std::uint32_t late = 0;
+};
+
 }  // namespace
 
 std::unique_ptr<program_gate> make_open_gate() {
@@ -55,4 +93,9 @@
     return std::make_unique<fullness_gate>(options, random);
 }
 
+std::unique_ptr<program_gate> make_learning_gate(gate_options options,
+                                                 base::random_source& random) {
+    return std::make_unique<learning_gate>(options, random);
+}
+
 }  // namespace pearbarrow::forward
--- a/src/pearbarrow/forward/program_gate.h
+++ b/src/pearbarrow/forward/program_gate.h
@@ -34,6 +34,8 @@
     /// None: the program may begin. Otherwise when to come back.
     virtual std::optional<base::milliseconds> judge(const service_load& load,
                                                     base::instant now) = 0;
+    /// A turn has had its first event within its objective at the engine, or not.
+    virtual void note_turn(bool /*in_time*/, base::instant /*now*/) {}
 };
 
 struct gate_options {
@@ -42,6 +44,19 @@
     /// taken.
     double narrows_at = 0.8;
     double closes_at = 1.1;
+    /// How far the bound goes down while turns are late: below it less than two thirds of the
+    /// places are taken, and nobody waits for one.
+    double least_closes_at = 0.6;
+    /// Turns of a span that say something, and the share of late ones from which the bound goes
+    /// down, below which it goes up. With a quarter of the engines slow a tenth of the turns is
+    /// late.
+    base::milliseconds learning_span{250};
+    std::uint32_t least_turns = 4;
+    double late_share = 0.25;
+    double calm_share = 0.1;
+    /// The bound falls from its most to its least in 1.3 s, and comes back in 5 s.
+    double shrink_factor = 0.85;
+    double growth = 0.025;
     /// While the load of other nodes is not known (half a second after a start): programs that may
     /// begin here in each span of this length. Twice what the busiest node of the measured sheets
     /// begins; after a common restart it keeps everybody's return from coming at once.
@@ -56,5 +71,9 @@
 /// Narrows between the two bounds of fullness, so that nodes which all hear the same load late
 /// don't open and close together.
 std::unique_ptr<program_gate> make_fullness_gate(gate_options options, base::random_source& random);
+/// The same, with bounds that go down while turns come late at the engines and up while they don't.
+/// At a bound that suits a short burst the engines stay just full enough to be late for as long as
+/// callers come back.
+std::unique_ptr<program_gate> make_learning_gate(gate_options options, base::random_source& random);
 
 }  // namespace pearbarrow::forward
--- a/src/pearbarrow/settings/fleet_settings.cc
+++ b/src/pearbarrow/settings/fleet_settings.cc
@@ -83,6 +83,8 @@
         std::uint64_t losses = settings.tolerated_losses;
         reader.read_integer("tolerated_losses", 0, most_tolerated_losses, losses);
         settings.tolerated_losses = losses;
+        reader.read_milliseconds("quota.window_ms", base::milliseconds{0},
+                                 base::milliseconds{600'000}, settings.quota_window);
         reader.read_integer("quota.slack", 0, most_quota_slack, settings.quota_slack);
         reader.require("data_folder");
         reader.read("data_folder", settings.data_folder, max_path_bytes);
--- a/src/pearbarrow/settings/fleet_settings.h
+++ b/src/pearbarrow/settings/fleet_settings.h
@@ -63,6 +63,8 @@
     /// Requests that a tenant may send beyond its limit in one window of the operator's count;
     /// storage members only. Sets what a share holds beyond the burst (`tenants/quota_ledger.h`).
     std::uint64_t quota_slack = 0;
+    /// The window of that count; storage members only. 0: a limit is its rate and its burst alone.
+    base::milliseconds quota_window{0};
     /// Longest time from the order to stop to the end of the process.
     base::milliseconds stop_timeout{8'000};
     /// How long a back end goes on serving after it has said that it leaves, at least.
--- a/src/pearbarrow/tenants/quota_client.h
+++ b/src/pearbarrow/tenants/quota_client.h
@@ -22,9 +22,9 @@
     base::milliseconds patience{120};
     /// For how long it is then asked after the others.
     base::milliseconds avoid_silent{1'000};
-    /// A grant is good for this long. In a window of 5 s late use of it adds a tenth of the rate at
-    /// most, what a limit with 10 % of overage allows.
-    base::milliseconds grant_lifetime{500};
+    /// A grant is good for this long: it is asked for just before the request is sent. Members
+    /// count their windows longer by it (`quota_options`).
+    base::milliseconds grant_lifetime{200};
     /// Bounds of the time told to callers beyond the limit.
     base::milliseconds least_retry_after{100};
     base::milliseconds most_retry_after{5'000};
--- a/src/pearbarrow/tenants/quota_ledger.cc
+++ b/src/pearbarrow/tenants/quota_ledger.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 #include "pearbarrow/tenants/quota_members.h"
 
@@ -11,6 +12,10 @@
 /// Programs are looked through for idle ones once there are this many more than a second's grants.
 constexpr std::size_t least_programs_kept = 64;
 
+double seconds_of(base::milliseconds time) {
+    return std::chrono::duration<double>(time).count();
+}
+
 double seconds_between(base::instant from, base::instant to) {
     return std::max(0.0, std::chrono::duration<double>(to - from).count());
 }
@@ -60,11 +65,15 @@
         const auto parts = static_cast<double>(members.size());
         share& one = next[tenant.name];
         one.left = this->options.at_start;
+        one.counts_since = now;
         if (const auto held = this->shares.find(tenant.name); held != this->shares.end()) {
             one = std::move(held->second);
             fill(one, now);
         }
         one.rate = tenant.rate / parts;
+        if (this->options.window.count() > 0) {
+            one.rate += tenant.burst / parts / seconds_of(this->options.window);
+        }
         one.most = std::max(tenant.burst / parts + this->options.extra, 1.0);
         one.left = std::min(one.left, one.most);
         one.filled_at = now;
@@ -77,6 +86,19 @@
     one.filled_at = now;
 }
 
+/// What was granted before this member counted the tenant is taken as spread over the window, as it
+/// is of a tenant at its limit.
+double quota_ledger::room_in_window(share& one, base::instant now) const {
+    if (this->options.window.count() == 0) {
+        return std::numeric_limits<double>::infinity();
+    }
+    const double window = seconds_of(this->options.window);
+    const double counted = std::min(1.0, seconds_between(one.counts_since, now) / window);
+    const double holds = one.rate * window * counted + this->options.extra;
+    const auto span = this->options.window + this->options.grant_lifetime;
+    return holds - one.recent.within(span, now);
+}
+
 void quota_ledger::forget_idle(share& one, base::instant now) const {
     std::erase_if(one.programs, [&](const auto& program) {
         return now - program.second > this->options.program_idle;
@@ -115,13 +137,15 @@
     const double least = this->least_left(one, question);
     answer.is_same_elsewhere = one.rate >= this->options.even_share;
     answer.programs = static_cast<std::uint32_t>(one.programs.size());
-    if (one.left - 1 < least) {
+    const double room = this->room_in_window(one, now);
+    if (one.left - 1 < least || room < 1) {
         ++this->refused_total;
         answer.outcome = quota_outcome::refused;
-        answer.retry_after_ms = wait_for(one, least - (one.left - 1));
+        answer.retry_after_ms = wait_for(one, std::max(least - (one.left - 1), 1 - room));
     } else {
         ++this->granted_total;
         one.left -= 1;
+        one.recent.note(now);
         answer.outcome = quota_outcome::granted;
         if (question.program != 0) {
             one.programs[question.program] = now;
--- a/src/pearbarrow/tenants/quota_ledger.h
+++ b/src/pearbarrow/tenants/quota_ledger.h
@@ -3,12 +3,11 @@
 /// A pure state machine. A tenant's limit is divided evenly among the members that count it
 /// (`quota_members`), and each grants from its own share without asking anybody: what all of them
 /// grant together never passes the limit, whoever is cut off, paused or dead. A share is a token
-/// bucket; a member that has just started, or has just come to count a tenant, begins with an empty
-/// one, since it does not know what was granted before.
+/// bucket and a count of the last window. A member that has just started, or has just come to count
+/// a tenant, begins with both as good as used up, since it does not know what was granted before.
 ///
-/// Invariant: in any span of w seconds a member grants a tenant at most
-/// rate x w / n + burst / n + extra requests, n members counting the tenant, and `at_start` more
-/// for each start of the member in the span.
+/// Invariant: in any window w a member grants a tenant at most (rate x w + burst) / n + extra
+/// requests, n members counting the tenant.
 #pragma once
 
 #include <cstdint>
@@ -19,6 +18,7 @@
 #include "pearbarrow/base/clock.h"
 #include "pearbarrow/directory/snapshot.h"
 #include "pearbarrow/tenants/quota_types.h"
+#include "pearbarrow/tenants/recent_grants.h"
 
 namespace pearbarrow::tenants {
 
@@ -30,6 +30,12 @@
     double extra = 4;
     /// Of these, what a member that begins to count a tenant has at once.
     double at_start = 1;
+    /// The operator counts requests in windows of this length, each of which may hold the rate
+    /// times the window and the burst: what a share gains a second is a part of that. 0: the rate
+    /// alone.
+    base::milliseconds window{0};
+    /// Grants of the window before may be used this late.
+    base::milliseconds grant_lifetime{200};
     /// Part of a share that is left to programs under way: a program that is refused midway has
     /// wasted all that it took.
     double kept_for_programs = 0.3;
@@ -62,12 +68,17 @@
         double most = 0;
         double left = 0;
         base::instant filled_at;
+        /// Since when this member has counted the tenant.
+        base::instant counts_since;
+        recent_grants recent;
         /// By program: when it last asked.
         std::unordered_map<std::uint64_t, base::instant> programs;
     };
 
     void rebuild(base::instant now);
     static void fill(share& one, base::instant now);
+    /// Requests that the window of the moment still holds.
+    double room_in_window(share& one, base::instant now) const;
     void forget_idle(share& one, base::instant now) const;
     bool is_under_way(const share& one, const quota_question& question) const;
     /// What must be left of the share once the request is granted.
--- a/tests/unit/forward/overload_simulation_test.cc
+++ b/tests/unit/forward/overload_simulation_test.cc
@@ -33,6 +33,7 @@
 /// A program on idle engines takes about this long; callers want it in 1.4 times that and 200 ms.
 constexpr int idle_program_ms = turns_of_program * (260 + pause_ms);
 constexpr int aim_ms = idle_program_ms * 14 / 10 + 200;
+constexpr int objective_ms = 200;
 constexpr int turn_deadline_ms = 4'000;
 constexpr int tries_of_turn = 6;
 constexpr int length_ms = 34'000;
@@ -43,8 +44,10 @@
 constexpr double programs_per_second = 9.3;
 constexpr double burst_factor = 4;
 
+enum class gate_kind { open, fullness, learning };
+
 struct policy {
-    bool bounds_programs = true;
+    gate_kind kind = gate_kind::learning;
     bool tells_priority = true;
     gate_options gate;
 };
@@ -88,8 +91,7 @@
                 pool_options{.node = "n" + std::to_string(index), .zone = "a"}, this->random);
             edge->pool->set_shared_load(edge->elsewhere);
             edge->pool->set_backends(this->backends, this->instant());
-            edge->gate = this->kept.bounds_programs ? make_fullness_gate(kept.gate, this->random)
-                                                    : make_open_gate();
+            edge->gate = this->make_gate();
         }
     }
 
@@ -136,6 +138,18 @@
         std::unique_ptr<program_gate> gate;
     };
 
+    std::unique_ptr<program_gate> make_gate() {
+        switch (this->kept.kind) {
+            case gate_kind::open:
+                return make_open_gate();
+            case gate_kind::fullness:
+                return make_fullness_gate(this->kept.gate, this->random);
+            case gate_kind::learning:
+                break;
+        }
+        return make_learning_gate(this->kept.gate, this->random);
+    }
+
     base::instant instant() const { return base::instant(milliseconds{this->now_ms + 1'000}); }
     bool is_burst() const { return this->now_ms >= burst_from_ms && this->now_ms < burst_to_ms; }
 
@@ -235,6 +249,11 @@
             engine->advance(this->instant());
             for (const auto& progress : engine->take_progress()) {
                 const auto found = this->open.find(progress.attempt.value());
+                if (progress.first == 1 && found != this->open.end()) {
+                    const program& one = this->programs[found->second];
+                    this->edges[one.edge]->gate->note_turn(
+                        this->now_ms - one.sent_ms <= objective_ms, this->instant());
+                }
                 if (progress.ended && found != this->open.end()) {
                     program& one = this->programs[found->second];
                     this->open.erase(found);
@@ -349,11 +368,11 @@
 }
 
 Test(overload_simulation, the_load_is_one_that_does_not_end_by_itself) {
-    const outcome seen = mean_of({.bounds_programs = false, .tells_priority = false});
+    const outcome seen = mean_of({.kind = gate_kind::open, .tells_priority = false});
     cr_assert(seen.before > 0.85, "%.3f before the burst", seen.before);
     cr_assert(seen.after < 0.2, "%.3f after it", seen.after);
 }
 
 Test(overload_simulation, urgency_alone_does_not_end_it) {
-    cr_assert(mean_of({.bounds_programs = false}).after < 0.2);
+    cr_assert(mean_of({.kind = gate_kind::open}).after < 0.2);
 }
--- a/tests/unit/tenants/quota_ledger_test.cc
+++ b/tests/unit/tenants/quota_ledger_test.cc
@@ -1,5 +1,8 @@
 #include "pearbarrow/tenants/quota_ledger.h"
 
+#include <memory>
+#include <vector>
+
 #include "../turns/counting_caller.h"
 #include "pearbarrow/tenants/quota_members.h"
 
@@ -214,3 +217,51 @@
     }
     cr_assert(count == 10, "%d", count);
 }
+
+namespace {
+
+/// Counts in windows of 5 s.
+struct windowed_member : one_member {
+    windowed_member() {
+        this->ledger =
+            std::make_unique<quota_ledger>(quota_options{.self = base::node_id("store-a"),
+                                                         .extra = 0,
+                                                         .at_start = 0,
+                                                         .window = base::milliseconds{5'000}});
+        this->ledger->set_view(view_of_three(), this->now);
+        this->ledger->set_configuration(limited(30, 30), this->now);
+    }
+};
+
+}  // namespace
+
+Test(quota_ledger, over_a_window_the_burst_may_be_used_once) {
+    windowed_member member;
+    member.pass(60);
+    int count = 0;
+    for (int step = 0; step < 500; ++step) {
+        count += member.granted(10, true);
+        member.pass(0.01);
+    }
+    // (30 x 5 + 30) / 3
+    cr_assert(count <= 60 && count >= 57, "%d", count);
+}
+
+Test(quota_ledger, a_tenant_at_its_limit_gets_every_windows_worth_evenly) {
+    windowed_member member;
+    member.pass(60);
+    std::vector<int> seconds;
+    for (int second = 0; second < 20; ++second) {
+        int count = 0;
+        for (int step = 0; step < 100; ++step) {
+            count += member.granted(3, true);
+            member.pass(0.01);
+        }
+        seconds.push_back(count);
+    }
+    // The burst of the beginning has left the window.
+    for (std::size_t second = 6; second < seconds.size(); ++second) {
+        cr_assert(seconds[second] >= 8 && seconds[second] <= 14, "%d in second %zu",
+                  seconds[second], second);
+    }
+}
--- a/tests/unit/tenants/quota_simulation_test.cc
+++ b/tests/unit/tenants/quota_simulation_test.cc
@@ -129,7 +129,7 @@
     }
 
     void start_member(const base::node_id& node, const directory::storage_view& known) {
-        quota_options options{.self = node};
+        quota_options options{.self = node, .window = base::milliseconds{5'000}};
         auto ledger = std::make_unique<quota_ledger>(options);
         ledger->set_configuration(this->configuration(), at(this->now));
         // Without the safeguard the share is full: as if it had been filling for a minute.
