--- a/tests/unit/operator/trace_test.cc
+++ b/tests/unit/operator/trace_test.cc
@@ -72,3 +72,14 @@
         line("05.3", "edge-1", R"("event":"request_ended","request":"r1","steps":7)"));
     cr_assert(!find_costliest_step(collector.finish()).has_value());
 }
+
+Test(trace, a_limit_and_full_engines_decide) {
+    for (const char* event : {"quota_refused", "program_turned_away"}) {
+        trace_collector collector("r1");
+        collector.add_line(
+            line("05.200", "edge-1", std::string(R"("event":")") + event + R"(","request":"r1")"));
+        collector.add_line(
+            line("05.300", "edge-1", R"("event":"request_ended","request":"r1","reason":"x")"));
+        cr_assert(collector.finish().deciding == 0U, "%s", event);
+    }
+}
