--- a/src/pearbarrow/tenants/quota_members.h
+++ b/src/pearbarrow/tenants/quota_members.h
@@ -10,7 +10,7 @@
 
 /// Members that share the count of one tenant. With three, two others go on granting two thirds of
 /// the limit while one is down, which holds a tenant that uses up to that much (a sheet with limits
-/// of 1.6 times the usual use has 62 %). Each more costs a request of slack for rounding.
+/// of 1.6 times the usual use has 62 %). A tenant at its limit asks them all.
 constexpr std::size_t quota_shares = 3;
 
 /// The members that count the tenant, in an order that all nodes with the same view agree on.
