Nothing goes to the back ends of an emptied zone, nor to a region that is not permitted

The pool asks places::place_rules for each candidate, the request asks again whenever its bytes go out: when an attempt begins, when its connection has come up, on a repeat over a new connection. What has gone out stays. A node that has heard from nobody which zones are emptied is not ready and answers 503. The gate for new programs counts open zones' places only. No back end in a permitted place: 503 at once with the reason. The judging class names a region before an emptied zone, since the latter passes by itself.

--- a/src/pearbarrow/fleet/edge_node.cc
+++ b/src/pearbarrow/fleet/edge_node.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "pearbarrow/fleet/place_gauges.h"
+
 namespace pearbarrow::fleet {
 namespace {
 
@@ -61,6 +63,7 @@
     : parts_(loop, clock, settings, [this](const auto& changed) { take_changes(changed); }),
       log_(clock, parts_.metrics(), {}),
       client_(net::make_http_client(loop, client_options())),
+      places_(settings.regions),
       pool_(pool_options(settings), parts_.random()),
       load_(clock, pool_, reporter_options(settings, parts_.random())),
       gate_(make_gate(settings, parts_.random())),
@@ -83,8 +86,10 @@
                    [this] {
                        const auto& exchange = parts_.directory();
                        return exchange.peer_count() == 0 || exchange.is_connected();
-                   }},
+                   },
+               .places = &places_},
       service_(context_) {
+    pool_.set_places(places_);
     context_.options.tells_priority = settings.dispatch.tells_priority;
     parts_.gauges().add([this](base::metrics_registry& registry) { collect(registry); });
 }
@@ -111,7 +116,7 @@
 }
 
 bool edge_node::is_ready() const {
-    return !stopping_ && service_.is_configured();
+    return !stopping_ && service_.is_configured() && places_.knows_emptied();
 }
 
 void edge_node::answer_ready(const std::shared_ptr<net::http_exchange>& exchange) const {
@@ -127,6 +132,10 @@
             limits.max_header_bytes, limits.max_body_bytes,
             base::milliseconds{std::max(limits.header_timeout_ms, limits.idle_timeout_ms)});
     }
+    if (changed.emptied_zones) {
+        places_.set_emptied(*known.emptied_zones, parts_.clock().now());
+        log_emptied(*known.emptied_zones);
+    }
     if (changed.backends) {
         pool_.set_backends(*known.backends, parts_.clock().now());
     }
@@ -161,6 +170,7 @@
         .add_gauge("pearbarrow_turns_turned_away_total",
                    "Turns refused since the storage members have too much to do")
         .set(static_cast<double>(admission.turned_away));
+    collect_places(registry, places_, pool_);
     const base::instant now = parts_.clock().now();
     registry
         .add_gauge("pearbarrow_dispatch_load_known",
--- a/src/pearbarrow/fleet/edge_node.h
+++ b/src/pearbarrow/fleet/edge_node.h
@@ -9,6 +9,7 @@
 #include "pearbarrow/fleet/node_parts.h"
 #include "pearbarrow/forward/forward_service.h"
 #include "pearbarrow/forward/load_reporter.h"
+#include "pearbarrow/places/place_rules.h"
 #include "pearbarrow/turns/call_relay.h"
 #include "pearbarrow/turns/relaying_caller.h"
 
@@ -40,6 +41,7 @@
     node_parts parts_;
     forward::forward_log log_;
     std::unique_ptr<net::http_client> client_;
+    places::place_rules places_;
     forward::backend_pool pool_;
     forward::load_reporter load_;
     std::unique_ptr<forward::program_gate> gate_;
--- /dev/null
+++ b/src/pearbarrow/fleet/place_gauges.cc
@@ -0,0 +1,29 @@
+#include "pearbarrow/fleet/place_gauges.h"
+
+#include "pearbarrow/base/log.h"
+
+namespace pearbarrow::fleet {
+
+void collect_places(base::metrics_registry& registry, const places::place_rules& rules,
+                    const forward::backend_pool& pool) {
+    registry
+        .add_gauge("pearbarrow_places_known", "1 once the node has heard which zones are emptied")
+        .set(rules.knows_emptied() ? 1 : 0);
+    registry.add_gauge("pearbarrow_places_zones_emptied", "Zones whose back ends take nothing new")
+        .set(static_cast<double>(rules.all_emptied().size()));
+    registry
+        .add_gauge("pearbarrow_places_requests_in_emptied_zones",
+                   "This node's requests that still run in these zones")
+        .set(pool.requests_in_emptied());
+}
+
+void log_emptied(const directory::emptied_zone_list& list) {
+    nlohmann::json zones = nlohmann::json::object();
+    for (const directory::emptied_zone& one : list.zones) {
+        zones[one.zone] = one.since;
+    }
+    base::log(base::log_level::info, "emptied_zones_changed",
+              {{"revision", list.revision}, {"since_by_zone", zones}});
+}
+
+}  // namespace pearbarrow::fleet
--- a/src/pearbarrow/forward/backend_pool.cc
+++ b/src/pearbarrow/forward/backend_pool.cc
@@ -110,7 +110,8 @@
     for (auto& [id, one] : entries_) {
         const bool is_known = one.listed || (lapsed && has_just_vanished(one, now));
         if (!is_known || one.backend.draining || one.backend.service != request.service ||
-            request.excluded.count(id) > 0) {
+            request.excluded.count(id) > 0 ||
+            judge(one, request.place) != places::place_verdict::permitted) {
             continue;
         }
         const bool passed_over =
--- a/src/pearbarrow/forward/backend_pool.h
+++ b/src/pearbarrow/forward/backend_pool.h
@@ -22,6 +22,7 @@
 #include "pearbarrow/forward/program_gate.h"
 #include "pearbarrow/forward/recent_results.h"
 #include "pearbarrow/forward/request_rate.h"
+#include "pearbarrow/places/place_rules.h"
 
 namespace pearbarrow::forward {
 
@@ -105,6 +106,8 @@
     std::string affinity_key;
     /// Back ends that this request was sent to already.
     std::set<std::string> excluded;
+    /// Where it may go.
+    places::place_request place;
 };
 
 struct choice {
@@ -127,6 +130,9 @@
     /// Where the load of other nodes is looked up; it outlives the pool.
     void set_shared_load(const dispatch::shared_load& load) { elsewhere_ = &load; }
 
+    /// Who says where a request may go; it outlives the pool. Before: anywhere.
+    void set_places(const places::place_rules& rules) { places_ = &rules; }
+
     void set_backends(const directory::backend_list& list, base::instant now);
 
     /// The back end to send to, counted as sent; none when no back end is fit.
@@ -145,6 +151,12 @@
     /// The service's back ends together, as far as they take requests.
     service_load load_of(std::string_view service, base::instant now) const;
     std::size_t backend_count(std::string_view service) const;
+    /// Why the service's back ends may not be used for the request; `permitted` when one may, or
+    /// there is none.
+    places::place_verdict closed_by(std::string_view service,
+                                    const places::place_request& request) const;
+    /// This node's requests in zones that are emptied.
+    std::uint32_t requests_in_emptied() const;
     /// This node's requests at each back end that has any, and what has failed of late.
     std::vector<dispatch::backend_load> own_loads(base::instant now) const;
     /// Back ends that are passed over since their requests fail.
@@ -176,6 +188,8 @@
     };
 
     std::vector<entry*> candidates(const choice_request& request, base::instant now);
+    places::place_verdict judge(const entry& one, const places::place_request& request) const;
+    bool is_in_emptied(const entry& one) const;
     /// Marks the back ends that this node works with first: those of its own zone before others,
     /// in an order that differs from node to node, so that together they use all of them evenly.
     void mark_near(const std::vector<entry*>& fit, std::size_t count);
@@ -205,6 +219,7 @@
     base::random_source& random_;
     std::unique_ptr<choice_policy> policy_;
     const dispatch::shared_load* elsewhere_ = nullptr;
+    const places::place_rules* places_ = nullptr;
     std::map<std::string, entry> entries_;
     /// By service.
     std::map<std::string, request_rate, std::less<>> rates_;
--- a/src/pearbarrow/forward/forward_context.h
+++ b/src/pearbarrow/forward/forward_context.h
@@ -14,6 +14,7 @@
 #include "pearbarrow/forward/program_gate.h"
 #include "pearbarrow/net/event_loop.h"
 #include "pearbarrow/net/http.h"
+#include "pearbarrow/places/place_rules.h"
 #include "pearbarrow/tenants/quota_client.h"
 #include "pearbarrow/tenants/tenant_table.h"
 #include "pearbarrow/turns/turn_client.h"
@@ -55,6 +56,8 @@
     std::shared_ptr<const active_configuration> active;
     /// Whether somebody would have told of a newer configuration; empty: always.
     std::function<bool()> hears_of_changes;
+    /// Where requests may go; null: anywhere.
+    const places::place_rules* places = nullptr;
 };
 
 }  // namespace pearbarrow::forward
--- a/src/pearbarrow/forward/forward_service.cc
+++ b/src/pearbarrow/forward/forward_service.cc
@@ -38,6 +38,10 @@
         refuse(*exchange, 503, "no_configuration", facts->request_id);
         return;
     }
+    if (context_.places != nullptr && !context_.places->knows_emptied()) {
+        refuse(*exchange, 503, "emptied_zones_unknown", facts->request_id);
+        return;
+    }
     const directory::route* route = active->routes.find(facts->host, request.path());
     if (route == nullptr) {
         refuse(*exchange, 404, "no_route", facts->request_id);
--- a/src/pearbarrow/forward/forwarded_attempt.cc
+++ b/src/pearbarrow/forward/forwarded_attempt.cc
@@ -70,13 +70,14 @@
 
 void forwarded_request::place() {
     attempt_began_ = context_.clock.now();
-    placed_ = context_.pool.choose({.service = choose_service(),
+    service_ = choose_service();
+    placed_ = context_.pool.choose({.service = service_,
                                     .affinity_key = is_stream() ? scoped(facts_.program) : "",
-                                    .excluded = tried_},
+                                    .excluded = tried_,
+                                    .place = place_bounds()},
                                    attempt_began_);
     if (!placed_.has_value()) {
-        answer_problem(503, "no_backend", "no back end can take the request now",
-                       context_.options.retry_after);
+        refuse_placement();
         return;
     }
     target_ = placed_->target;
@@ -84,6 +85,11 @@
 }
 
 void forwarded_request::begin_attempt() {
+    if (!may_go_to_target()) {
+        give_choice_back();
+        place();
+        return;
+    }
     tried_.insert(target_.id);
     ++attempts_;
     attempt_open_ = true;
@@ -114,6 +120,7 @@
                         .idle_timeout = base::milliseconds{0}};
     call.connect_timeout = context_.options.connect_timeout;
     call.resend_when_stale = is_repeatable();
+    call.may_send = [this] { return may_go_to_target(); };
     const auto caller_left =
         facts_.deadline_ms.has_value()
             ? arrived_ + base::milliseconds{*facts_.deadline_ms} - context_.clock.now()
@@ -257,6 +264,10 @@
 void forwarded_request::take_failure(const absl::Status& status) {
     const base::error_details details = base::details_of(status);
     const bool ran = details.was_executed != base::executed::no;
+    if (!ran && details.reason == net::withdrawn_reason) {
+        take_withdrawal();
+        return;
+    }
     end_attempt(ran ? attempt_result::broken : attempt_result::unreachable);
     if (!ran) {
         // Nothing was sent: the back end does not count as one that the request was sent to.
--- /dev/null
+++ b/src/pearbarrow/forward/forwarded_place.cc
@@ -0,0 +1,109 @@
+// Where a request may go, asked at its choice and again when its bytes go out.
+#include <algorithm>
+#include <chrono>
+
+#include <spdlog/fmt/fmt.h>
+
+#include "pearbarrow/forward/forwarded_request.h"
+
+namespace pearbarrow::forward {
+namespace {
+
+const directory::tenant* find_tenant(const directory::configuration& config,
+                                     std::string_view name) {
+    const auto found =
+        std::find_if(config.tenants.begin(), config.tenants.end(),
+                     [name](const directory::tenant& one) { return one.name == name; });
+    return found == config.tenants.end() ? nullptr : &*found;
+}
+
+nlohmann::json show(const places::place_rules::emptied_zones& zones, base::instant now) {
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto& [zone, note] : zones) {
+        const auto known = std::chrono::duration<double>(now - note.heard_at).count();
+        list.push_back(fmt::format("zone {} emptied at revision {}, known for {:.1f} s", zone,
+                                   note.since, known));
+    }
+    return list;
+}
+
+std::string_view detail_of(places::place_verdict verdict) {
+    switch (verdict) {
+        case places::place_verdict::permitted:
+            return "no back end can take the request now";
+        case places::place_verdict::zone_emptied:
+            return "the zones of the service's back ends are emptied";
+        case places::place_verdict::region_not_permitted:
+            return "no back end of the service is in a permitted region";
+        case places::place_verdict::region_unknown:
+            return "the regions of the service's back ends are not known";
+    }
+    return "unknown";
+}
+
+}  // namespace
+
+/// By the newest configuration: a request may have waited since it came.
+places::place_request forwarded_request::place_bounds() const {
+    const active_configuration& newest = *context_.active;
+    const directory::route* route = &route_;
+    if (context_.active != active_) {
+        const directory::route* found =
+            newest.routes.find(facts_.host, exchange_->request().path());
+        route = found == nullptr ? route : found;
+    }
+    places::place_request bounds{.route_regions = route->permitted_regions, .tenant_regions = {}};
+    if (!facts_.tenant.empty()) {
+        if (const auto* tenant = find_tenant(newest.config, facts_.tenant); tenant != nullptr) {
+            bounds.tenant_regions = tenant->permitted_regions;
+        }
+    }
+    return bounds;
+}
+
+bool forwarded_request::may_go_to_target() const {
+    return context_.places == nullptr ||
+           context_.places->judge(place_bounds(), target_.zone) == places::place_verdict::permitted;
+}
+
+void forwarded_request::refuse_placement() {
+    const places::place_verdict verdict = context_.pool.closed_by(service_, place_bounds());
+    if (verdict == places::place_verdict::permitted) {
+        answer_problem(503, "no_backend", detail_of(verdict), context_.options.retry_after);
+        return;
+    }
+    const std::string_view reason = places::to_string(verdict);
+    nlohmann::json fields = {{"request", facts_.request_id},
+                             {"program", facts_.program},
+                             {"tenant", facts_.tenant},
+                             {"reason", reason},
+                             {"service", service_},
+                             {"config", context_.active->config.version},
+                             {"backends_revision", context_.pool.revision()}};
+    fields["emptied"] = show(context_.places->all_emptied(), context_.clock.now());
+    context_.log.notable("place_refused", std::move(fields));
+    answer_problem(503, reason, detail_of(verdict), spread(context_.options.retry_after));
+}
+
+void forwarded_request::give_choice_back() {
+    const base::instant now = context_.clock.now();
+    context_.pool.answered(target_.id, attempt_began_);
+    context_.pool.ended(target_.id, attempt_result::abandoned, base::microseconds{0}, now);
+    context_.log.count_attempt("withdrawn");
+    nlohmann::json fields = {{"request", facts_.request_id},
+                             {"backend", target_.id},
+                             {"zone", target_.zone},
+                             {"attempt", attempts_}};
+    fields["emptied"] = show(context_.places->all_emptied(), now);
+    context_.log.notable("attempt_withdrawn", std::move(fields));
+}
+
+void forwarded_request::take_withdrawal() {
+    attempt_open_ = false;
+    --attempts_;
+    tried_.erase(target_.id);
+    give_choice_back();
+    send();
+}
+
+}  // namespace pearbarrow::forward
--- a/src/pearbarrow/forward/forwarded_request.h
+++ b/src/pearbarrow/forward/forwarded_request.h
@@ -68,6 +68,17 @@
     std::uint64_t spent_tokens() const;
     turns::reservation reserved() const;
 
+    // Where it may go, forwarded_place.cc.
+    places::place_request place_bounds() const;
+    /// Whether the chosen back end may be sent the request, by what is known now.
+    bool may_go_to_target() const;
+    /// Answers that no back end can be chosen, and why.
+    void refuse_placement();
+    /// The chosen back end gets nothing: it is as if it had not been chosen.
+    void give_choice_back();
+    /// The request did not go out, since its back end's place was closed meanwhile.
+    void take_withdrawal();
+
     // Attempts.
     /// Checks what may have changed while the request waited, then places it.
     void send();
@@ -151,6 +162,8 @@
 
     std::unique_ptr<net::http_call_handle> call_;
     std::optional<choice> placed_;
+    /// Of the present choice.
+    std::string service_;
     directory::backend target_;
     std::set<std::string> tried_;
     base::instant attempt_began_{};
--- a/src/pearbarrow/forward/service_load.cc
+++ b/src/pearbarrow/forward/service_load.cc
@@ -34,7 +34,7 @@
     std::vector<const entry*> fit;
     for (const auto& [id, one] : entries_) {
         const bool counts = one.listed && !one.backend.draining && one.backend.service == service;
-        if (counts && !is_failing(one, now)) {
+        if (counts && !is_in_emptied(one) && !is_failing(one, now)) {
             fit.push_back(&one);
         }
     }
--- a/src/pearbarrow/net/http.h
+++ b/src/pearbarrow/net/http.h
@@ -126,6 +126,9 @@
 std::unique_ptr<http_server> make_http_server(event_loop& loop, http_server_options options,
                                               http_handler handler);
 
+/// Reason in the details of a call's error: `http_call::may_send` has said no.
+inline constexpr std::string_view withdrawn_reason = "withdrawn";
+
 /// What a client request asks for.
 struct http_call {
     endpoint server;
@@ -142,6 +145,9 @@
     /// Longest time between two parts of the body. Zero: no limit.
     base::milliseconds idle_timeout{30'000};
     std::size_t max_body_bytes = std::size_t{64} * 1024 * 1024;
+    /// Asked each time just before the request goes out on a connection; false: it doesn't, and the
+    /// call ends with reason `withdrawn`. Empty: always.
+    std::function<bool()> may_send = nullptr;
 };
 
 /// Receives a streamed response. Any function may be empty.
--- a/src/pearbarrow/net/http_call_core.cc
+++ b/src/pearbarrow/net/http_call_core.cc
@@ -71,7 +71,26 @@
                                       }});
 }
 
+bool http_call_core::is_withdrawn(const std::shared_ptr<connection>& link) {
+    if (!call_.may_send || call_.may_send()) {
+        return false;
+    }
+    core_->keep_idle(call_.server, link, std::nullopt);
+    link_ = nullptr;
+    end(base::make_error(
+        absl::StatusCode::kAborted, "the request may not be sent any more",
+        {.step = "send",
+         .peer = to_string(call_.server),
+         .reason = std::string(withdrawn_reason),
+         .was_executed = was_sent_ ? base::executed::unknown : base::executed::no}));
+    return true;
+}
+
 void http_call_core::send(std::shared_ptr<connection> link) {
+    if (is_withdrawn(link)) {
+        return;
+    }
+    was_sent_ = true;
     link_ = std::move(link);
     inbox_.clear();
     if (call_.head_timeout.count() > 0) {
--- a/src/pearbarrow/net/http_call_core.h
+++ b/src/pearbarrow/net/http_call_core.h
@@ -77,6 +77,8 @@
   private:
     void connect();
     void send(std::shared_ptr<connection> link);
+    /// Whether the caller does not want it sent any more; the call has then ended.
+    bool is_withdrawn(const std::shared_ptr<connection>& link);
     void expect_response();
     void read_response();
     void on_head();
@@ -97,6 +99,8 @@
     std::string inbox_;
     std::uint64_t request_position_ = 0;
     bool was_idle_ = false;
+    /// It has gone out on some connection, maybe on one that broke.
+    bool was_sent_ = false;
     bool head_seen_ = false;
     bool done_ = false;
 };
--- a/src/pearbarrow/operator/trace.cc
+++ b/src/pearbarrow/operator/trace.cc
@@ -14,7 +14,8 @@
                                                         "request"};
 
 /// Events of a node that explain what its requests met.
-constexpr std::array<std::string_view, 11> node_events{"configuration_in_force",
+constexpr std::array<std::string_view, 12> node_events{"configuration_in_force",
+                                                       "emptied_zones_changed",
                                                        "dependency_lost",
                                                        "dependency_regained",
                                                        "peer_link_lost",
@@ -27,9 +28,9 @@
                                                        "turn_replica_complete"};
 
 /// Events that end the hopes of a request, or of one attempt.
-constexpr std::array<std::string_view, 7> deciding_events{
-    "turn_refused",  "attempt_broken",  "attempt_refused",    "attempt_failed",
-    "quota_refused", "request_refused", "program_turned_away"};
+constexpr std::array<std::string_view, 8> deciding_events{
+    "turn_refused",  "attempt_broken",  "attempt_refused",     "attempt_failed",
+    "quota_refused", "request_refused", "program_turned_away", "place_refused"};
 
 template <typename List>
 bool contains(const List& list, std::string_view text) {
--- a/src/pearbarrow/places/place_rules.cc
+++ b/src/pearbarrow/places/place_rules.cc
@@ -1,6 +1,7 @@
 #include "pearbarrow/places/place_rules.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace pearbarrow::places {
 namespace {
@@ -25,11 +26,15 @@
     return "unknown";
 }
 
-void place_rules::set_emptied(const directory::emptied_zone_list& list) {
-    this->emptied.clear();
+void place_rules::set_emptied(const directory::emptied_zone_list& list, base::instant now) {
+    emptied_zones next;
     for (const directory::emptied_zone& one : list.zones) {
-        this->emptied.insert(one.zone);
+        const auto known = this->emptied.find(one.zone);
+        const bool is_same = known != this->emptied.end() && known->second.since == one.since;
+        next[one.zone] = {.since = one.since, .heard_at = is_same ? known->second.heard_at : now};
     }
+    this->emptied = std::move(next);
+    this->is_known = true;
 }
 
 std::string_view place_rules::region_of(std::string_view zone) const {
@@ -51,7 +56,12 @@
 }
 
 place_verdict place_rules::judge(const place_request& request, std::string_view zone) const {
-    return this->is_emptied(zone) ? place_verdict::zone_emptied : this->judge_region(request, zone);
+    // An emptied zone is the reason only where the request could run in it: that passes by itself.
+    const place_verdict by_region = this->judge_region(request, zone);
+    if (by_region != place_verdict::permitted) {
+        return by_region;
+    }
+    return this->is_emptied(zone) ? place_verdict::zone_emptied : place_verdict::permitted;
 }
 
 }  // namespace pearbarrow::places
--- a/src/pearbarrow/places/place_rules.h
+++ b/src/pearbarrow/places/place_rules.h
@@ -4,12 +4,13 @@
 /// here, with what is known at that moment.
 #pragma once
 
+#include <cstdint>
 #include <map>
-#include <set>
 #include <span>
 #include <string>
 #include <string_view>
 
+#include "pearbarrow/base/clock.h"
 #include "pearbarrow/directory/snapshot.h"
 
 namespace pearbarrow::places {
@@ -37,22 +38,36 @@
     bool permits_all() const { return this->route_regions.empty() && this->tenant_regions.empty(); }
 };
 
+/// What a node knows of an order to empty a zone.
+struct emptied_note {
+    /// Revision of the outside service at which the operator asked for it.
+    std::uint64_t since = 0;
+    /// When this node heard of it.
+    base::instant heard_at{};
+};
+
 class place_rules {
   public:
+    using emptied_zones = std::map<std::string, emptied_note, std::less<>>;
+
     explicit place_rules(region_table regions) : regions(std::move(regions)) {}
 
-    void set_emptied(const directory::emptied_zone_list& list);
+    void set_emptied(const directory::emptied_zone_list& list, base::instant now = {});
+    /// Whether somebody has told which zones are emptied, if any: until then nobody may send.
+    bool knows_emptied() const { return this->is_known; }
     /// Whether a back end in the zone may be sent the request now.
     place_verdict judge(const place_request& request, std::string_view zone) const;
     /// Whether a machine in the zone may hold the request's texts; emptied zones don't matter.
     place_verdict judge_region(const place_request& request, std::string_view zone) const;
     bool is_emptied(std::string_view zone) const { return this->emptied.contains(zone); }
+    const emptied_zones& all_emptied() const { return this->emptied; }
     /// Empty: not known.
     std::string_view region_of(std::string_view zone) const;
 
   private:
     region_table regions;
-    std::set<std::string, std::less<>> emptied;
+    emptied_zones emptied;
+    bool is_known = false;
 };
 
 }  // namespace pearbarrow::places
--- /dev/null
+++ b/tests/unit/fleet/places_test.cc
@@ -0,0 +1,296 @@
+// Zones that an operator empties, and regions that routes are permitted, through a whole fleet.
+#include <algorithm>
+
+#include "fleet_fixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace pearbarrow;
+using namespace pearbarrow::fleet::testing;
+using emulator::runner_fault;
+
+namespace {
+
+constexpr char zone_a_key[] = "op/evacuate/a";
+constexpr char zone_b_key[] = "op/evacuate/b";
+
+/// Edges in zone `a`, back ends in `a` and `b`.
+struct places_fixture : fleet_fixture {
+    explicit places_fixture(std::size_t storage_count = 0, std::size_t edge_count = 1,
+                            bool start_all = true)
+        : fleet_fixture(storage_count, edge_count, false) {
+        for (auto* list : {&this->edge_settings, &this->storage_settings}) {
+            for (settings::fleet_settings& one : *list) {
+                one.regions = {{"a", "north"}, {"b", "south"}};
+            }
+        }
+        this->tool = &this->add_runner_in("a", "tool", "tool-a");
+        this->model = &this->add_runner_in("a", "model", "model-a");
+        this->far_tool = &this->add_runner_in("b", "tool", "tool-b");
+        this->far_model = &this->add_runner_in("b", "model", "model-b");
+        this->configure();
+        if (start_all) {
+            this->start_everything();
+            cr_assert(run_until(this->loop, [this] { return this->is_settled(); }));
+        }
+    }
+
+    emulator::runner& add_runner_in(const std::string& zone, const std::string& service,
+                                    const std::string& id) {
+        emulator::runner& one = this->add_runner(service, id);
+        this->list_in(zone, service, id, one);
+        return one;
+    }
+    void list_in(const std::string& zone, const std::string& service, const std::string& id,
+                 const emulator::runner& one) {
+        nlohmann::json entry = nlohmann::json::parse(one.list_entry(service));
+        entry["zone"] = zone;
+        this->store.put("servers/" + id, entry.dump());
+    }
+    bool all_know(std::size_t emptied) const {
+        return std::all_of(this->edges.begin(), this->edges.end(), [emptied](const auto& edge) {
+            const auto& known = edge->node.parts().directory().state().current().emptied_zones;
+            return known.has_value() && known->zones.size() == emptied;
+        });
+    }
+    void empty_zone(const char* key) {
+        const std::size_t before =
+            this->edges[0]->node.parts().directory().state().current().emptied_zones->zones.size();
+        this->store.put(key, "{}");
+        cr_assert(run_until(this->loop, [&] { return this->all_know(before + 1); }));
+    }
+    void call_often(std::size_t edge, int count, const char* target = "/once/a") {
+        for (int index = 0; index < count; ++index) {
+            const auto answer =
+                this->call(edge, target, "often" + std::to_string(this->last_call++));
+            cr_assert(answer.status == 200, "status %d: %s", answer.status, answer.body.c_str());
+        }
+    }
+    /// Routes as in `configure`, all with the regions.
+    void configure_regions(std::uint64_t version, const std::vector<std::string>& regions) {
+        nlohmann::json config = nlohmann::json::parse(this->store.value("op/config"));
+        config["version"] = version;
+        for (nlohmann::json& route : config["routes"]) {
+            route["allowed_regions"] = regions;
+        }
+        this->store.put("op/config", config.dump());
+        cr_assert(run_until(this->loop, [&] {
+            return std::all_of(this->edges.begin(), this->edges.end(), [&](const auto& edge) {
+                const auto& known = edge->node.parts().directory().state().current().config;
+                return known.has_value() && known->version >= version;
+            });
+        }));
+    }
+
+    emulator::runner* far_tool = nullptr;
+    emulator::runner* far_model = nullptr;
+    int last_call = 0;
+};
+
+void assert_refused(const client_answer& answer, const char* reason) {
+    cr_assert(answer.status == 503, "status %d", answer.status);
+    cr_assert(answer.body.find(reason) != std::string::npos, "%s", answer.body.c_str());
+    cr_assert(answer.headers.find("Retry-After").has_value());
+}
+
+}  // namespace
+
+Test(places, an_emptied_zone_gets_nothing_until_it_is_taken_back) {
+    places_fixture fleet;
+    fleet.call_often(0, 5);
+    cr_assert(!fleet.tool->runs().empty(), "the own zone goes first");
+    const std::size_t before = fleet.tool->runs().size();
+    fleet.empty_zone(zone_a_key);
+    fleet.call_often(0, 10);
+    cr_assert(fleet.tool->runs().size() == before);
+    fleet.store.remove(zone_a_key);
+    cr_assert(run_until(fleet.loop, [&] { return fleet.all_know(0); }));
+    fleet.call_often(0, 10);
+    cr_assert(fleet.tool->runs().size() > before);
+}
+
+Test(places, what_runs_in_the_zone_ends_in_peace) {
+    places_fixture fleet;
+    fleet.configure(3, 20'000);
+    run_for(fleet.loop, base::milliseconds{100});
+    std::optional<client_answer> result;
+    fleet.tool->set_fault(runner_fault::hang);
+    fleet.start_call(0, "/once/a", "r1", {}, "hold", result);
+    cr_assert(run_until(fleet.loop, [&] { return fleet.tool->runs().size() == 1; }));
+    fleet.empty_zone(zone_a_key);
+    run_for(fleet.loop, base::milliseconds{200});
+    cr_assert(!fleet.tool->runs().front().cancelled);
+    cr_assert(!result.has_value());
+}
+
+Test(places, a_second_attempt_goes_by_what_is_known_then) {
+    places_fixture fleet;
+    auto& other = fleet.add_runner_in("a", "tool", "tool-a2");
+    cr_assert(run_until(fleet.loop, [&] { return fleet.is_settled(); }));
+    fleet.tool->set_fault(runner_fault::hang);
+    other.set_fault(runner_fault::hang);
+    fleet.far_tool->set_fault(runner_fault::none);
+    std::optional<client_answer> result;
+    fleet.start_call(0, "/plain/a", "r1", {}, "", result);
+    cr_assert(run_until(fleet.loop, [&] {
+        return fleet.tool->runs().size() + other.runs().size() + fleet.far_tool->runs().size() == 1;
+    }));
+    fleet.empty_zone(zone_a_key);
+    cr_assert(run_until(fleet.loop, [&] { return result.has_value(); }));
+    cr_assert(result->status == 200);
+    cr_assert(fleet.tool->runs().size() + other.runs().size() <= 1);
+    cr_assert(fleet.far_tool->runs().size() == 1);
+}
+
+Test(places, a_turn_that_waited_for_its_members_goes_by_what_is_known_then) {
+    places_fixture fleet(3, 1);
+    fleet.configure(3, 10'000);
+    run_for(fleet.loop, base::milliseconds{100});
+    cr_assert(fleet.turn(0, "t1", "", "hello").status == 200);
+    const std::size_t before = fleet.model->runs().size();
+    fleet.storages[1].reset();
+    fleet.storages[2].reset();
+    std::optional<client_answer> result;
+    fleet.start_call(0, "/turn/x", "t2",
+                     {{"Pearbarrow-Program-Id", "program"},
+                      {"Pearbarrow-Token-Budget", "10000"},
+                      {"Pearbarrow-Token-Usage", "100,50"},
+                      {"Pearbarrow-Previous-Turn", "t1"}},
+                     "more", result);
+    run_for(fleet.loop, base::milliseconds{100});
+    cr_assert(!result.has_value(), "the turn is being prepared");
+    fleet.empty_zone(zone_a_key);
+    fleet.start_storage(1);
+    fleet.start_storage(2);
+    cr_assert(run_until(fleet.loop, [&] { return result.has_value(); }));
+    cr_assert(result->status == 200, "status %d: %s", result->status, result->body.c_str());
+    cr_assert(fleet.model->runs().size() == before);
+    cr_assert(!fleet.far_model->runs().empty());
+}
+
+Test(places, a_request_that_waited_for_its_limit_goes_by_what_is_known_then) {
+    places_fixture fleet(3, 1);
+    nlohmann::json config = nlohmann::json::parse(fleet.store.value("op/config"));
+    config["version"] = 3;
+    config["tenants"] = {
+        {{"name", "a"}, {"api_keys", {"key-of-a"}}, {"quota", {{"rate", 100}, {"burst", 100}}}}};
+    fleet.store.put("op/config", config.dump());
+    cr_assert(run_until(fleet.loop, [&] {
+        const auto& known = fleet.edges[0]->node.parts().directory().state().current().config;
+        return known->version == 3;
+    }));
+    for (auto& storage : fleet.storages) {
+        storage.reset();
+    }
+    std::optional<client_answer> result;
+    fleet.start_call(0, "/once/a", "r1", {{"Authorization", "Bearer key-of-a"}}, "", result);
+    run_for(fleet.loop, base::milliseconds{5});
+    fleet.store.put(zone_a_key, "{}");
+    for (std::size_t index = 0; index < fleet.storages.size(); ++index) {
+        fleet.start_storage(index);
+    }
+    cr_assert(run_until(fleet.loop, [&] { return result.has_value(); }));
+    cr_assert(fleet.tool->runs().empty());
+}
+
+Test(places, when_all_zones_are_emptied_the_answer_says_so_at_once) {
+    places_fixture fleet;
+    fleet.store.put(zone_a_key, "{}");
+    fleet.store.put(zone_b_key, "{}");
+    cr_assert(run_until(fleet.loop, [&] { return fleet.all_know(2); }));
+    assert_refused(fleet.call(0, "/once/a", "r1"), "zone_emptied");
+    cr_assert(fleet.tool->runs().empty() && fleet.far_tool->runs().empty());
+    fleet.store.remove(zone_b_key);
+    cr_assert(run_until(fleet.loop, [&] { return fleet.all_know(1); }));
+    fleet.call_often(0, 5);
+    cr_assert(fleet.tool->runs().empty());
+}
+
+Test(places, a_service_whose_last_zone_is_emptied_is_refused_and_others_are_served) {
+    places_fixture fleet;
+    fleet.store.remove("servers/tool-b");
+    cr_assert(run_until(fleet.loop, [&] {
+        const auto& known = fleet.edges[0]->node.parts().directory().state().current();
+        return known.backends->backends.count("tool-b") == 0;
+    }));
+    fleet.empty_zone(zone_a_key);
+    assert_refused(fleet.call(0, "/once/a", "r1"), "zone_emptied");
+}
+
+Test(places, a_zone_that_does_not_exist_changes_nothing) {
+    places_fixture fleet;
+    fleet.empty_zone("op/evacuate/nowhere");
+    fleet.call_often(0, 5);
+    cr_assert(!fleet.tool->runs().empty());
+}
+
+Test(places, a_node_that_the_store_turns_away_hears_of_it_from_its_peers) {
+    places_fixture fleet(0, 3, false);
+    fleet.edge_settings[2].directory_service = free_address();
+    fleet.start_everything();
+    cr_assert(run_until(fleet.loop, [&] { return fleet.is_settled() && fleet.all_know(0); }));
+    const base::instant began = fleet.clock.now();
+    fleet.empty_zone(zone_a_key);
+    cr_assert(fleet.clock.now() - began < base::milliseconds{2'000});
+    fleet.call_often(2, 5);
+    cr_assert(fleet.tool->runs().empty());
+    fleet.store.remove(zone_a_key);
+    cr_assert(run_until(fleet.loop, [&] { return fleet.all_know(0); }));
+    fleet.call_often(2, 5);
+    cr_assert(!fleet.tool->runs().empty());
+}
+
+Test(places, a_node_that_restarts_while_the_store_is_out_knows_it_before_it_is_ready) {
+    places_fixture fleet(0, 3);
+    fleet.empty_zone(zone_a_key);
+    fleet.store.set_trouble(emulator::metadata_store::trouble::silent);
+    fleet.edges[2].reset();
+    fleet.start_edge(2);
+    cr_assert(!fleet.edges[2]->node.is_ready());
+    cr_assert(run_until(fleet.loop, [&] { return fleet.edges[2]->node.is_ready(); }));
+    fleet.call_often(2, 5);
+    cr_assert(fleet.tool->runs().empty());
+}
+
+Test(places, a_node_that_has_not_heard_which_zones_are_emptied_sends_nothing) {
+    places_fixture fleet(0, 2, false);
+    fleet.edge_settings[1].directory_service = free_address();
+    fleet.edge_settings[1].seeds.clear();
+    fleet.start_everything();
+    const auto& full = fleet.edges[0]->node.parts().directory().state();
+    cr_assert(run_until(fleet.loop, [&] {
+        return full.current().config.has_value() && full.current().backends.has_value();
+    }));
+    directory::directory_update part = full.newer_than({});
+    part.emptied_zones.clear();
+    fleet.edges[1]->node.parts().directory().publish(part);
+    cr_assert(!fleet.edges[1]->node.is_ready());
+    assert_refused(fleet.call(1, "/once/a", "r1"), "emptied_zones_unknown");
+    directory::directory_update rest;
+    rest.emptied_zones.push_back({.revision = 1, .zones = {}});
+    fleet.edges[1]->node.parts().directory().publish(rest);
+    cr_assert(fleet.edges[1]->node.is_ready());
+    fleet.call_often(1, 1);
+}
+
+Test(places, requests_run_only_in_permitted_regions) {
+    places_fixture fleet;
+    fleet.configure_regions(3, {"south"});
+    fleet.call_often(0, 10);
+    cr_assert(fleet.tool->runs().empty());
+    fleet.empty_zone(zone_b_key);
+    assert_refused(fleet.call(0, "/once/a", "r1"), "zone_emptied");
+    fleet.configure_regions(4, {"west"});
+    assert_refused(fleet.call(0, "/once/a", "r2"), "region_not_permitted");
+    cr_assert(fleet.tool->runs().empty());
+}
+
+Test(places, a_back_end_in_a_zone_without_a_region_is_not_used_where_regions_bind) {
+    places_fixture fleet;
+    fleet.list_in("unknown", "tool", "tool-a", *fleet.tool);
+    fleet.list_in("unknown", "tool", "tool-b", *fleet.far_tool);
+    run_for(fleet.loop, base::milliseconds{300});
+    fleet.configure_regions(3, {"north", "south"});
+    assert_refused(fleet.call(0, "/once/a", "r1"), "region_unknown");
+    cr_assert(fleet.tool->runs().empty() && fleet.far_tool->runs().empty());
+}
--- /dev/null
+++ b/tests/unit/forward/place_check_test.cc
@@ -0,0 +1,256 @@
+// Emptied zones and permitted regions at the choice of a back end and at each send.
+#include <chrono>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "../net/net_fixture.h"
+#include "../turns/counting_caller.h"
+#include "pearbarrow/base/metrics.h"
+#include "pearbarrow/base/status.h"
+#include "pearbarrow/forward/forward_service.h"
+
+#include <criterion/criterion.h>
+
+using namespace pearbarrow;
+using namespace pearbarrow::forward;
+using places::place_rules;
+using places::place_verdict;
+
+namespace {
+
+directory::backend_list two_zones(std::size_t of_each) {
+    directory::backend_list list{.revision = 1, .backends = {}};
+    for (std::size_t index = 0; index < 2 * of_each; ++index) {
+        directory::backend one;
+        one.id = "i" + std::to_string(index);
+        one.service = "tool";
+        one.zone = index % 2 == 0 ? "a" : "b";
+        one.slots = 4;
+        list.backends[one.id] = one;
+    }
+    return list;
+}
+
+directory::emptied_zone_list emptied(std::vector<std::string> zones) {
+    directory::emptied_zone_list list{.revision = 7, .zones = {}};
+    for (std::string& zone : zones) {
+        list.zones.push_back({.zone = std::move(zone), .since = 7});
+    }
+    return list;
+}
+
+/// Keeps what is sent, and answers when the test says so.
+class scripted_client final : public net::http_client {
+  public:
+    struct sent_call {
+        net::http_call call;
+        net::http_call_callbacks callbacks;
+    };
+    class handle final : public net::http_call_handle {
+      public:
+        void cancel() override {}
+    };
+
+    std::unique_ptr<net::http_call_handle> start(net::http_call call,
+                                                 net::http_call_callbacks callbacks) override {
+        this->sent.push_back({std::move(call), std::move(callbacks)});
+        return std::make_unique<handle>();
+    }
+    void fetch(net::http_call /*call*/,
+               std::function<void(absl::StatusOr<net::http_response>)> /*callback*/) override {}
+    absl::Status reload_tls() override { return absl::OkStatus(); }
+
+    std::vector<sent_call> sent;
+};
+
+class scripted_exchange final : public net::http_exchange {
+  public:
+    explicit scripted_exchange(net::http_request request) : asked(std::move(request)) {}
+    const net::http_request& request() const override { return this->asked; }
+    void respond(net::http_response response) override { this->answer = std::move(response); }
+    void start_stream(int /*status*/, net::http_headers /*headers*/) override {}
+    void write(std::string /*chunk*/) override {}
+    void finish() override {}
+    void abort() override {}
+    std::size_t pending_bytes() const override { return 0; }
+    void on_closed(std::function<void()> /*callback*/) override {}
+
+    net::http_request asked;
+    std::optional<net::http_response> answer;
+};
+
+/// A forwarding node in zone `a`, a back end in `a` and one in `b`.
+struct place_fixture {
+    explicit place_fixture(const std::vector<std::string>& regions = {}) {
+        this->pool.set_places(this->rules);
+        this->pool.set_backends(two_zones(1), this->clock.now());
+        this->configure(1, regions);
+        this->rules.set_emptied(emptied({}));
+    }
+
+    void configure(std::uint64_t version, const std::vector<std::string>& regions) {
+        directory::configuration config;
+        config.version = version;
+        directory::route route;
+        route.name = "once";
+        route.host = "shop.example";
+        route.path_prefix = "/once/";
+        route.kind = directory::request_kind::non_idempotent;
+        route.attempts = 2;
+        route.services = {{.service = "tool", .weight = 1}};
+        route.permitted_regions = regions;
+        config.routes.push_back(std::move(route));
+        this->service->set_configuration(config);
+    }
+    std::shared_ptr<scripted_exchange> ask() {
+        net::http_request request;
+        request.method = "POST";
+        request.target = "/once/x";
+        request.headers = {{"Host", "shop.example"}, {"Request-Id", "r1"}};
+        auto exchange = std::make_shared<scripted_exchange>(std::move(request));
+        this->service->handle(exchange);
+        return exchange;
+    }
+    std::string target_of(std::size_t call) const {
+        return this->client.sent[call].call.headers.find("Target").value_or("");
+    }
+    static header_names names() {
+        header_names names;
+        names.request_id = "Request-Id";
+        names.target_backend = "Target";
+        return names;
+    }
+
+    net::event_loop loop;
+    base::system_clock_source clock;
+    base::random_source random{1};
+    base::metrics_registry metrics;
+    forward_log log{clock, metrics, {}};
+    scripted_client client;
+    place_rules rules{{{"a", "north"}, {"b", "south"}}};
+    backend_pool pool{{.node = "n", .zone = "a"}, random};
+    turns::testing::counting_caller caller;
+    turns::turn_client turns{loop, clock, caller, turns::client_options{}};
+    std::unique_ptr<program_gate> gate = make_open_gate();
+    tenants::quota_client quotas{loop, clock, caller, {}};
+    forward_context context{.loop = loop,
+                            .clock = clock,
+                            .random = random,
+                            .client = client,
+                            .pool = pool,
+                            .turns = turns,
+                            .quotas = quotas,
+                            .gate = *gate,
+                            .log = log,
+                            .options = {.headers = names()},
+                            .active = nullptr,
+                            .places = &rules};
+    std::unique_ptr<forward_service> service = std::make_unique<forward_service>(context);
+};
+
+absl::Status withdrawn() {
+    return base::make_error(absl::StatusCode::kAborted, "withdrawn",
+                            {.step = "send",
+                             .reason = std::string(net::withdrawn_reason),
+                             .was_executed = base::executed::no});
+}
+
+}  // namespace
+
+Test(place_check, the_pool_leaves_out_emptied_zones) {
+    place_rules rules({});
+    base::random_source random(1);
+    backend_pool pool({.node = "n", .zone = "a"}, random);
+    const base::instant now{std::chrono::seconds(1)};
+    pool.set_places(rules);
+    pool.set_backends(two_zones(4), now);
+    rules.set_emptied(emptied({"a"}));
+    for (int index = 0; index < 40; ++index) {
+        const auto chosen = pool.choose({.service = "tool"}, now);
+        cr_assert(chosen.has_value() && chosen->target.zone == "b");
+        cr_assert(chosen->candidates == 4);
+    }
+    cr_assert(pool.closed_by("tool", {}) == place_verdict::permitted);
+    rules.set_emptied(emptied({"a", "b"}));
+    cr_assert(!pool.choose({.service = "tool"}, now).has_value());
+    cr_assert(pool.closed_by("tool", {}) == place_verdict::zone_emptied);
+    cr_assert(pool.requests_in_emptied() == 40);
+}
+
+Test(place_check, the_gate_sees_the_places_of_open_zones_at_once) {
+    place_rules rules({});
+    base::random_source random(1);
+    backend_pool pool({.node = "n", .zone = "a"}, random);
+    const base::instant now{std::chrono::seconds(1)};
+    pool.set_places(rules);
+    pool.set_backends(two_zones(4), now);
+    cr_assert(pool.load_of("tool", now).places == 32);
+    rules.set_emptied(emptied({"a"}));
+    cr_assert(pool.load_of("tool", now).places == 16);
+    rules.set_emptied(emptied({}));
+    cr_assert(pool.load_of("tool", now).places == 32);
+}
+
+Test(place_check, a_request_whose_back_end_closes_while_its_connection_opens_goes_elsewhere) {
+    place_fixture node;
+    const auto exchange = node.ask();
+    cr_assert(node.client.sent.size() == 1 && node.target_of(0) == "i0");
+    cr_assert(node.client.sent[0].call.may_send());
+    node.rules.set_emptied(emptied({"a"}));
+    cr_assert(!node.client.sent[0].call.may_send());
+    node.client.sent[0].callbacks.on_done(withdrawn());
+    cr_assert(node.client.sent.size() == 2 && node.target_of(1) == "i1");
+    cr_assert(!exchange->answer.has_value());
+    cr_assert(node.pool.requests_in_emptied() == 0, "nothing of it is counted there");
+    // The attempt that was not sent counts as none: one more may follow the second.
+    node.rules.set_emptied(emptied({}));
+    node.client.sent[1].callbacks.on_done(withdrawn());
+    cr_assert(node.client.sent.size() == 3);
+    node.loop.post([&] { node.loop.stop(); });
+    node.loop.run();
+}
+
+Test(place_check, what_has_been_sent_is_left_alone) {
+    place_fixture node;
+    const auto exchange = node.ask();
+    node.rules.set_emptied(emptied({"a"}));
+    net::testing::run_for(node.loop, std::chrono::milliseconds(20));
+    cr_assert(!exchange->answer.has_value());
+    cr_assert(node.client.sent.size() == 1);
+    cr_assert(node.pool.requests_in_emptied() == 1);
+}
+
+Test(place_check, regions_that_change_while_a_request_waits_bind_it) {
+    place_fixture node;
+    const auto exchange = node.ask();
+    cr_assert(node.target_of(0) == "i0");
+    node.configure(2, {"south"});
+    cr_assert(!node.client.sent[0].call.may_send());
+    node.client.sent[0].callbacks.on_done(withdrawn());
+    cr_assert(node.target_of(1) == "i1");
+}
+
+Test(place_check, a_refusal_names_its_reason_and_when_to_come_back) {
+    place_fixture node({"west"});
+    const auto first = node.ask();
+    cr_assert(first->answer->status == 503);
+    cr_assert(first->answer->body.find("region_not_permitted") != std::string::npos);
+    cr_assert(first->answer->headers.find("Retry-After").has_value());
+    node.configure(2, {});
+    node.rules.set_emptied(emptied({"a", "b"}));
+    const auto second = node.ask();
+    cr_assert(second->answer->body.find("zone_emptied") != std::string::npos);
+    cr_assert(node.client.sent.empty());
+}
+
+Test(place_check, a_node_that_was_never_told_of_emptied_zones_refuses) {
+    place_fixture node;
+    node.rules = place_rules({});
+    const auto exchange = node.ask();
+    cr_assert(exchange->answer->status == 503);
+    cr_assert(exchange->answer->body.find("emptied_zones_unknown") != std::string::npos);
+    node.rules.set_emptied(emptied({}));
+    node.ask();
+    cr_assert(node.client.sent.size() == 1);
+}
--- a/tests/unit/net/http_client_test.cc
+++ b/tests/unit/net/http_client_test.cc
@@ -146,6 +146,55 @@
     }
 }
 
+Test(http_client, a_request_that_is_withdrawn_while_its_connection_opens_does_not_go_out) {
+    event_loop loop;
+    raw_server server;
+    const auto client = make_http_client(loop);
+    bool allowed = true;
+    std::optional<absl::Status> ended;
+    auto call = get(server.local_endpoint());
+    call.may_send = [&] { return allowed; };
+    const auto handle =
+        client->start(std::move(call), {.on_done = [&](absl::Status status) { ended = status; }});
+    allowed = false;
+    cr_assert(run_until(loop, [&] { return ended.has_value(); }));
+    run_for(loop, milliseconds(20));
+    server.accept();
+    cr_assert(!server.has("G"), "%s", server.received.c_str());
+    const auto details = base::details_of(*ended);
+    cr_assert(details.reason == withdrawn_reason, "%s", details.reason.c_str());
+    cr_assert(details.was_executed == base::executed::no);
+}
+
+Test(http_client, a_request_that_is_withdrawn_is_not_sent_again_on_a_new_connection) {
+    event_loop loop;
+    raw_server server;
+    const auto client = make_http_client(loop);
+    bool first = false;
+    client->fetch(get(server.local_endpoint()),
+                  [&](const absl::StatusOr<http_response>&) { first = true; });
+    cr_assert(run_until(loop, [&] { return server.has("\r\n\r\n"); }));
+    server.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    cr_assert(run_until(loop, [&] { return first; }));
+    server.received.clear();
+    bool allowed = true;
+    std::optional<absl::Status> ended;
+    auto call = get(server.local_endpoint());
+    call.may_send = [&] { return allowed; };
+    const auto handle =
+        client->start(std::move(call), {.on_done = [&](absl::Status status) { ended = status; }});
+    cr_assert(run_until(loop, [&] { return server.has("\r\n\r\n"); }));
+    server.received.clear();
+    allowed = false;
+    server.close_connection();
+    cr_assert(run_until(loop, [&] { return ended.has_value(); }));
+    run_for(loop, milliseconds(20));
+    server.accept();
+    cr_assert(!server.has("G"));
+    // The broken connection may have delivered it.
+    cr_assert(base::details_of(*ended).was_executed == base::executed::unknown);
+}
+
 Test(http_client, cancelling_closes_the_connection_and_ends_callbacks) {
     event_loop loop;
     raw_server server;
--- a/tests/unit/operator/trace_test.cc
+++ b/tests/unit/operator/trace_test.cc
@@ -73,8 +73,8 @@
     cr_assert(!find_costliest_step(collector.finish()).has_value());
 }
 
-Test(trace, a_limit_and_full_engines_decide) {
-    for (const char* event : {"quota_refused", "program_turned_away"}) {
+Test(trace, a_limit_full_engines_and_closed_places_decide) {
+    for (const char* event : {"quota_refused", "program_turned_away", "place_refused"}) {
         trace_collector collector("r1");
         collector.add_line(
             line("05.200", "edge-1", std::string(R"("event":")") + event + R"(","request":"r1")"));
--- a/tests/unit/places/place_rules_test.cc
+++ b/tests/unit/places/place_rules_test.cc
@@ -1,5 +1,6 @@
 #include "pearbarrow/places/place_rules.h"
 
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,7 @@
         {{"north"}, {}, "north-1", place_verdict::permitted},
         {{"north"}, {}, "north-2", place_verdict::zone_emptied},
         {{"north"}, {}, "south-1", place_verdict::region_not_permitted},
+        {{"south"}, {}, "north-2", place_verdict::region_not_permitted},
         {{"north"}, {}, "elsewhere", place_verdict::region_unknown},
         {{"north", "south"}, {"south"}, "north-1", place_verdict::region_not_permitted},
         {{"north", "south"}, {"south"}, "south-1", place_verdict::permitted},
@@ -57,6 +59,21 @@
     cr_assert(rules.judge({}, "north-2") == place_verdict::permitted);
 }
 
+Test(place_rules, it_remembers_when_it_heard_of_each_order) {
+    place_rules rules({});
+    cr_assert(!rules.knows_emptied());
+    const base::instant first{std::chrono::seconds(1)};
+    const base::instant second{std::chrono::seconds(2)};
+    rules.set_emptied({.revision = 7, .zones = {{.zone = "a", .since = 7}}}, first);
+    rules.set_emptied(
+        {.revision = 9, .zones = {{.zone = "a", .since = 7}, {.zone = "b", .since = 9}}}, second);
+    cr_assert(rules.knows_emptied());
+    cr_assert(rules.all_emptied().at("a").heard_at == first);
+    cr_assert(rules.all_emptied().at("b").heard_at == second);
+    rules.set_emptied({.revision = 12, .zones = {{.zone = "a", .since = 11}}}, second);
+    cr_assert(rules.all_emptied().at("a").heard_at == second, "taken back and asked for again");
+}
+
 Test(place_rules, texts_may_lie_in_an_emptied_zone) {
     const std::vector<std::string> north = {"north"};
     const place_request request{.route_regions = north, .tenant_regions = {}};
