Cold back ends get requests by permits that storage members grant from shares

Cause: a back end that has just started bears few requests a second from all nodes together, and nothing bounds what they send: when a zone returns, all nodes see it idle at once.

Change: `slowstart/cold_table` says which back ends are cold, with what isn't known (first contact, a new start, a zone taken back, news after a gap, one that could not be reached) counted as cold. A request to a cold one asks the members that count it (`slowstart/start_quota` over `tenants/quota_client` and `quota_ledger`, one counting core with two users); without a permit it goes to a warm one at once. Where all are cold and used up a new program is refused at once, a turn under way waits as long as its objective. Settings `slow_start.overage` and `slow_start.slack` state the bound.

Tests of slowstart, forward, tenants and settings pass; fleet tests not run yet.

--- a/src/pearbarrow/fleet/edge_node.cc
+++ b/src/pearbarrow/fleet/edge_node.cc
@@ -10,6 +10,8 @@
 /// asks for readiness once a second, and acts on the second refusal.
 constexpr base::milliseconds notice_time{2'600};
 constexpr base::milliseconds idle_check{50};
+/// How soon after a gap in hearing of changes back ends count as cold.
+constexpr base::milliseconds hearing_check{100};
 /// Kept back from the stop timeout for the process to end.
 constexpr base::milliseconds exit_margin{400};
 
@@ -68,6 +70,8 @@
       members_(loop, parts_.rpc(), clock, {}, [this] { return relay_peer(); }),
       turns_(loop, clock, members_, {.loads = &load_, .zone = settings.zone}),
       quotas_(loop, clock, members_, {}),
+      permit_client_(loop, clock, members_, slowstart::permit_client_options()),
+      permits_(loop, clock, parts_.random(), permit_client_),
       context_{.loop = loop,
                .clock = clock,
                .random = parts_.random(),
@@ -83,8 +87,11 @@
                    [this] {
                        const auto& exchange = parts_.directory();
                        return exchange.peer_count() == 0 || exchange.is_connected();
-                   }},
+                   },
+               .permits = &permits_},
       service_(context_) {
+    pool_.set_cold_table(cold_);
+    context_.options.permit_lifetime = permit_client_.limits().grant_lifetime;
     context_.options.tells_priority = settings.dispatch.tells_priority;
     parts_.gauges().add([this](base::metrics_registry& registry) { collect(registry); });
 }
@@ -107,6 +114,7 @@
     if (auto status = ready_->start(); !status.ok()) {
         return status;
     }
+    hearing_check_ = parts_.loop().every(hearing_check, [this] { watch_hearing(); });
     return parts_.start();
 }
 
@@ -122,12 +130,17 @@
     const directory::snapshot& known = parts_.directory().state().current();
     if (changed.config) {
         service_.set_configuration(*known.config);
+        cold_.set_configuration(*known.config);
         const directory::traffic_limits& limits = known.config->limits;
         callers_->set_limits(
             limits.max_header_bytes, limits.max_body_bytes,
             base::milliseconds{std::max(limits.header_timeout_ms, limits.idle_timeout_ms)});
     }
+    if (changed.emptied_zones) {
+        cold_.set_emptied_zones(*known.emptied_zones, parts_.clock().now());
+    }
     if (changed.backends) {
+        cold_.set_backends(*known.backends, parts_.clock().now());
         pool_.set_backends(*known.backends, parts_.clock().now());
     }
     if (changed.storage) {
@@ -135,6 +148,14 @@
         members_.set_view(*known.storage);
         turns_.set_view(*known.storage);
         quotas_.set_view(*known.storage);
+        permit_client_.set_view(*known.storage);
+    }
+}
+
+void edge_node::watch_hearing() {
+    const bool heard_peers = std::exchange(hears_peers_, parts_.directory().is_connected());
+    if (!heard_peers && hears_peers_) {
+        cold_.note_gap(parts_.clock().now());
     }
 }
 
@@ -174,6 +195,10 @@
         .add_gauge("pearbarrow_dispatch_backends_lapsed",
                    "Back ends used although their entries have vanished together")
         .set(static_cast<double>(pool_.lapsed_count(now)));
+    registry
+        .add_gauge("pearbarrow_backends_cold",
+                   "Back ends that get requests by permit only, since they have just started")
+        .set(static_cast<double>(cold_.cold_count(now)));
     registry
         .add_gauge("pearbarrow_requests_open", "Requests of callers that have no whole answer yet")
         .set(static_cast<double>(callers_->open_exchanges()));
--- a/src/pearbarrow/fleet/edge_node.h
+++ b/src/pearbarrow/fleet/edge_node.h
@@ -9,6 +9,8 @@
 #include "pearbarrow/fleet/node_parts.h"
 #include "pearbarrow/forward/forward_service.h"
 #include "pearbarrow/forward/load_reporter.h"
+#include "pearbarrow/slowstart/cold_table.h"
+#include "pearbarrow/slowstart/start_quota.h"
 #include "pearbarrow/turns/call_relay.h"
 #include "pearbarrow/turns/relaying_caller.h"
 
@@ -34,12 +36,17 @@
     void answer_ready(const std::shared_ptr<net::http_exchange>& exchange) const;
     void end_when_idle();
     void collect(base::metrics_registry& registry) const;
+    /// Notes when news come again after a time without any.
+    void watch_hearing();
     /// A node through which storage members may be reached.
     net::endpoint relay_peer();
 
     node_parts parts_;
     forward::forward_log log_;
     std::unique_ptr<net::http_client> client_;
+    slowstart::cold_table cold_;
+    bool hears_peers_ = false;
+    std::unique_ptr<net::timer_handle> hearing_check_;
     forward::backend_pool pool_;
     forward::load_reporter load_;
     std::unique_ptr<forward::program_gate> gate_;
@@ -47,6 +54,8 @@
     turns::relaying_caller members_;
     turns::turn_client turns_;
     tenants::quota_client quotas_;
+    tenants::quota_client permit_client_;
+    slowstart::start_quota permits_;
     forward::forward_context context_;
     forward::forward_service service_;
     std::unique_ptr<net::http_server> callers_;
--- a/src/pearbarrow/fleet/storage_node.cc
+++ b/src/pearbarrow/fleet/storage_node.cc
@@ -28,7 +28,8 @@
 
 storage_node::storage_node(net::event_loop& loop, const base::clock& clock,
                            const settings::fleet_settings& settings)
-    : parts_(loop, clock, settings, [this](const auto& changed) { take_changes(changed); }) {}
+    : parts_(loop, clock, settings, [this](const auto& changed) { take_changes(changed); }),
+      start_limits_({.overage = settings.slow_start.overage, .slack = settings.slow_start.slack}) {}
 
 storage_node::~storage_node() = default;
 
@@ -79,6 +80,9 @@
                                       .life = parts_.random().next() | 1U});
     quotas_ = std::make_unique<tenants::quota_service>(parts_.rpc(), parts_.clock(),
                                                        quota_options(parts_.settings()));
+    permits_ = std::make_unique<tenants::quota_service>(
+        parts_.rpc(), parts_.clock(), slowstart::permit_ledger_options(parts_.settings().node),
+        wire::start_permit);
     parts_.gauges().add([this](base::metrics_registry& registry) { collect(registry); });
     if (auto status = parts_.start(); !status.ok()) {
         return status;
@@ -114,6 +118,12 @@
         quotas.program_count());
     set("pearbarrow_quota_granted_total", "Requests granted", quotas.granted());
     set("pearbarrow_quota_refused_total", "Requests refused", quotas.refused());
+    const tenants::quota_ledger& permits = permits_->ledger();
+    set("pearbarrow_start_permits_backends",
+        "Back ends for whose starts this member grants a part of the permits",
+        permits.tenant_count());
+    set("pearbarrow_start_permits_granted_total", "Permits granted", permits.granted());
+    set("pearbarrow_start_permits_refused_total", "Permits refused", permits.refused());
     set("pearbarrow_turn_replica_behind", "Other members of whose changes some are not stored here",
         replica_->behind_count());
 }
@@ -152,16 +162,32 @@
     if (changed.config) {
         quotas_->ledger().set_configuration(*parts_.directory().state().current().config, now);
     }
+    take_start_limits(changed, now);
     if (!changed.storage) {
         return;
     }
     const directory::storage_view& view = *parts_.directory().state().current().storage;
     quotas_->ledger().set_view(view, now);
+    permits_->ledger().set_view(view, now);
     replica_->set_view(view);
     membership_->set_view(view);
     loads_->set_view(view);
 }
 
+void storage_node::take_start_limits(const directory::directory_state::changes& changed,
+                                     base::instant now) {
+    const directory::snapshot& known = parts_.directory().state().current();
+    if (changed.config) {
+        start_limits_.set_configuration(*known.config);
+    }
+    if (changed.backends) {
+        start_limits_.set_backends(*known.backends, now);
+    }
+    if (changed.config || changed.backends) {
+        permits_->ledger().set_configuration(start_limits_.limits(), now);
+    }
+}
+
 void storage_node::stop(std::function<void()> done) {
     // Nothing waits here: what was confirmed is stored, and edges ask the other members.
     parts_.loop().post(std::move(done));
--- a/src/pearbarrow/fleet/storage_node.h
+++ b/src/pearbarrow/fleet/storage_node.h
@@ -7,6 +7,7 @@
 #include <absl/status/status.h>
 
 #include "pearbarrow/fleet/node_parts.h"
+#include "pearbarrow/slowstart/start_limits.h"
 #include "pearbarrow/tenants/quota_service.h"
 #include "pearbarrow/turns/board_exchange.h"
 #include "pearbarrow/turns/storage_membership.h"
@@ -37,6 +38,7 @@
     void recall_directory();
     void keep_directory();
     void take_changes(const directory::directory_state::changes& changed);
+    void take_start_limits(const directory::directory_state::changes& changed, base::instant now);
 
     node_parts parts_;
     std::unique_ptr<turns::turn_store> store_;
@@ -44,6 +46,9 @@
     std::unique_ptr<turns::storage_membership> membership_;
     std::unique_ptr<turns::board_exchange> loads_;
     std::unique_ptr<tenants::quota_service> quotas_;
+    slowstart::start_limits start_limits_;
+    /// Counts permits for back ends that have just started.
+    std::unique_ptr<tenants::quota_service> permits_;
 };
 
 }  // namespace pearbarrow::fleet
--- a/src/pearbarrow/forward/backend_pool.cc
+++ b/src/pearbarrow/forward/backend_pool.cc
@@ -106,18 +106,26 @@
                                                            base::instant now) {
     std::vector<entry*> fit;
     std::vector<entry*> resting;
+    std::vector<entry*> cold;
     const bool lapsed = has_lapsed(request.service, now);
     for (auto& [id, one] : entries_) {
         const bool is_known = one.listed || (lapsed && has_just_vanished(one, now));
         if (!is_known || one.backend.draining || one.backend.service != request.service ||
-            request.excluded.count(id) > 0) {
+            request.excluded.count(id) > 0 || request.without_permit.count(id) > 0) {
             continue;
         }
         const bool passed_over =
             is_resting(one, now) ||
             (is_failing(one, now) && random_.below(options_.trial_interval) != 0);
+        if (!passed_over && !request.without_permit.empty() && is_cold(one, now)) {
+            cold.push_back(&one);
+            continue;
+        }
         (passed_over ? resting : fit).push_back(&one);
     }
+    if (fit.empty() && !cold.empty()) {
+        return cold;
+    }
     // A resting back end may have recovered: better than none.
     return fit.empty() ? resting : fit;
 }
@@ -144,6 +152,10 @@
     return std::max(options_.least_near, static_cast<std::size_t>(std::ceil(wanted)));
 }
 
+bool backend_pool::is_cold(const entry& one, base::instant now) const {
+    return cold_ != nullptr && cold_->is_cold(one.backend.id, now);
+}
+
 bool backend_pool::is_failing(const entry& one, base::instant now) const {
     const dispatch::backend_load others = elsewhere(one, now);
     const double failed = one.results.failed(now) + others.failed / hundredths;
@@ -162,7 +174,8 @@
     if (one.rests_until > now) {
         return true;
     }
-    if (one.unanswered.empty()) {
+    // One that has just started is slow, which is no failure.
+    if (one.unanswered.empty() || is_cold(one, now)) {
         return false;
     }
     const auto by_mean =
@@ -232,7 +245,8 @@
                   .elsewhere_known = knows_others(now),
                   .reason = ranked.reason,
                   .candidates = fit.size(),
-                  .near = near};
+                  .near = near,
+                  .cold = cold_ == nullptr ? std::nullopt : cold_->find(chosen->backend.id, now)};
 }
 
 std::vector<dispatch::backend_load> backend_pool::own_loads(base::instant now) const {
@@ -281,6 +295,11 @@
     }
     entry& one = found->second;
     --one.in_flight;
+    if (cold_ != nullptr && result == attempt_result::unreachable) {
+        cold_->note_unreachable(id);
+    } else if (cold_ != nullptr && result != attempt_result::abandoned) {
+        cold_->note_reached(id, now);
+    }
     if (result != attempt_result::abandoned && result != attempt_result::refused) {
         one.results.add(result != attempt_result::served, now);
     }
--- a/src/pearbarrow/forward/backend_pool.h
+++ b/src/pearbarrow/forward/backend_pool.h
@@ -22,6 +22,7 @@
 #include "pearbarrow/forward/program_gate.h"
 #include "pearbarrow/forward/recent_results.h"
 #include "pearbarrow/forward/request_rate.h"
+#include "pearbarrow/slowstart/cold_table.h"
 
 namespace pearbarrow::forward {
 
@@ -105,6 +106,9 @@
     std::string affinity_key;
     /// Back ends that this request was sent to already.
     std::set<std::string> excluded;
+    /// Cold back ends that gave it no permit. Unless this is empty, a cold one is taken only when
+    /// no other is fit.
+    std::set<std::string> without_permit;
 };
 
 struct choice {
@@ -118,6 +122,8 @@
     std::size_t candidates = 0;
     /// Of these, the ones that this node works with first.
     std::size_t near = 0;
+    /// What a permit is asked for before anything is sent; absent: none is needed.
+    std::optional<slowstart::cold_start> cold;
 };
 
 class backend_pool {
@@ -127,6 +133,9 @@
     /// Where the load of other nodes is looked up; it outlives the pool.
     void set_shared_load(const dispatch::shared_load& load) { elsewhere_ = &load; }
 
+    /// Where it is looked up which back ends are cold; it outlives the pool.
+    void set_cold_table(slowstart::cold_table& table) { cold_ = &table; }
+
     void set_backends(const directory::backend_list& list, base::instant now);
 
     /// The back end to send to, counted as sent; none when no back end is fit.
@@ -176,6 +185,7 @@
     };
 
     std::vector<entry*> candidates(const choice_request& request, base::instant now);
+    bool is_cold(const entry& one, base::instant now) const;
     /// Marks the back ends that this node works with first: those of its own zone before others,
     /// in an order that differs from node to node, so that together they use all of them evenly.
     void mark_near(const std::vector<entry*>& fit, std::size_t count);
@@ -205,6 +215,7 @@
     base::random_source& random_;
     std::unique_ptr<choice_policy> policy_;
     const dispatch::shared_load* elsewhere_ = nullptr;
+    slowstart::cold_table* cold_ = nullptr;
     std::map<std::string, entry> entries_;
     /// By service.
     std::map<std::string, request_rate, std::less<>> rates_;
--- a/src/pearbarrow/forward/forward_context.h
+++ b/src/pearbarrow/forward/forward_context.h
@@ -14,6 +14,7 @@
 #include "pearbarrow/forward/program_gate.h"
 #include "pearbarrow/net/event_loop.h"
 #include "pearbarrow/net/http.h"
+#include "pearbarrow/slowstart/start_permit.h"
 #include "pearbarrow/tenants/quota_client.h"
 #include "pearbarrow/tenants/tenant_table.h"
 #include "pearbarrow/turns/turn_client.h"
@@ -36,6 +37,10 @@
     /// Longest time to store a turn that has ended.
     base::milliseconds store_timeout{4'000};
     base::milliseconds connect_timeout{500};
+    /// A permit for a cold back end is used within this time of its question, or not at all:
+    /// members count their windows longer by it, and by some more for the connection
+    /// (`start_quota.h`).
+    base::milliseconds permit_lifetime{150};
     /// Engines are told how urgent a turn is (`engine_priority.h`).
     bool tells_priority = false;
 };
@@ -55,6 +60,8 @@
     std::shared_ptr<const active_configuration> active;
     /// Whether somebody would have told of a newer configuration; empty: always.
     std::function<bool()> hears_of_changes;
+    /// Whether a cold back end bears a request; null: all are sent to at once.
+    slowstart::permit_source* permits = nullptr;
 };
 
 }  // namespace pearbarrow::forward
--- a/src/pearbarrow/forward/forward_log.cc
+++ b/src/pearbarrow/forward/forward_log.cc
@@ -62,6 +62,14 @@
         .increment();
 }
 
+void forward_log::count_permit(std::string_view verdict) {
+    metrics_
+        .add_counter("pearbarrow_start_permits_total",
+                     "Questions whether a cold back end bears one more request, by their end",
+                     {{"verdict", std::string(verdict)}})
+        .increment();
+}
+
 void forward_log::count_turn_step(std::string_view step, std::string_view outcome,
                                   base::microseconds took) {
     metrics_
--- a/src/pearbarrow/forward/forward_log.h
+++ b/src/pearbarrow/forward/forward_log.h
@@ -39,6 +39,8 @@
     void count_attempt(std::string_view result);
     /// Counts what came of a question about a tenant's limit. Only so many tenants are told apart.
     void count_quota(std::string_view tenant, std::string_view verdict);
+    /// Counts what came of a question whether a cold back end bears one more request.
+    void count_permit(std::string_view verdict);
     /// Counts a step of a turn on the storage members: `step` is "prepare" or "store".
     void count_turn_step(std::string_view step, std::string_view outcome, base::microseconds took);
 
--- a/src/pearbarrow/forward/forwarded_attempt.cc
+++ b/src/pearbarrow/forward/forwarded_attempt.cc
@@ -72,14 +72,23 @@
     attempt_began_ = context_.clock.now();
     placed_ = context_.pool.choose({.service = choose_service(),
                                     .affinity_key = is_stream() ? scoped(facts_.program) : "",
-                                    .excluded = tried_},
+                                    .excluded = tried_,
+                                    .without_permit = without_permit_},
                                    attempt_began_);
+    if (!placed_.has_value() && !without_permit_.empty()) {
+        wait_for_permit();
+        return;
+    }
     if (!placed_.has_value()) {
         answer_problem(503, "no_backend", "no back end can take the request now",
                        context_.options.retry_after);
         return;
     }
     target_ = placed_->target;
+    if (placed_->cold.has_value() && context_.permits != nullptr) {
+        place_cold();
+        return;
+    }
     begin_attempt();
 }
 
--- a/src/pearbarrow/forward/forwarded_request.cc
+++ b/src/pearbarrow/forward/forwarded_request.cc
@@ -51,6 +51,7 @@
     if (attempt_open_) {
         end_attempt(attempt_result::abandoned);
     }
+    leave_place();
 }
 
 void forwarded_request::start() {
@@ -164,6 +165,9 @@
     stage_ = answer_stage::done;
     call_.reset();
     quota_step_.reset();
+    permit_step_.reset();
+    permit_pause_.reset();
+    leave_place();
     if (attempt_open_) {
         end_attempt(attempt_result::abandoned);
     }
@@ -182,6 +186,9 @@
     reserved_ = reserved_ && may_be_reserved();
     turn_step_.reset();
     quota_step_.reset();
+    permit_step_.reset();
+    permit_pause_.reset();
+    leave_place();
     patience_.reset();
     if (attempt_open_) {
         note_turn(event_count_ > 0);
--- a/src/pearbarrow/forward/forwarded_request.h
+++ b/src/pearbarrow/forward/forwarded_request.h
@@ -48,6 +48,15 @@
     void take_quota(const tenants::quota_decision& decision);
     void refuse_by_quota(const tenants::quota_decision& decision);
 
+    // Back ends that have just started, forwarded_permit.cc.
+    /// Sends to the cold back end that has been chosen, if it bears the request.
+    void place_cold();
+    void ask_permit(const slowstart::cold_start& target);
+    void take_permit(const slowstart::permit_decision& decision);
+    /// Gives back the place at a back end that was chosen and not sent to.
+    void leave_place();
+    void wait_for_permit();
+
     // New programs, forwarded_program.cc.
     /// Whether this is known to be the first turn of its program.
     bool begins_program() const;
@@ -131,6 +140,18 @@
     base::instant quota_step_began_{};
     /// Good for one attempt that runs.
     std::optional<base::instant> granted_at_;
+
+    std::unique_ptr<turns::turn_operation> permit_step_;
+    std::unique_ptr<net::timer_handle> permit_pause_;
+    base::instant permit_asked_at_{};
+    /// A cold back end has been chosen, and its permit has not come.
+    bool holds_place_ = false;
+    /// Cold back ends that gave none, and the shortest time until one of them may.
+    std::set<std::string> without_permit_;
+    base::milliseconds permit_retry_after_{0};
+    /// Since when none could be had anywhere.
+    base::instant without_permit_since_{};
+
     /// An earlier attempt may have run.
     bool may_have_run_ = false;
 
--- a/src/pearbarrow/forward/request_steps.cc
+++ b/src/pearbarrow/forward/request_steps.cc
@@ -11,6 +11,7 @@
 
 nlohmann::json to_json(const request_steps& steps) {
     return {{"quota", in_milliseconds(steps.quota)},
+            {"permit", in_milliseconds(steps.permit)},
             {"waiting", in_milliseconds(steps.waiting)},
             {"preparing", in_milliseconds(steps.preparing)},
             {"to_head", in_milliseconds(steps.to_head)},
@@ -26,6 +27,7 @@
             {"elsewhere_known", placed.elsewhere_known},
             {"candidates", placed.candidates},
             {"near", placed.near},
+            {"cold", placed.cold.has_value()},
             {"reason", to_string(placed.reason)}};
 }
 
--- a/src/pearbarrow/forward/request_steps.h
+++ b/src/pearbarrow/forward/request_steps.h
@@ -13,6 +13,8 @@
 struct request_steps {
     /// Until the members that count the tenant had granted every attempt.
     base::microseconds quota{0};
+    /// Until it was known whether the chosen back ends, which had just started, bear the request.
+    base::microseconds permit{0};
     /// Until the storage members had room for the turn.
     base::microseconds waiting{0};
     /// On the storage members, before the turn may run.
--- a/src/pearbarrow/forward/service_load.cc
+++ b/src/pearbarrow/forward/service_load.cc
@@ -23,6 +23,9 @@
 }
 
 double backend_pool::slowness_of(const entry& one, double typical, base::instant now) const {
+    if (is_cold(one, now)) {
+        return 1.0;
+    }
     const double slowness = typical > 0 ? pace_of(one, now) / typical : 1.0;
     return slowness > options_.tolerated_slowness ? std::min(slowness, options_.most_slowness)
                                                   : 1.0;
--- a/src/pearbarrow/operator/trace.cc
+++ b/src/pearbarrow/operator/trace.cc
@@ -27,9 +27,9 @@
                                                        "turn_replica_complete"};
 
 /// Events that end the hopes of a request, or of one attempt.
-constexpr std::array<std::string_view, 7> deciding_events{
-    "turn_refused",  "attempt_broken",  "attempt_refused",    "attempt_failed",
-    "quota_refused", "request_refused", "program_turned_away"};
+constexpr std::array<std::string_view, 8> deciding_events{
+    "turn_refused",  "attempt_broken",  "attempt_refused",     "attempt_failed",
+    "quota_refused", "request_refused", "program_turned_away", "start_permit_refused"};
 
 template <typename List>
 bool contains(const List& list, std::string_view text) {
--- a/src/pearbarrow/settings/field_reader.cc
+++ b/src/pearbarrow/settings/field_reader.cc
@@ -108,6 +108,19 @@
     target = static_cast<std::uint64_t>(*number);
 }
 
+void field_reader::read_number(std::string_view path, double least, double most, double& target) {
+    const auto* node = take(path);
+    if (node == nullptr) {
+        return;
+    }
+    const auto number = node->is_number() ? node->value<double>() : std::nullopt;
+    if (!number.has_value() || !(*number >= least && *number <= most)) {
+        note(path, fmt::format("must be a number from {} to {}", least, most));
+        return;
+    }
+    target = *number;
+}
+
 void field_reader::read_size(std::string_view path, std::size_t least, std::size_t most,
                              std::size_t& target) {
     std::uint64_t value = target;
--- a/src/pearbarrow/settings/field_reader.h
+++ b/src/pearbarrow/settings/field_reader.h
@@ -30,6 +30,8 @@
     void read_flag(std::string_view path, bool& target);
     void read_integer(std::string_view path, std::uint64_t least, std::uint64_t most,
                       std::uint64_t& target);
+    /// A whole number or a decimal one.
+    void read_number(std::string_view path, double least, double most, double& target);
     void read_size(std::string_view path, std::size_t least, std::size_t most, std::size_t& target);
     void read_milliseconds(std::string_view path, base::milliseconds least, base::milliseconds most,
                            base::milliseconds& target);
--- a/src/pearbarrow/settings/fleet_settings.cc
+++ b/src/pearbarrow/settings/fleet_settings.cc
@@ -15,6 +15,8 @@
 /// A turn is written to twice as many members and some more.
 constexpr std::uint64_t most_tolerated_losses = 16;
 constexpr std::uint64_t most_quota_slack = 1'000'000;
+constexpr double most_cold_overage = 1'000;
+constexpr double most_cold_slack = 1'000'000;
 
 void read_role(field_reader& reader, fleet_settings& settings) {
     std::string role;
@@ -87,6 +89,8 @@
         reader.read_milliseconds("quota.window_ms", base::milliseconds{0},
                                  base::milliseconds{600'000}, settings.quota_window);
         reader.read_integer("quota.slack", 0, most_quota_slack, settings.quota_slack);
+        reader.read_number("slow_start.overage", 0, most_cold_overage, settings.slow_start.overage);
+        reader.read_number("slow_start.slack", 0, most_cold_slack, settings.slow_start.slack);
         reader.require("data_folder");
         reader.read("data_folder", settings.data_folder, max_path_bytes);
     }
--- a/src/pearbarrow/settings/fleet_settings.h
+++ b/src/pearbarrow/settings/fleet_settings.h
@@ -38,6 +38,15 @@
     base::milliseconds lapse_grace{1'800};
 };
 
+/// What a back end that has just started may get in a second from the whole fleet, in terms of the
+/// rate that its service's configuration states (`slowstart/start_limits.h`).
+struct slow_start_settings {
+    /// In times of the rate.
+    double overage = 1.0;
+    /// Requests more.
+    double slack = 0;
+};
+
 struct fleet_settings {
     fleet_role role = fleet_role::edge;
     base::node_id node;
@@ -69,6 +78,8 @@
     std::uint64_t quota_slack = 0;
     /// The window of that count; storage members only. 0: a limit is its rate and its burst alone.
     base::milliseconds quota_window{0};
+    /// Storage members only.
+    slow_start_settings slow_start;
     /// Longest time from the order to stop to the end of the process.
     base::milliseconds stop_timeout{8'000};
     /// How long a back end goes on serving after it has said that it leaves, at least.
--- a/src/pearbarrow/tenants/quota_client.cc
+++ b/src/pearbarrow/tenants/quota_client.cc
@@ -45,7 +45,8 @@
         const directory::storage_member& member = this->members[this->asked];
         ++this->asked;
         this->call = this->client.caller.call(
-            member, wire::tenant_quota, wire::encode(this->question), this->client.options.patience,
+            member, this->client.options.method, wire::encode(this->question),
+            this->client.options.patience,
             [this, node = member.node](const absl::StatusOr<std::string>& payload) {
                 this->take(node, payload);
             });
--- a/src/pearbarrow/tenants/quota_client.h
+++ b/src/pearbarrow/tenants/quota_client.h
@@ -13,10 +13,13 @@
 #include "pearbarrow/tenants/quota_types.h"
 #include "pearbarrow/turns/member_caller.h"
 #include "pearbarrow/turns/turn_operation.h"
+#include "pearbarrow/wire/methods.h"
 
 namespace pearbarrow::tenants {
 
 struct quota_client_options {
+    /// The question that members are asked.
+    net::method_number method = wire::tenant_quota;
     /// A member that leaves a question unanswered for this long is passed over. Answers take 3 to
     /// 8 ms between zones; a machine whose share of a core is spent stands still for up to 100 ms.
     base::milliseconds patience{120};
--- a/src/pearbarrow/tenants/quota_service.cc
+++ b/src/pearbarrow/tenants/quota_service.cc
@@ -6,9 +6,10 @@
 
 namespace pearbarrow::tenants {
 
-quota_service::quota_service(net::peer_rpc& rpc, const base::clock& clock, quota_options options)
+quota_service::quota_service(net::peer_rpc& rpc, const base::clock& clock, quota_options options,
+                             net::method_number method)
     : clock(clock), book(std::move(options)) {
-    rpc.register_method(wire::tenant_quota, [this](std::string_view payload, auto responder) {
+    rpc.register_method(method, [this](std::string_view payload, auto responder) {
         const auto question = wire::decode<quota_question>(payload);
         if (!question.ok()) {
             responder->fail(question.status());
--- a/src/pearbarrow/turns/call_relay.cc
+++ b/src/pearbarrow/turns/call_relay.cc
@@ -10,8 +10,8 @@
 namespace pearbarrow::turns {
 namespace {
 
-constexpr std::array relayed_methods{wire::turn_reserve, wire::turn_read, wire::turn_finish,
-                                     wire::turn_usage, wire::tenant_quota};
+constexpr std::array relayed_methods{wire::turn_reserve, wire::turn_read,    wire::turn_finish,
+                                     wire::turn_usage,   wire::tenant_quota, wire::start_permit};
 constexpr base::milliseconds most_time{1'000};
 
 absl::Status refused(std::string reason) {
--- a/src/pearbarrow/wire/methods.h
+++ b/src/pearbarrow/wire/methods.h
@@ -63,5 +63,7 @@
 
 /// Whether a tenant's limit holds one more request, asked of the storage members that count it.
 inline constexpr method_number tenant_quota = 100;
+/// Whether a back end that has just started bears one more request, asked in the same way.
+inline constexpr method_number start_permit = 101;
 
 }  // namespace pearbarrow::wire
--- a/tests/unit/forward/backend_pool_test.cc
+++ b/tests/unit/forward/backend_pool_test.cc
@@ -345,3 +345,74 @@
         node.pool.ended(chosen->target.id, attempt_result::unreachable, milliseconds{1}, node.now);
     }
 }
+
+namespace {
+
+/// Two back ends of a service that starts cold; `c` has just started.
+struct cold_fixture {
+    cold_fixture() {
+        directory::configuration config;
+        config.services.push_back({.name = "service", .cold_start_ms = 3'000, .cold_rate = 32});
+        cold.set_configuration(config);
+        directory::backend_list list{.revision = 1, .backends = {{"w", backend_of("w")}}};
+        cold.set_backends(list, now);
+        now += milliseconds{60'000};
+        list.backends["c"] = backend_of("c");
+        cold.set_backends(list, now);
+        pool.set_backends(list, now);
+        pool.set_cold_table(cold);
+    }
+
+    slowstart::cold_table cold;
+    base::random_source random{7};
+    base::instant now{};
+    backend_pool pool{{.zone = "a"}, random};
+};
+
+}  // namespace
+
+Test(backend_pool, a_cold_one_is_named_and_left_once_it_gave_no_permit) {
+    cold_fixture fixture;
+    for (int index = 0; index < 4; ++index) {
+        const auto chosen = fixture.pool.choose({.service = "service"}, fixture.now);
+        cr_assert(chosen->cold.has_value() == (chosen->target.id == "c"));
+        const auto other =
+            fixture.pool.choose({.service = "service", .without_permit = {"x"}}, fixture.now);
+        cr_assert(other->target.id == "w", "a warm one goes first once a permit was refused");
+    }
+    const auto only = fixture.pool.choose(
+        {.service = "service", .excluded = {"w"}, .without_permit = {"x"}}, fixture.now);
+    cr_assert(only->target.id == "c");
+    cr_assert(!fixture.pool
+                   .choose({.service = "service", .excluded = {"w"}, .without_permit = {"c"}},
+                           fixture.now)
+                   .has_value());
+}
+
+Test(backend_pool, a_cold_one_that_is_slow_to_answer_is_not_passed_over) {
+    cold_fixture fixture;
+    const auto first = fixture.pool.choose({.service = "service", .excluded = {"w"}}, fixture.now);
+    cr_assert(first->target.id == "c");
+    fixture.now += milliseconds{1'000};
+    const auto second = fixture.pool.choose({.service = "service"}, fixture.now);
+    cr_assert(second->candidates == 2);
+    fixture.pool.answered(second->target.id, fixture.now);
+    fixture.now += milliseconds{3'000};
+    cr_assert(fixture.pool.choose({.service = "service"}, fixture.now)->candidates == 1,
+              "a warm one is");
+}
+
+Test(backend_pool, one_that_could_not_be_reached_is_cold_when_it_answers_again) {
+    cold_fixture fixture;
+    fixture.now += milliseconds{10'000};
+    cr_assert(!fixture.cold.is_cold("c", fixture.now));
+    fixture.pool.choose({.service = "service", .excluded = {"w"}}, fixture.now);
+    fixture.pool.answered("c", fixture.now);
+    fixture.pool.ended("c", attempt_result::unreachable, milliseconds{0}, fixture.now);
+    fixture.now += milliseconds{10'000};
+    fixture.pool.choose({.service = "service", .excluded = {"w"}}, fixture.now);
+    fixture.pool.answered("c", fixture.now);
+    fixture.pool.ended("c", attempt_result::served, milliseconds{5}, fixture.now);
+    cr_assert(fixture.cold.is_cold("c", fixture.now + milliseconds{2'999}));
+    cr_assert(!fixture.cold.is_cold("c", fixture.now + milliseconds{3'000}));
+}
--- a/tests/unit/settings/fleet_settings_test.cc
+++ b/tests/unit/settings/fleet_settings_test.cc
@@ -101,3 +101,37 @@
     cr_assert(names(check_fleet(std::string(edge_text) + "[regions]\n\"z\" = 5\n"), "regions.z"));
     cr_assert(names(check_fleet(std::string(edge_text) + "regions = 5\n"), "listen.regions"));
 }
+
+namespace {
+
+std::string storage_text(const std::string& more) {
+    return R"(
+role = "storage"
+node = "store-1"
+zone = "z"
+directory_service = "10.0.0.1:80"
+data_folder = "/data"
+[listen]
+peer = "10.0.0.4:70"
+)" + more;
+}
+
+}  // namespace
+
+Test(fleet_settings, reads_what_a_back_end_bears_after_its_start) {
+    const auto result = check_fleet(storage_text("[slow_start]\noverage = 1.5\nslack = 5\n"));
+    cr_assert(result.problems.empty());
+    cr_assert(result.settings.slow_start.overage == 1.5);
+    cr_assert(result.settings.slow_start.slack == 5);
+    const auto absent = check_fleet(storage_text(""));
+    cr_assert(absent.problems.empty());
+    cr_assert(absent.settings.slow_start.overage == 1.0);
+    cr_assert(absent.settings.slow_start.slack == 0);
+}
+
+Test(fleet_settings, names_a_wrong_bound_of_cold_back_ends) {
+    const auto result = check_fleet(storage_text("[slow_start]\noverage = \"much\"\nslack = -1\n"));
+    cr_assert(names(result, "slow_start.overage"));
+    cr_assert(names(result, "slow_start.slack"));
+    cr_assert(result.problems.size() == 2);
+}
--- /dev/null
+++ b/tests/unit/slowstart/start_quota_test.cc
@@ -0,0 +1,131 @@
+#include "pearbarrow/slowstart/start_quota.h"
+
+#include <optional>
+
+#include "../net/net_fixture.h"
+#include "../turns/counting_caller.h"
+#include "pearbarrow/slowstart/start_limits.h"
+#include "pearbarrow/wire/codec.h"
+
+#include <criterion/criterion.h>
+
+using namespace pearbarrow;
+using namespace pearbarrow::slowstart;
+using net::testing::run_until;
+
+namespace {
+
+/// Members that all answer the same at once, or fail.
+class one_answer_caller final : public turns::member_caller {
+  public:
+    std::unique_ptr<net::peer_call_handle> call(const directory::storage_member& /*member*/,
+                                                net::method_number method, std::string payload,
+                                                base::milliseconds /*timeout*/,
+                                                reply_handler on_reply) override {
+        ++this->calls;
+        this->method = method;
+        this->question = *wire::decode<tenants::quota_question>(payload);
+        if (this->answer.has_value()) {
+            on_reply(wire::encode(*this->answer));
+        } else {
+            on_reply(absl::UnavailableError("silent"));
+        }
+        return nullptr;
+    }
+
+    std::optional<tenants::quota_answer> answer;
+    int calls = 0;
+    net::method_number method = 0;
+    tenants::quota_question question;
+};
+
+struct source_fixture {
+    source_fixture() { this->client.set_view(turns::testing::view_of_three()); }
+
+    permit_decision ask() {
+        std::optional<permit_decision> decision;
+        const auto step = this->source.ask({.backend = "e", .started_at = 1, .rate = 32},
+                                           [&](const auto& made) { decision = made; });
+        cr_assert(!decision.has_value(), "never before the call returns");
+        cr_assert(run_until(this->loop, [&] { return decision.has_value(); }));
+        return *decision;
+    }
+
+    net::event_loop loop;
+    base::manual_clock clock;
+    base::random_source random{1};
+    one_answer_caller caller;
+    tenants::quota_client client{loop, clock, caller, permit_client_options()};
+    start_quota source{loop, clock, random, client};
+};
+
+directory::configuration engines(double rate) {
+    directory::configuration config;
+    config.services.push_back({.name = "engine", .cold_start_ms = 3'000, .cold_rate = rate});
+    config.services.push_back({.name = "tool"});
+    return config;
+}
+
+directory::backend_list list_of(std::initializer_list<directory::backend> backends) {
+    directory::backend_list list;
+    for (const directory::backend& one : backends) {
+        list.backends[one.id] = one;
+    }
+    return list;
+}
+
+}  // namespace
+
+Test(start_quota, a_member_that_grants_is_enough) {
+    source_fixture fixture;
+    fixture.caller.answer = {.outcome = tenants::quota_outcome::granted};
+    cr_assert(fixture.ask().verdict == permit_verdict::granted);
+    cr_assert(fixture.caller.calls == 1);
+    cr_assert(fixture.caller.method == wire::start_permit);
+    cr_assert(fixture.caller.question.tenant == limit_name("e"));
+}
+
+Test(start_quota, silent_members_give_no_permit) {
+    source_fixture fixture;
+    cr_assert(fixture.ask().verdict == permit_verdict::unanswered);
+    cr_assert(fixture.caller.calls == 3);
+}
+
+Test(start_quota, nobody_is_asked_while_a_rate_is_known_to_be_used_up) {
+    source_fixture fixture;
+    fixture.caller.answer = {.outcome = tenants::quota_outcome::refused, .retry_after_ms = 60};
+    cr_assert(fixture.ask().verdict == permit_verdict::refused);
+    cr_assert(fixture.caller.calls == 3);
+    fixture.clock.advance(base::milliseconds{20});
+    const permit_decision again = fixture.ask();
+    cr_assert(again.verdict == permit_verdict::refused);
+    cr_assert(again.retry_after == base::milliseconds{40});
+    cr_assert(fixture.caller.calls == 3);
+    fixture.clock.advance(base::milliseconds{40});
+    fixture.caller.answer = {.outcome = tenants::quota_outcome::granted};
+    cr_assert(fixture.ask().verdict == permit_verdict::granted);
+}
+
+Test(start_limits, a_limit_stands_for_each_back_end_of_a_service_with_a_cold_rate) {
+    start_limits limits({.overage = 1.5, .slack = 5});
+    limits.set_configuration(engines(32));
+    limits.set_backends(list_of({{.id = "e", .service = "engine"}, {.id = "t", .service = "tool"}}),
+                        {});
+    const auto made = limits.limits();
+    cr_assert(made.tenants.size() == 1);
+    cr_assert(made.tenants[0].name == limit_name("e"));
+    // Three quarters of 53, less one request for each of three members.
+    cr_assert_float_eq(made.tenants[0].rate, 36.75, 1e-9);
+    cr_assert_float_eq(granted_in_second(32, {.overage = 1.5, .slack = 5}), 39.75, 1e-9);
+}
+
+Test(start_limits, a_back_end_that_vanishes_for_a_moment_keeps_its_count) {
+    start_limits limits({});
+    const base::instant now{};
+    limits.set_configuration(engines(32));
+    limits.set_backends(list_of({{.id = "e", .service = "engine"}}), now);
+    limits.set_backends({}, now);
+    cr_assert(limits.limits().tenants.size() == 1);
+    limits.set_backends({}, now + base::milliseconds{61'000});
+    cr_assert(limits.limits().tenants.empty());
+}
