--- a/src/pearbarrow/forward/backend_pool.h
+++ b/src/pearbarrow/forward/backend_pool.h
@@ -23,6 +23,7 @@
 #include "pearbarrow/forward/recent_results.h"
 #include "pearbarrow/forward/request_rate.h"
 #include "pearbarrow/places/place_rules.h"
+#include "pearbarrow/slowstart/cold_table.h"
 
 namespace pearbarrow::forward {
 
@@ -108,6 +109,9 @@
     std::set<std::string> excluded;
     /// Where it may go.
     places::place_request place;
+    /// Cold back ends that gave it no permit. Unless this is empty, a cold one is taken only when
+    /// no other is fit.
+    std::set<std::string> without_permit;
 };
 
 struct choice {
@@ -121,6 +125,8 @@
     std::size_t candidates = 0;
     /// Of these, the ones that this node works with first.
     std::size_t near = 0;
+    /// What a permit is asked for before anything is sent; absent: none is needed.
+    std::optional<slowstart::cold_start> cold;
 };
 
 class backend_pool {
@@ -132,6 +138,8 @@
 
     /// Who says where a request may go; it outlives the pool. Before: anywhere.
     void set_places(const places::place_rules& rules) { places_ = &rules; }
+    /// Where it is looked up which back ends are cold; it outlives the pool.
+    void set_cold_table(slowstart::cold_table& table) { cold_ = &table; }
 
     void set_backends(const directory::backend_list& list, base::instant now);
 
@@ -190,6 +198,7 @@
     std::vector<entry*> candidates(const choice_request& request, base::instant now);
     places::place_verdict judge(const entry& one, const places::place_request& request) const;
     bool is_in_emptied(const entry& one) const;
+    bool is_cold(const entry& one, base::instant now) const;
     /// Marks the back ends that this node works with first: those of its own zone before others,
     /// in an order that differs from node to node, so that together they use all of them evenly.
     void mark_near(const std::vector<entry*>& fit, std::size_t count);
@@ -220,6 +229,7 @@
     std::unique_ptr<choice_policy> policy_;
     const dispatch::shared_load* elsewhere_ = nullptr;
     const places::place_rules* places_ = nullptr;
+    slowstart::cold_table* cold_ = nullptr;
     std::map<std::string, entry> entries_;
     /// By service.
     std::map<std::string, request_rate, std::less<>> rates_;
--- a/src/pearbarrow/forward/forward_context.h
+++ b/src/pearbarrow/forward/forward_context.h
@@ -15,6 +15,7 @@
 #include "pearbarrow/net/event_loop.h"
 #include "pearbarrow/net/http.h"
 #include "pearbarrow/places/place_rules.h"
+#include "pearbarrow/slowstart/start_permit.h"
 #include "pearbarrow/tenants/quota_client.h"
 #include "pearbarrow/tenants/tenant_table.h"
 #include "pearbarrow/turns/turn_client.h"
@@ -37,6 +38,10 @@
     /// Longest time to store a turn that has ended.
     base::milliseconds store_timeout{4'000};
     base::milliseconds connect_timeout{500};
+    /// A permit for a cold back end is used within this time of its question, or not at all:
+    /// members count their windows longer by it, and by some more for the connection
+    /// (`start_quota.h`).
+    base::milliseconds permit_lifetime{150};
     /// Engines are told how urgent a turn is (`engine_priority.h`).
     bool tells_priority = false;
 };
@@ -58,6 +63,8 @@
     std::function<bool()> hears_of_changes;
     /// Where requests may go; null: anywhere.
     const places::place_rules* places = nullptr;
+    /// Whether a cold back end bears a request; null: all are sent to at once.
+    slowstart::permit_source* permits = nullptr;
 };
 
 }  // namespace pearbarrow::forward
--- a/src/pearbarrow/forward/forwarded_attempt.cc
+++ b/src/pearbarrow/forward/forwarded_attempt.cc
@@ -74,13 +74,22 @@
     placed_ = context_.pool.choose({.service = service_,
                                     .affinity_key = is_stream() ? scoped(facts_.program) : "",
                                     .excluded = tried_,
-                                    .place = place_bounds()},
+                                    .place = place_bounds(),
+                                    .without_permit = without_permit_},
                                    attempt_began_);
+    if (!placed_.has_value() && !without_permit_.empty()) {
+        wait_for_permit();
+        return;
+    }
     if (!placed_.has_value()) {
         refuse_placement();
         return;
     }
     target_ = placed_->target;
+    if (placed_->cold.has_value() && context_.permits != nullptr) {
+        place_cold();
+        return;
+    }
     begin_attempt();
 }
 
