What is remembered of a back end belongs to one run of its process

Cause: a process may start again under its id. The pool, the load told by other nodes and the kept connections went by id or address: the next run had the requests, rests, silence, failures and mean times of the one before, what ended late of that took a request away from it, and a request that may run once went into a connection that nobody holds any more. A list of a later revision could also bring an older entry back, since a list read in pages is as old as its first page.

The pool begins an entry anew when its start differs (for equality only: clocks are set back) and passes over what ends of another run; load keys have the start in them; connections are kept by address and run; entries carry the revision at which they were written, and an older one never replaces a newer one.

Ruled out: order of starts as age (a clock set back), giving up attempts at a run that is over (an answer on its way would be lost).

--- a/src/pearbarrow/directory/directory_state.cc
+++ b/src/pearbarrow/directory/directory_state.cc
@@ -37,6 +37,19 @@
     }
 }
 
+/// A list that was read in pages is as old as its first page, and has entries that are newer than
+/// that: a list of a later revision may hold older ones. Without this a back end that has just
+/// started again would be taken for its earlier run for a moment, and all that is known of the
+/// present one be lost.
+void keep_newer_entries(const backend_list& held, backend_list& next) {
+    for (auto& [id, backend] : next.backends) {
+        const auto known = held.backends.find(id);
+        if (known != held.backends.end() && known->second.written_at > backend.written_at) {
+            backend = known->second;
+        }
+    }
+}
+
 }  // namespace
 
 const storage_member* storage_view::find(const base::node_id& node) const {
@@ -81,6 +94,7 @@
         if (current_.backends->revision >= next.revision) {
             return false;
         }
+        keep_newer_entries(*current_.backends, next);
         history_.note(*current_.backends, next);
     }
     const std::uint64_t digest = backend_history::digest_of(next);
--- a/src/pearbarrow/directory/snapshot.h
+++ b/src/pearbarrow/directory/snapshot.h
@@ -11,6 +11,7 @@
 #include <msgpack.hpp>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "pearbarrow/base/ids.h"
@@ -124,6 +125,21 @@
     MSGPACK_DEFINE(version, routes, services, limits, has_tenants, tenants);
 };
 
+/// One run of a back end's process, from a start to its end.
+struct backend_run {
+    // A back end that doesn't tell its start is named by its id alone.
+    backend_run(std::string id,
+                std::uint64_t started_at = 0)  // NOLINT(google-explicit-constructor)
+        : id(std::move(id)), started_at(started_at) {}
+    backend_run(const char* id) : id(id) {}  // NOLINT(google-explicit-constructor)
+
+    std::string id;
+    /// As `backend::started_at`. No order: the clock of a machine may be set back between two runs.
+    std::uint64_t started_at = 0;
+
+    bool operator==(const backend_run&) const = default;
+};
+
 /// One process that runs requests.
 struct backend {
     /// Names the back end. A process may start again under the id that it had; `started_at` tells
@@ -140,9 +156,14 @@
     std::uint64_t started_at = 0;
     /// How much longer it was cold when it wrote this. Milliseconds.
     std::uint32_t cold_left_ms = 0;
+    /// Revision of the outside service at which the entry was written: of two entries of one id the
+    /// newer one holds, whatever list it came in. 0: not told.
+    std::uint64_t written_at = 0;
 
+    backend_run run() const { return {id, started_at}; }
     bool operator==(const backend&) const = default;
-    MSGPACK_DEFINE(id, service, address, zone, slots, draining, started_at, cold_left_ms);
+    MSGPACK_DEFINE(id, service, address, zone, slots, draining, started_at, cold_left_ms,
+                   written_at);
 };
 
 /// The back ends known at one revision of the outside service.
--- a/src/pearbarrow/dispatch/load_board.cc
+++ b/src/pearbarrow/dispatch/load_board.cc
@@ -25,8 +25,8 @@
 
 }  // namespace
 
-backend_key key_of(std::string_view backend) {
-    return static_cast<backend_key>(base::stable_hash(backend));
+backend_key key_of(std::string_view backend, std::uint64_t started_at) {
+    return static_cast<backend_key>(base::stable_hash(backend, started_at));
 }
 
 void load_board::take(const load_report& report, base::instant now) {
--- a/src/pearbarrow/dispatch/load_report.h
+++ b/src/pearbarrow/dispatch/load_report.h
@@ -17,7 +17,9 @@
 /// only add up their loads.
 using backend_key = std::uint32_t;
 
-backend_key key_of(std::string_view backend);
+/// `started_at`: which run of its process, as `directory::backend` has it. What is reported of one
+/// run is no load of the next.
+backend_key key_of(std::string_view backend, std::uint64_t started_at = 0);
 
 /// Requests at one back end, and how the latest ones ended.
 struct backend_load {
--- a/src/pearbarrow/forward/backend_pool.cc
+++ b/src/pearbarrow/forward/backend_pool.cc
@@ -64,8 +64,16 @@
     }
     for (const auto& [id, backend] : list.backends) {
         entry& one = entries_[id];
+        if (!(one.backend.run() == backend.run())) {
+            // The process has started again, or is new: it holds none of the requests of before,
+            // and neither rests nor is slow since another one did. What is still under way there
+            // ends as an attempt at the run before, and counts for nobody.
+            one = entry{};
+        }
         one.backend = backend;
-        one.key = dispatch::key_of(id);
+        one.key = dispatch::key_of(id, backend.started_at);
+        // By id alone: a place in an order is nothing that a process knows, and connections and
+        // prompts spread as before.
         one.order = base::stable_hash(options_.node, base::stable_hash(id));
         one.listed = true;
     }
@@ -252,8 +260,16 @@
     return loads;
 }
 
-void backend_pool::answered(const std::string& id, base::instant began) {
-    const auto found = entries_.find(id);
+/// Of an attempt at an earlier run of the process nothing is to be noted.
+std::map<std::string, backend_pool::entry>::iterator backend_pool::find(
+    const directory::backend_run& run) {
+    const auto found = entries_.find(run.id);
+    const bool is_present = found != entries_.end() && found->second.backend.run() == run;
+    return is_present ? found : entries_.end();
+}
+
+void backend_pool::answered(const directory::backend_run& run, base::instant began) {
+    const auto found = find(run);
     if (found == entries_.end()) {
         return;
     }
@@ -263,8 +279,8 @@
     }
 }
 
-void backend_pool::note_event(const std::string& id, base::microseconds gap) {
-    const auto found = entries_.find(id);
+void backend_pool::note_event(const directory::backend_run& run, base::microseconds gap) {
+    const auto found = find(run);
     if (found == entries_.end()) {
         return;
     }
@@ -273,9 +289,9 @@
     mean = mean == 0 ? time : mean + newest_gap_weight * (time - mean);
 }
 
-void backend_pool::ended(const std::string& id, attempt_result result, base::microseconds took,
-                         base::instant now) {
-    const auto found = entries_.find(id);
+void backend_pool::ended(const directory::backend_run& run, attempt_result result,
+                         base::microseconds took, base::instant now) {
+    const auto found = find(run);
     if (found == entries_.end()) {
         return;
     }
@@ -299,10 +315,11 @@
     }
 }
 
-base::microseconds backend_pool::patience(const std::string& id,
+base::microseconds backend_pool::patience(const directory::backend_run& run,
                                           base::microseconds objective) const {
-    const auto found = entries_.find(id);
-    const double mean_time = found == entries_.end() ? 0 : found->second.mean_time;
+    const auto found = entries_.find(run.id);
+    const bool is_known = found != entries_.end() && found->second.backend.run() == run;
+    const double mean_time = is_known ? found->second.mean_time : 0;
     const double least = options_.objective_factor * static_cast<double>(objective.count());
     return base::microseconds(
         static_cast<std::int64_t>(std::max(least, options_.silence_factor * mean_time)));
--- a/src/pearbarrow/forward/backend_pool.h
+++ b/src/pearbarrow/forward/backend_pool.h
@@ -103,7 +103,8 @@
     std::string service;
     /// Requests of the same key go to the same back end while it isn't overloaded; empty: any.
     std::string affinity_key;
-    /// Back ends that this request was sent to already.
+    /// Back ends that this request was sent to already. By id: one that started again just after
+    /// the request broke there is the least likely to serve it in time.
     std::set<std::string> excluded;
 };
 
@@ -132,16 +133,17 @@
     /// The back end to send to, counted as sent; none when no back end is fit.
     std::optional<choice> choose(const choice_request& request, base::instant now);
     /// The head of an answer has come for an attempt that began at `began`.
-    void answered(const std::string& id, base::instant began);
+    void answered(const directory::backend_run& run, base::instant began);
     /// An attempt at the back end has ended; call `answered` before. `took` counts for answers
     /// only.
-    void ended(const std::string& id, attempt_result result, base::microseconds took,
+    void ended(const directory::backend_run& run, attempt_result result, base::microseconds took,
                base::instant now);
     /// An event of a stream has come, `gap` after the one before.
-    void note_event(const std::string& id, base::microseconds gap);
+    void note_event(const directory::backend_run& run, base::microseconds gap);
     /// How long an attempt at the back end may stay without the head of an answer before another
     /// one is worth trying, for a request that may run again.
-    base::microseconds patience(const std::string& id, base::microseconds objective) const;
+    base::microseconds patience(const directory::backend_run& run,
+                                base::microseconds objective) const;
     /// The service's back ends together, as far as they take requests.
     service_load load_of(std::string_view service, base::instant now) const;
     std::size_t backend_count(std::string_view service) const;
@@ -154,6 +156,7 @@
     std::uint64_t revision() const { return revision_; }
 
   private:
+    /// What is known of one run of a back end: it begins anew when the process starts again.
     struct entry {
         directory::backend backend;
         dispatch::backend_key key = 0;
@@ -175,6 +178,8 @@
         double mean_gap = 0;
     };
 
+    /// The entry of this run of a back end; end when there is none, or it is that of another run.
+    std::map<std::string, entry>::iterator find(const directory::backend_run& run);
     std::vector<entry*> candidates(const choice_request& request, base::instant now);
     /// Marks the back ends that this node works with first: those of its own zone before others,
     /// in an order that differs from node to node, so that together they use all of them evenly.
--- a/src/pearbarrow/forward/forwarded_attempt.cc
+++ b/src/pearbarrow/forward/forwarded_attempt.cc
@@ -112,6 +112,9 @@
                         .body = chain_text_ + request.body,
                         .head_timeout = base::milliseconds{0},
                         .idle_timeout = base::milliseconds{0}};
+    // Behind a cut a process ends without closing its connections: a request on one of them would
+    // be lost, and might have run.
+    call.server_run = target.started_at;
     call.connect_timeout = context_.options.connect_timeout;
     call.resend_when_stale = is_repeatable();
     const auto caller_left =
@@ -135,7 +138,7 @@
         return;
     }
     const auto patience =
-        context_.pool.patience(target_.id, base::milliseconds{route_.objective_ms});
+        context_.pool.patience(target_.run(), base::milliseconds{route_.objective_ms});
     patience_ = context_.loop.after(patience, [this] { on_silence(); });
 }
 
@@ -158,7 +161,7 @@
     head_seen_ = true;
     head_at_ = context_.clock.now();
     steps_.to_head = head_at_ - attempt_began_;
-    context_.pool.answered(target_.id, attempt_began_);
+    context_.pool.answered(target_.run(), attempt_began_);
     const auto echoed = headers.find(names.request_id);
     // The late answer to an earlier request of the same connection.
     is_foreign_ = echoed.has_value() && *echoed != facts_.request_id;
@@ -211,11 +214,11 @@
     }
     const base::instant now = context_.clock.now();
     if (!head_seen_) {
-        context_.pool.answered(target_.id, attempt_began_);
+        context_.pool.answered(target_.run(), attempt_began_);
     }
     const auto took =
         is_stream() && event_count_ > 0 ? first_event_ - attempt_began_ : now - attempt_began_;
-    context_.pool.ended(target_.id, result, took, now);
+    context_.pool.ended(target_.run(), result, took, now);
     context_.log.count_attempt(to_string(result));
 }
 
--- a/src/pearbarrow/forward/forwarded_request.cc
+++ b/src/pearbarrow/forward/forwarded_request.cc
@@ -242,7 +242,7 @@
         note_turn(now - attempt_began_ <= base::milliseconds{route_.objective_ms});
     } else {
         steps_.longest_gap = std::max<base::microseconds>(steps_.longest_gap, now - last_event_);
-        context_.pool.note_event(target_.id, now - last_event_);
+        context_.pool.note_event(target_.run(), now - last_event_);
         steps_.generating = now - first_event_;
     }
     last_event_ = now;
--- a/src/pearbarrow/net/http.h
+++ b/src/pearbarrow/net/http.h
@@ -129,6 +129,9 @@
 /// What a client request asks for.
 struct http_call {
     endpoint server;
+    /// Tells processes apart that follow each other at one address: a kept connection is used again
+    /// only by calls of the same number.
+    std::uint64_t server_run = 0;
     std::string method;
     std::string target;
     http_headers headers;
--- a/src/pearbarrow/net/http_call_core.cc
+++ b/src/pearbarrow/net/http_call_core.cc
@@ -32,7 +32,7 @@
         end(core_->tls_status);
         return;
     }
-    if (auto link = core_->take_idle(call_.server); link != nullptr) {
+    if (auto link = core_->take_idle({call_.server, call_.server_run}); link != nullptr) {
         was_idle_ = true;
         send(std::move(link));
         return;
@@ -149,7 +149,7 @@
 
 void http_call_core::complete() {
     if (reader_->keep_alive() && inbox_.empty() && link_->is_open()) {
-        core_->keep_idle(call_.server, link_, reader_->idle_lifetime());
+        core_->keep_idle({call_.server, call_.server_run}, link_, reader_->idle_lifetime());
         link_ = nullptr;
     }
     end(absl::OkStatus());
--- a/src/pearbarrow/net/http_call_core.h
+++ b/src/pearbarrow/net/http_call_core.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 
 #include "pearbarrow/net/connection.h"
 #include "pearbarrow/net/http.h"
@@ -17,17 +18,27 @@
 class http_call_core;
 class idle_connection;
 
+/// A process at an address, as `http_call` names it.
+struct server_process {
+    endpoint address;
+    std::uint64_t run = 0;
+
+    bool operator<(const server_process& other) const {
+        return std::tie(address, run) < std::tie(other.address, other.run);
+    }
+};
+
 /// What the calls of one client share.
 struct http_client_core : std::enable_shared_from_this<http_client_core> {
     http_client_core(boost::asio::io_context& io_context, http_client_options client_options)
         : context(io_context), options(std::move(client_options)) {}
 
     /// An idle connection, or null.
-    std::shared_ptr<connection> take_idle(const endpoint& server);
+    std::shared_ptr<connection> take_idle(const server_process& server);
     /// `told` is what the server said of the connection's lifetime, if it did.
-    void keep_idle(const endpoint& server, const std::shared_ptr<connection>& link,
+    void keep_idle(const server_process& server, const std::shared_ptr<connection>& link,
                    std::optional<base::milliseconds> told);
-    void forget_idle(const endpoint& server, const idle_connection* idle);
+    void forget_idle(const server_process& server, const idle_connection* idle);
     void close_idle();
     void shut_down();
 
@@ -36,7 +47,7 @@
     std::shared_ptr<tls_context> tls;
     /// Why TLS cannot be used, when its files were unusable.
     absl::Status tls_status;
-    std::map<endpoint, std::list<std::shared_ptr<idle_connection>>> idle;
+    std::map<server_process, std::list<std::shared_ptr<idle_connection>>> idle;
     std::set<std::shared_ptr<http_call_core>> calls;
     bool stopped = false;
 };
@@ -46,7 +57,7 @@
                               public std::enable_shared_from_this<idle_connection> {
   public:
     idle_connection(std::weak_ptr<http_client_core> core, boost::asio::io_context& context,
-                    endpoint server, std::shared_ptr<connection> link);
+                    server_process server, std::shared_ptr<connection> link);
 
     void start(base::milliseconds lifetime);
     /// Bytes that nobody asked for: the connection is of no further use.
@@ -58,7 +69,7 @@
     void leave();
 
     std::weak_ptr<http_client_core> core_;
-    endpoint server_;
+    server_process server_;
     std::shared_ptr<connection> link_;
     deadline expiry_;
 };
--- a/src/pearbarrow/net/http_client.cc
+++ b/src/pearbarrow/net/http_client.cc
@@ -12,7 +12,7 @@
 
 }  // namespace
 
-std::shared_ptr<connection> http_client_core::take_idle(const endpoint& server) {
+std::shared_ptr<connection> http_client_core::take_idle(const server_process& server) {
     const auto found = idle.find(server);
     if (found == idle.end()) {
         return nullptr;
@@ -32,7 +32,8 @@
     return link;
 }
 
-void http_client_core::keep_idle(const endpoint& server, const std::shared_ptr<connection>& link,
+void http_client_core::keep_idle(const server_process& server,
+                                 const std::shared_ptr<connection>& link,
                                  std::optional<base::milliseconds> told) {
     base::milliseconds lifetime = options.idle_lifetime;
     if (told.has_value()) {
@@ -52,7 +53,7 @@
     entry->start(lifetime);
 }
 
-void http_client_core::forget_idle(const endpoint& server, const idle_connection* entry) {
+void http_client_core::forget_idle(const server_process& server, const idle_connection* entry) {
     const auto found = idle.find(server);
     if (found == idle.end()) {
         return;
@@ -82,7 +83,7 @@
 }
 
 idle_connection::idle_connection(std::weak_ptr<http_client_core> core,
-                                 boost::asio::io_context& context, endpoint server,
+                                 boost::asio::io_context& context, server_process server,
                                  std::shared_ptr<connection> link)
     : core_(std::move(core)),
       server_(std::move(server)),
--- a/tests/unit/directory/directory_state_test.cc
+++ b/tests/unit/directory/directory_state_test.cc
@@ -111,3 +111,61 @@
     cr_assert(table.find("three.example", "/a/") == nullptr);
     cr_assert(table.find("one.example", "/a") == nullptr, "a prefix ends with its slash");
 }
+
+namespace {
+
+/// The list at a revision with one entry, written at another.
+directory_update entry_at(std::uint64_t revision, std::uint64_t written_at,
+                          std::uint64_t started_at) {
+    directory_update update;
+    update.backends.push_back(
+        {.revision = revision,
+         .backends = {{"1", {.id = "1", .started_at = started_at, .written_at = written_at}}}});
+    return update;
+}
+
+std::uint64_t start_known_by(const directory_state& state) {
+    return state.current().backends->backends.at("1").started_at;
+}
+
+}  // namespace
+
+// A list that is read in pages is as old as its first page, and has newer entries than that.
+Test(directory_state, an_older_entry_in_a_newer_list_replaces_no_newer_one) {
+    directory_state state;
+    cr_assert(state.apply(entry_at(10, 12, 2'000)).backends);
+    cr_assert(!state.apply(entry_at(11, 9, 1'000)).any());
+    cr_assert(start_known_by(state) == 2'000 && state.versions().backends == 11);
+    cr_assert(state.apply(entry_at(13, 13, 3'000)).backends);
+    cr_assert(start_known_by(state) == 3'000);
+}
+
+Test(directory_state, an_older_entry_in_the_steps_of_a_peer_replaces_no_newer_one) {
+    directory_state peer;
+    peer.apply(entry_at(10, 8, 500));
+    const directory_versions known = peer.versions();
+    peer.apply(entry_at(11, 9, 1'000));
+    const directory_update steps = peer.newer_than(known);
+    cr_assert(steps.backend_steps.size() == 1);
+
+    directory_state state;
+    state.apply(entry_at(10, 12, 2'000));
+    const auto copy = wire::decode<directory_update>(wire::encode(steps));
+    state.apply(*copy);
+    cr_assert(start_known_by(state) == 2'000);
+}
+
+Test(directory_state, a_newer_entry_with_an_earlier_start_holds) {
+    directory_state state;
+    state.apply(entry_at(10, 10, 2'000));
+    cr_assert(state.apply(entry_at(11, 11, 1'000)).backends, "a clock was set back");
+    cr_assert(start_known_by(state) == 1'000);
+}
+
+Test(directory_state, one_that_starts_again_twice_ends_as_its_last_start) {
+    directory_state state;
+    state.apply(entry_at(10, 10, 1'000));
+    state.apply(entry_at(12, 12, 1'700));
+    state.apply(entry_at(11, 11, 1'300));
+    cr_assert(start_known_by(state) == 1'700);
+}
--- a/tests/unit/net/http_client_test.cc
+++ b/tests/unit/net/http_client_test.cc
@@ -203,3 +203,36 @@
     }));
     cr_assert(!called);
 }
+
+// A connection to a process that has gone without a word takes a request, which is then lost.
+Test(http_client, a_connection_to_an_earlier_process_at_the_address_is_not_used_again) {
+    event_loop loop;
+    raw_server server;
+    const auto client = make_http_client(loop);
+    const auto call_run = [&](std::uint64_t run) {
+        auto call = get(server.local_endpoint());
+        call.server_run = run;
+        bool done = false;
+        bool answered = false;
+        client->fetch(std::move(call), [&](const absl::StatusOr<http_response>& response) {
+            cr_assert(response.ok());
+            done = true;
+        });
+        cr_assert(run_until(loop, [&] {
+            server.accept();
+            if (!answered && server.has("\r\n\r\n")) {
+                answered = true;
+                server.received.clear();
+                server.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            }
+            return done;
+        }));
+    };
+    call_run(1);
+    call_run(1);
+    cr_assert(server.accepted == 1, "one connection for both");
+    call_run(2);
+    cr_assert(server.accepted == 2, "the next process has its own");
+    call_run(2);
+    cr_assert(server.accepted == 2);
+}
