--- a/src/pearbarrow/forward/forwarded_permit.cc
+++ b/src/pearbarrow/forward/forwarded_permit.cc
@@ -67,8 +67,8 @@
     if (!std::exchange(holds_place_, false)) {
         return;
     }
-    context_.pool.answered(target_.id, attempt_began_);
-    context_.pool.ended(target_.id, attempt_result::abandoned, base::microseconds{0},
+    context_.pool.answered(target_.run(), attempt_began_);
+    context_.pool.ended(target_.run(), attempt_result::abandoned, base::microseconds{0},
                         context_.clock.now());
 }
 
--- a/src/pearbarrow/forward/forwarded_place.cc
+++ b/src/pearbarrow/forward/forwarded_place.cc
@@ -87,8 +87,8 @@
 
 void forwarded_request::give_choice_back() {
     const base::instant now = context_.clock.now();
-    context_.pool.answered(target_.id, attempt_began_);
-    context_.pool.ended(target_.id, attempt_result::abandoned, base::microseconds{0}, now);
+    context_.pool.answered(target_.run(), attempt_began_);
+    context_.pool.ended(target_.run(), attempt_result::abandoned, base::microseconds{0}, now);
     context_.log.count_attempt("withdrawn");
     nlohmann::json fields = {{"request", facts_.request_id},
                              {"backend", target_.id},
--- a/src/pearbarrow/net/http.h
+++ b/src/pearbarrow/net/http.h
@@ -132,6 +132,9 @@
 /// What a client request asks for.
 struct http_call {
     endpoint server;
+    /// Tells processes apart that follow each other at one address: a kept connection is used again
+    /// only by calls of the same number.
+    std::uint64_t server_run = 0;
     std::string method;
     std::string target;
     http_headers headers;
--- a/src/pearbarrow/net/http_call_core.cc
+++ b/src/pearbarrow/net/http_call_core.cc
@@ -32,7 +32,7 @@
         end(core_->tls_status);
         return;
     }
-    if (auto link = core_->take_idle(call_.server); link != nullptr) {
+    if (auto link = core_->take_idle({call_.server, call_.server_run}); link != nullptr) {
         was_idle_ = true;
         send(std::move(link));
         return;
@@ -75,7 +75,7 @@
     if (!call_.may_send || call_.may_send()) {
         return false;
     }
-    core_->keep_idle(call_.server, link, std::nullopt);
+    core_->keep_idle({call_.server, call_.server_run}, link, std::nullopt);
     link_ = nullptr;
     end(base::make_error(
         absl::StatusCode::kAborted, "the request may not be sent any more",
@@ -168,7 +168,7 @@
 
 void http_call_core::complete() {
     if (reader_->keep_alive() && inbox_.empty() && link_->is_open()) {
-        core_->keep_idle(call_.server, link_, reader_->idle_lifetime());
+        core_->keep_idle({call_.server, call_.server_run}, link_, reader_->idle_lifetime());
         link_ = nullptr;
     }
     end(absl::OkStatus());
