--- a/src/pearbarrow/forward/backend_pool.cc
+++ b/src/pearbarrow/forward/backend_pool.cc
@@ -313,9 +313,9 @@
     entry& one = found->second;
     --one.in_flight;
     if (cold_ != nullptr && result == attempt_result::unreachable) {
-        cold_->note_unreachable(id);
+        cold_->note_unreachable(run.id);
     } else if (cold_ != nullptr && result != attempt_result::abandoned) {
-        cold_->note_reached(id, now);
+        cold_->note_reached(run.id, now);
     }
     if (result != attempt_result::abandoned && result != attempt_result::refused) {
         one.results.add(result != attempt_result::served, now);
