--- a/src/pearbarrow/fleet/edge_node.h
+++ b/src/pearbarrow/fleet/edge_node.h
@@ -49,6 +49,8 @@
     slowstart::cold_table cold_;
     bool hears_peers_ = false;
     std::unique_ptr<net::timer_handle> hearing_check_;
+    /// Some route or tenant is permitted some regions only.
+    bool regions_bind_ = false;
     forward::backend_pool pool_;
     forward::load_reporter load_;
     std::unique_ptr<forward::program_gate> gate_;
