Seeded fuzzing of what the adapter reads from the outside service

Entries of back ends, configuration, storage view and members: bytes changed, cut and repeated, and documents with fields missing or values of other types in their place.

--- a/tests/fuzz/corpus_test.cc
+++ b/tests/fuzz/corpus_test.cc
@@ -1,11 +1,16 @@
 #include <functional>
+#include <iterator>
+#include <limits>
 #include <string>
 #include <vector>
 
+#include <nlohmann/json.hpp>
+
 #include "decoders.h"
 #include "pearbarrow/base/random.h"
 #include "pearbarrow/net/peer_frame.h"
 #include "pearbarrow/wire/codec.h"
+#include "platform_decoders.h"
 
 #include <criterion/criterion.h>
 
@@ -58,6 +63,56 @@
     }
 }
 
+/// What another writer may put in place of a value.
+nlohmann::json odd_value(base::random_source& random) {
+    const std::vector<nlohmann::json> values{nullptr,
+                                             true,
+                                             "",
+                                             "6",
+                                             "a\r\nb",
+                                             std::string(300, 'x'),
+                                             0,
+                                             -1,
+                                             6.5,
+                                             -1e300,
+                                             1e300,
+                                             std::numeric_limits<std::uint64_t>::max(),
+                                             std::numeric_limits<std::int64_t>::min(),
+                                             nlohmann::json::array(),
+                                             nlohmann::json::object(),
+                                             nlohmann::json::array({1, "x", nullptr})};
+    return values[random.below(values.size())];
+}
+
+/// Takes a field away or puts an odd value in its place, somewhere in a document.
+void change_somewhere(nlohmann::json& value, base::random_source& random) {
+    if (!value.is_structured() || value.empty() || random.below(8) == 0) {
+        value = odd_value(random);
+        return;
+    }
+    auto at = value.begin();
+    std::advance(at, static_cast<std::ptrdiff_t>(random.below(value.size())));
+    if (random.below(4) == 0) {
+        value.erase(at);
+    } else {
+        change_somewhere(*at, random);
+    }
+}
+
+/// As `run_corpus`, and with values of other types, and fields missing.
+void run_documents(const entry_point& feed, const std::string& seed) {
+    run_corpus(feed, {seed, "", "null", std::string(10'000, '['), "\xff\xfe"});
+    constexpr std::uint64_t random_seed = 20'261'202;
+    base::random_source random(random_seed);
+    for (int round = 0; round < mutations_of_each_seed; ++round) {
+        nlohmann::json document = nlohmann::json::parse(seed);
+        for (std::uint64_t changes = 1 + random.below(3); changes > 0; --changes) {
+            change_somewhere(document, random);
+        }
+        feed(document.dump());
+    }
+}
+
 std::string frame_of(net::frame_kind kind, std::string payload) {
     return net::encode_frame(
         {.kind = static_cast<std::uint8_t>(kind), .call = 5, .payload = std::move(payload)});
@@ -108,3 +163,35 @@
                 "\xffHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
                 "\x40HTTP/1.1 204 No Content\r\n\r\n", "\x40HTTP/1.0 200 OK\r\n\r\nto the end"});
 }
+
+Test(corpus, backend_entry) {
+    run_documents(fuzz::feed_backend_entry,
+                  R"({"service":"s","address":"10.1.0.9:8080","zone":"z","version":"v1","slots":12,
+                      "state":"ready","cold_left_ms":0,"seq":4,"born":1764710400123})");
+}
+
+Test(corpus, configuration) {
+    run_documents(fuzz::feed_configuration, R"({"version": 7,
+        "routes": [{"name": "r", "host": "h", "path_prefix": "/a/", "kind": "streaming",
+                    "timeout_ms": 4000, "slo_ms": 200, "priority": 1, "attempts": 2,
+                    "keeps_history": true, "retain_s": 60.0, "can_resume": true, "public": false,
+                    "allowed_regions": ["n"], "backends": [{"service": "x", "weight": 90}]}],
+        "services": [{"name": "x", "max_conns": 160, "cold_start_s": 2.5, "cold_per_s": 32.0,
+                      "engine": {"chunk_tokens": 9}}],
+        "limits": {"max_header_bytes": 1, "max_body_bytes": 4194304, "header_timeout_ms": 5,
+                   "idle_timeout_ms": 6},
+        "tenants": [{"name": "t", "api_keys": ["k"], "priority": 2, "rate_per_s": 4.5, "burst": 9,
+                     "allowed_regions": ["n"]}]})");
+}
+
+Test(corpus, storage_view) {
+    run_documents(fuzz::feed_storage_view, R"({"groups":2,"members":[
+        {"node":"s1","address":"10.0.0.1:7000","zone":"a","retiring":false,"group":1},
+        {"node":"s2","address":"10.0.0.2:7000","zone":"b","retiring":true,"group":0}]})");
+}
+
+Test(corpus, storage_member) {
+    run_documents(
+        fuzz::feed_storage_member,
+        R"({"node":"s1","address":"10.0.0.1:7000","zone":"a","retiring":false,"group":1})");
+}
