Bytes between nodes by call and by distance, bytes to back ends by distance

Operators saw one sum of bytes sent; what crosses zones and regions is what costs. A node's hello tells its zone, answers carry the method that they answer, and each node counts what it sends by call, request or answer, and own zone, other zone, other region ([regions] of the settings). Nodes of an earlier release ignore the added field.

--- a/src/pearbarrow/fleet/edge_node.cc
+++ b/src/pearbarrow/fleet/edge_node.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "pearbarrow/fleet/traffic_names.h"
+
 namespace pearbarrow::fleet {
 namespace {
 
@@ -83,10 +85,14 @@
                    [this] {
                        const auto& exchange = parts_.directory();
                        return exchange.peer_count() == 0 || exchange.is_connected();
-                   }},
+                   },
+               .traffic = forward::backend_traffic(distances_from(settings))},
       service_(context_) {
     context_.options.tells_priority = settings.dispatch.tells_priority;
-    parts_.gauges().add([this](base::metrics_registry& registry) { collect(registry); });
+    parts_.gauges().add([this](base::metrics_registry& registry) {
+        collect(registry);
+        parts_.gauges().collect_traffic(context_.traffic);
+    });
 }
 
 edge_node::~edge_node() = default;
--- a/src/pearbarrow/fleet/node_gauges.cc
+++ b/src/pearbarrow/fleet/node_gauges.cc
@@ -4,6 +4,8 @@
 
 #include <fstream>
 
+#include "pearbarrow/fleet/traffic_names.h"
+
 namespace pearbarrow::fleet {
 namespace {
 
@@ -82,6 +84,31 @@
         .add_gauge("pearbarrow_peer_bytes_received_total",
                    "Bytes received from other nodes since the start")
         .set(static_cast<double>(rpc.bytes_received()));
+    for (const net::traffic_row& row : rpc.traffic()) {
+        this->registry
+            .add_gauge("pearbarrow_peer_call_bytes_sent_total",
+                       "Bytes sent to other nodes since the start, by what for and how far",
+                       {{"call", std::string(name_of_call(row.method))},
+                        {"part", row.is_answer ? "answer" : "request"},
+                        {"distance", std::string(name_of(row.distance))}})
+            .set(static_cast<double>(row.bytes));
+    }
+}
+
+void node_gauges::collect_traffic(const forward::backend_traffic& traffic) {
+    for (const forward::backend_traffic::row& row : traffic.rows()) {
+        const std::string distance(name_of(row.distance));
+        this->registry
+            .add_gauge("pearbarrow_backend_bytes_total",
+                       "Bytes of bodies to and from back ends since the start, by how far they are",
+                       {{"part", "request"}, {"distance", distance}})
+            .set(static_cast<double>(row.sent));
+        this->registry
+            .add_gauge("pearbarrow_backend_bytes_total",
+                       "Bytes of bodies to and from back ends since the start, by how far they are",
+                       {{"part", "answer"}, {"distance", distance}})
+            .set(static_cast<double>(row.received));
+    }
 }
 
 }  // namespace pearbarrow::fleet
--- a/src/pearbarrow/fleet/node_gauges.h
+++ b/src/pearbarrow/fleet/node_gauges.h
@@ -7,6 +7,7 @@
 #include "pearbarrow/base/clock.h"
 #include "pearbarrow/base/metrics.h"
 #include "pearbarrow/directory/directory_exchange.h"
+#include "pearbarrow/forward/backend_traffic.h"
 #include "pearbarrow/net/peer_rpc.h"
 
 namespace pearbarrow::fleet {
@@ -27,6 +28,8 @@
     /// Versions, their age, and whether peers answer.
     void collect_directory(const directory::directory_exchange& exchange);
     void collect_traffic(const net::peer_rpc& rpc);
+    /// Bytes to and from back ends, by how far these are.
+    void collect_traffic(const forward::backend_traffic& traffic);
 
   private:
     base::metrics_registry& registry;
--- a/src/pearbarrow/fleet/node_parts.cc
+++ b/src/pearbarrow/fleet/node_parts.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "pearbarrow/fleet/traffic_names.h"
+
 namespace pearbarrow::fleet {
 namespace {
 
@@ -11,6 +13,8 @@
     net::peer_rpc_options options;
     options.self = settings.node;
     options.cluster = cluster_name;
+    options.zone = settings.zone;
+    options.distance_of = distances_from(settings);
     options.listen = to_endpoint(settings.peer);
     options.connect_timeout = base::milliseconds{500};
     // Some round trips between zones and a peer's pause of a tenth of a second (a spent quota).
--- /dev/null
+++ b/src/pearbarrow/fleet/traffic_names.h
@@ -0,0 +1,19 @@
+/// How far other zones are from a node, and the names of calls and distances in metrics.
+#pragma once
+
+#include <functional>
+#include <string_view>
+
+#include "pearbarrow/net/peer_traffic.h"
+#include "pearbarrow/settings/fleet_settings.h"
+
+namespace pearbarrow::fleet {
+
+/// A zone without a region in the settings counts as one of another region than all that have one.
+std::function<net::peer_distance(std::string_view zone)> distances_from(
+    const settings::fleet_settings& settings);
+
+std::string_view name_of(net::peer_distance distance);
+std::string_view name_of_call(wire::method_number method);
+
+}  // namespace pearbarrow::fleet
--- a/src/pearbarrow/forward/forward_context.h
+++ b/src/pearbarrow/forward/forward_context.h
@@ -9,6 +9,7 @@
 #include "pearbarrow/directory/route_table.h"
 #include "pearbarrow/directory/snapshot.h"
 #include "pearbarrow/forward/backend_pool.h"
+#include "pearbarrow/forward/backend_traffic.h"
 #include "pearbarrow/forward/forward_log.h"
 #include "pearbarrow/forward/header_names.h"
 #include "pearbarrow/forward/program_gate.h"
@@ -55,6 +56,7 @@
     std::shared_ptr<const active_configuration> active;
     /// Whether somebody would have told of a newer configuration; empty: always.
     std::function<bool()> hears_of_changes;
+    backend_traffic traffic = backend_traffic();
 };
 
 }  // namespace pearbarrow::forward
--- a/src/pearbarrow/forward/forwarded_attempt.cc
+++ b/src/pearbarrow/forward/forwarded_attempt.cc
@@ -93,8 +93,10 @@
     head_seen_ = false;
     is_foreign_ = false;
     is_refusal_ = false;
+    net::http_call call = make_call(target_);
+    context_.traffic.sent(target_.zone, call.body.size());
     call_ = context_.client.start(
-        make_call(target_),
+        std::move(call),
         {.on_head = [this](int status,
                            const net::http_headers& headers) { on_head(status, headers); },
          .on_chunk = [this](std::string_view bytes) { on_chunk(bytes); },
@@ -181,6 +183,7 @@
 }
 
 void forwarded_request::on_chunk(std::string_view bytes) {
+    context_.traffic.received(target_.zone, bytes.size());
     if (stage_ == answer_stage::streaming) {
         events_.feed(bytes);
         exchange_->write(std::string(bytes));
--- a/src/pearbarrow/net/peer_calls.h
+++ b/src/pearbarrow/net/peer_calls.h
@@ -77,6 +77,7 @@
     boost::asio::io_context& context;
     peer_rpc_options options;
     std::shared_ptr<traffic_counters> counters;
+    peer_traffic traffic;
     std::map<method_number, peer_method_handler> methods;
     call_timeouts timeouts;
     std::shared_ptr<tls_context> server_tls;
--- a/src/pearbarrow/net/peer_frame.h
+++ b/src/pearbarrow/net/peer_frame.h
@@ -36,6 +36,7 @@
     std::uint8_t kind = 0;
     /// Correlation id, chosen by the caller; 0 in hello and probe frames.
     std::uint64_t call = 0;
+    /// Of requests and of what answers them.
     wire::method_number method = 0;
     /// Of a request; 0: no limit.
     std::uint64_t timeout_milliseconds = 0;
@@ -49,8 +50,10 @@
     std::uint32_t version = peer_protocol_version;
     std::string cluster;
     base::node_id node;
+    /// Empty: not told.
+    std::string zone;
 
-    MSGPACK_DEFINE(version, cluster, node);
+    MSGPACK_DEFINE(version, cluster, node, zone);
 };
 
 /// A failed status with its details.
--- a/src/pearbarrow/net/peer_inbound.cc
+++ b/src/pearbarrow/net/peer_inbound.cc
@@ -27,6 +27,7 @@
           caller_(link->caller()),
           self_(options.self),
           call_(request.call),
+          method_(request.method),
           timeout_(bounded_timeout(request.timeout_milliseconds)),
           max_payload_bytes_(options.max_frame_bytes - frame_overhead_bytes) {}
     remote_responder(const remote_responder&) = delete;
@@ -99,6 +100,7 @@
         if (!ended_ && link != nullptr) {
             link->answer({.kind = static_cast<std::uint8_t>(kind),
                           .call = call_,
+                          .method = method_,
                           .payload = std::move(payload)});
         }
     }
@@ -117,6 +119,7 @@
     base::node_id caller_;
     base::node_id self_;
     std::uint64_t call_;
+    wire::method_number method_;
     base::milliseconds timeout_;
     std::size_t max_payload_bytes_;
     std::function<void()> on_cancelled_;
--- a/src/pearbarrow/net/peer_link.cc
+++ b/src/pearbarrow/net/peer_link.cc
@@ -54,10 +54,24 @@
     link_->attach(shared_from_this());
 }
 
+void framed_link::send(const peer_frame& frame) {
+    std::string bytes = encode_frame(frame);
+    const auto kind = static_cast<frame_kind>(frame.kind);
+    const bool is_answer =
+        kind == frame_kind::part || kind == frame_kind::reply || kind == frame_kind::error;
+    count(frame.method, is_answer, bytes.size());
+    link_->write(std::move(bytes));
+}
+
+void framed_link::count(wire::method_number method, bool is_answer, std::size_t bytes) {
+    core_->traffic.add(method, is_answer, distance_, bytes);
+}
+
 void framed_link::send_hello() {
     send({.kind = static_cast<std::uint8_t>(frame_kind::hello),
-          .payload = wire::encode(
-              hello_message{.cluster = core_->options.cluster, .node = core_->options.self})});
+          .payload = wire::encode(hello_message{.cluster = core_->options.cluster,
+                                                .node = core_->options.self,
+                                                .zone = core_->options.zone})});
 }
 
 void framed_link::on_data(std::string_view bytes) {
@@ -104,6 +118,9 @@
     }
     hello_seen_ = true;
     hello_deadline_.clear();
+    if (const auto& distance_of = core_->options.distance_of; distance_of && !hello->zone.empty()) {
+        distance_ = distance_of(hello->zone);
+    }
     return on_hello(*hello);
 }
 
@@ -221,11 +238,12 @@
     pending_call pending{.call = call};
     if (is_ready()) {
         pending.position = link_->queued_position();
+        count(request.method, false, bytes.size());
         link_->write(std::move(bytes));
         watch_silence();
     } else {
         waiting_bytes_ += bytes.size();
-        waiting_.push_back({.call = id, .bytes = std::move(bytes)});
+        waiting_.push_back({.call = id, .method = request.method, .bytes = std::move(bytes)});
     }
     calls_.emplace(id, std::move(pending));
     call->set_withdraw([weak = weak_from_this(), id] {
@@ -245,6 +263,7 @@
     for (waiting_frame& frame : waiting_) {
         if (const auto found = calls_.find(frame.call); found != calls_.end()) {
             found->second.position = link_->queued_position();
+            count(frame.method, false, frame.bytes.size());
             link_->write(std::move(frame.bytes));
         }
     }
--- a/src/pearbarrow/net/peer_link.h
+++ b/src/pearbarrow/net/peer_link.h
@@ -34,7 +34,8 @@
     virtual void ended(const absl::Status& status) = 0;
 
     void begin();
-    void send(const peer_frame& frame) { link_->write(encode_frame(frame)); }
+    void send(const peer_frame& frame);
+    void count(wire::method_number method, bool is_answer, std::size_t bytes);
     void send_hello();
     /// Gives the link up unless the other side's hello comes in this time from now.
     void expect_hello_within(base::milliseconds time) { hello_deadline_.set_after(time); }
@@ -55,6 +56,7 @@
     deadline hello_deadline_;
     deadline silence_;
     base::instant last_heard_{};
+    peer_distance distance_ = peer_distance::unknown;
     bool hello_seen_ = false;
     bool ended_ = false;
 };
@@ -78,6 +80,7 @@
     };
     struct waiting_frame {
         std::uint64_t call = 0;
+        wire::method_number method = 0;
         std::string bytes;
     };
 
--- a/src/pearbarrow/net/peer_rpc.cc
+++ b/src/pearbarrow/net/peer_rpc.cc
@@ -79,6 +79,7 @@
     void stop_accepting() override { core_->stopping = true; }
     std::uint64_t bytes_sent() const override { return core_->counters->sent; }
     std::uint64_t bytes_received() const override { return core_->counters->received; }
+    std::vector<traffic_row> traffic() const override { return core_->traffic.rows(); }
 
     absl::Status reload_tls() override {
         const auto& files = core_->options.tls;
--- a/src/pearbarrow/net/peer_rpc.h
+++ b/src/pearbarrow/net/peer_rpc.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
@@ -22,6 +23,7 @@
 #include "pearbarrow/base/ids.h"
 #include "pearbarrow/net/endpoint.h"
 #include "pearbarrow/net/event_loop.h"
+#include "pearbarrow/net/peer_traffic.h"
 #include "pearbarrow/net/tls_files.h"
 #include "pearbarrow/wire/methods.h"
 
@@ -32,6 +34,10 @@
 struct peer_rpc_options {
     base::node_id self;
     std::string cluster;
+    /// Told to peers, so that both sides count what crosses between zones; empty: not told.
+    std::string zone;
+    /// How far a peer's zone is; empty: not known.
+    std::function<peer_distance(std::string_view zone)> distance_of;
     endpoint listen;
     std::size_t max_frame_bytes = std::size_t{16} * 1024 * 1024;
     std::size_t max_queued_bytes = std::size_t{64} * 1024 * 1024;
@@ -110,6 +116,8 @@
     /// Bytes sent and received since the start, for the control-traffic metric.
     virtual std::uint64_t bytes_sent() const = 0;
     virtual std::uint64_t bytes_received() const = 0;
+    /// What of it was sent for which call, and how far.
+    virtual std::vector<traffic_row> traffic() const = 0;
     /// Reads the key files again; connections already open keep their keys.
     virtual absl::Status reload_tls() = 0;
 };
--- a/tests/unit/fleet/metrics_test.cc
+++ b/tests/unit/fleet/metrics_test.cc
@@ -1,5 +1,6 @@
 // What a fleet's nodes tell of themselves.
 #include "fleet_fixture.h"
+#include "pearbarrow/fleet/traffic_names.h"
 
 #include <criterion/criterion.h>
 
@@ -38,6 +39,31 @@
     cr_assert(has(text, "pearbarrow_turn_step_seconds_count{outcome=\"stored\",step=\"store\"} 1"));
 }
 
+Test(metrics, an_edge_tells_its_bytes_by_call_and_distance) {
+    fleet_fixture fleet;
+    fleet.make_ready();
+    cr_assert(fleet.turn(0, "t1", "", "hello ").whole);
+    const std::string text = fleet.edges[0]->node.parts().gauges().text();
+    cr_assert(has_name(text, "pearbarrow_peer_call_bytes_sent_total{call=\"turn_reserve\""), "%s",
+              text.c_str());
+    cr_assert(has_name(text, "pearbarrow_peer_call_bytes_sent_total{call=\"turn_finish\""));
+    cr_assert(has_name(text, "pearbarrow_backend_bytes_total{distance="), "%s", text.c_str());
+}
+
+Test(metrics, distances_follow_the_regions_of_the_settings) {
+    settings::fleet_settings settings;
+    settings.zone = "a1";
+    const auto alone = fleet::distances_from(settings);
+    cr_assert(alone("a1") == net::peer_distance::own_zone);
+    cr_assert(alone("b1") == net::peer_distance::other_zone);
+    settings.regions = {{"a1", "a"}, {"a2", "a"}, {"b1", "b"}};
+    const auto distance = fleet::distances_from(settings);
+    cr_assert(distance("a2") == net::peer_distance::other_zone);
+    cr_assert(distance("b1") == net::peer_distance::other_region);
+    cr_assert(distance("c1") == net::peer_distance::other_region);
+    cr_assert(distance("") == net::peer_distance::unknown);
+}
+
 Test(metrics, a_storage_member_tells_whether_it_is_complete_and_level) {
     fleet_fixture fleet;
     fleet.make_ready();
--- a/tests/unit/net/peer_rpc_test.cc
+++ b/tests/unit/net/peer_rpc_test.cc
@@ -242,6 +242,41 @@
     cr_assert(pair.client->bytes_received() <= pair.server->bytes_sent());
 }
 
+Test(peer_rpc, bytes_are_counted_by_call_and_by_the_distance_of_the_peer) {
+    const auto in_zone = [](const std::string& node, const std::string& zone) {
+        peer_rpc_options options = options_of(node);
+        options.zone = zone;
+        options.distance_of = [zone](std::string_view other) {
+            return other == zone ? peer_distance::own_zone : peer_distance::other_region;
+        };
+        return options;
+    };
+    peer_pair pair(in_zone("client", "a"), in_zone("server", "b"));
+    call_result call(pair.loop);
+    // Short enough that no frame is packed.
+    const std::string text(100, 'x');
+    call.start(*pair.client, "server", pair.address(), echo_method, text);
+    call.wait();
+    cr_assert(call.ok());
+    const auto row_of = [](const peer_rpc& rpc) {
+        for (const traffic_row& row : rpc.traffic()) {
+            if (row.method == echo_method) {
+                return row;
+            }
+        }
+        return traffic_row{};
+    };
+    const traffic_row asked = row_of(*pair.client);
+    const traffic_row answered = row_of(*pair.server);
+    cr_assert(!asked.is_answer && answered.is_answer);
+    cr_assert(asked.distance == peer_distance::other_region);
+    cr_assert(answered.distance == peer_distance::other_region);
+    cr_assert(asked.frames == 1);
+    cr_assert(answered.frames == 2, "a part and the answer");
+    cr_assert(asked.bytes > text.size() && asked.bytes < text.size() + 50);
+    cr_assert(answered.bytes > text.size() && answered.bytes < text.size() + 100);
+}
+
 Test(peer_rpc, a_destroyed_node_runs_no_callbacks_of_calls_that_it_refused) {
     peer_pair pair;
     call_result call(pair.loop);
