Groups and quota members spread so that no tolerated zone takes a majority

The settings told a fleet how many disks may be lost at once, not that a whole zone may be. Groups were cut from one order of members, so zones of 5, 4 and 3 members gave a second group with 4 of 6 in one zone; a member always entered; two of a tenant's three quota members could stand in one zone.

Now: tolerated_zones (fault_tolerance.zones of the platform). The first view is the one with most groups that bears the loss of that many zones; one group bears it wherever any number of groups does. A member waits while each group that it might enter would bear it no longer. Quota members: each zone's heaviest first. At each change of the view members say when a tolerated loss would take a majority (storage_loss_not_borne, pearbarrow_storage_groups_at_risk). With tolerated_zones 0, the default, groups and entering are as before; quota members change in any fleet with three zones.

Ruled out: members outside of all groups (a zone's surplus left idle at the forming): they would add nothing and hold nothing.

The fixture of storage_membership_test takes the group options as a field (the default is what stood there).

--- a/src/pearbarrow/fleet/storage_node.cc
+++ b/src/pearbarrow/fleet/storage_node.cc
@@ -71,7 +71,8 @@
             .self = {.node = parts_.settings().node,
                      .address = to_endpoint(parts_.settings().peer),
                      .zone = parts_.settings().zone},
-            .groups = {.tolerated_losses = parts_.settings().tolerated_losses}});
+            .groups = {.tolerated_losses = parts_.settings().tolerated_losses,
+                       .tolerated_zones = parts_.settings().tolerated_zones}});
     loads_ = std::make_unique<turns::board_exchange>(
         parts_.loop(), parts_.rpc(), parts_.clock(), replica_->board(),
         turns::board_exchange_options{.self = parts_.settings().node,
@@ -107,6 +108,15 @@
     set("pearbarrow_dispatch_load_groups",
         "Other replica groups of which a member tells this one what nodes report",
         loads_->connected_groups());
+    const auto set_risk = [&](const char* loss, std::size_t groups) {
+        registry
+            .add_gauge("pearbarrow_storage_groups_at_risk",
+                       "Replica groups that a tolerated loss would take the majority of",
+                       {{"loss", loss}})
+            .set(static_cast<double>(groups));
+    };
+    set_risk("disks", at_risk_.by_disks.size());
+    set_risk("zones", at_risk_.by_zones.size());
     const tenants::quota_ledger& quotas = quotas_->ledger();
     set("pearbarrow_quota_tenants", "Tenants whose limits this member counts a part of",
         quotas.tenant_count());
@@ -160,6 +170,24 @@
     replica_->set_view(view);
     membership_->set_view(view);
     loads_->set_view(view);
+    check_losses(view);
+}
+
+void storage_node::check_losses(const directory::storage_view& view) {
+    turns::groups_at_risk found = turns::find_groups_at_risk(
+        view,
+        {.disks = parts_.settings().tolerated_losses, .zones = parts_.settings().tolerated_zones});
+    if (found == at_risk_) {
+        return;
+    }
+    at_risk_ = std::move(found);
+    const bool is_safe = at_risk_.by_disks.empty() && at_risk_.by_zones.empty();
+    base::log(is_safe ? base::log_level::info : base::log_level::warning,
+              is_safe ? "storage_bears_losses_again" : "storage_loss_not_borne",
+              {{"view", view.revision},
+               {"members", view.members.size()},
+               {"groups_by_disks", at_risk_.by_disks},
+               {"groups_by_zones", at_risk_.by_zones}});
 }
 
 void storage_node::stop(std::function<void()> done) {
--- a/src/pearbarrow/fleet/storage_node.h
+++ b/src/pearbarrow/fleet/storage_node.h
@@ -9,6 +9,7 @@
 #include "pearbarrow/fleet/node_parts.h"
 #include "pearbarrow/tenants/quota_service.h"
 #include "pearbarrow/turns/board_exchange.h"
+#include "pearbarrow/turns/loss_check.h"
 #include "pearbarrow/turns/storage_membership.h"
 #include "pearbarrow/turns/turn_replica.h"
 
@@ -37,6 +38,8 @@
     void recall_directory();
     void keep_directory();
     void take_changes(const directory::directory_state::changes& changed);
+    /// Tells operators when a tolerated loss would take the majority of a group.
+    void check_losses(const directory::storage_view& view);
 
     node_parts parts_;
     std::unique_ptr<turns::turn_store> store_;
@@ -44,6 +47,7 @@
     std::unique_ptr<turns::storage_membership> membership_;
     std::unique_ptr<turns::board_exchange> loads_;
     std::unique_ptr<tenants::quota_service> quotas_;
+    turns::groups_at_risk at_risk_;
 };
 
 }  // namespace pearbarrow::fleet
--- a/src/pearbarrow/settings/fleet_settings.cc
+++ b/src/pearbarrow/settings/fleet_settings.cc
@@ -14,6 +14,7 @@
 constexpr std::size_t max_path_bytes = 4'096;
 /// A turn is written to twice as many members and some more.
 constexpr std::uint64_t most_tolerated_losses = 16;
+constexpr std::uint64_t most_tolerated_zones = 16;
 constexpr std::uint64_t most_quota_slack = 1'000'000;
 
 void read_role(field_reader& reader, fleet_settings& settings) {
@@ -84,6 +85,9 @@
         std::uint64_t losses = settings.tolerated_losses;
         reader.read_integer("tolerated_losses", 0, most_tolerated_losses, losses);
         settings.tolerated_losses = losses;
+        std::uint64_t zones = settings.tolerated_zones;
+        reader.read_integer("tolerated_zones", 0, most_tolerated_zones, zones);
+        settings.tolerated_zones = zones;
         reader.read_milliseconds("quota.window_ms", base::milliseconds{0},
                                  base::milliseconds{600'000}, settings.quota_window);
         reader.read_integer("quota.slack", 0, most_quota_slack, settings.quota_slack);
--- a/src/pearbarrow/settings/fleet_settings.h
+++ b/src/pearbarrow/settings/fleet_settings.h
@@ -64,6 +64,9 @@
     /// Disks of storage members that may be lost at once; storage members only. Sets the size of
     /// replica groups (`turns/replica_groups.h`).
     std::size_t tolerated_losses = 1;
+    /// Whole zones that may be lost at once; storage members only. Groups are spread so that this
+    /// leaves each a majority, where the zones allow it (`turns/loss_check.h`).
+    std::size_t tolerated_zones = 0;
     /// Requests that a tenant may send beyond its limit in one window of the operator's count;
     /// storage members only. Sets what a share holds beyond the burst (`tenants/quota_ledger.h`).
     std::uint64_t quota_slack = 0;
--- a/src/pearbarrow/tenants/quota_members.cc
+++ b/src/pearbarrow/tenants/quota_members.cc
@@ -1,6 +1,7 @@
 #include "pearbarrow/tenants/quota_members.h"
 
 #include <algorithm>
+#include <map>
 #include <string>
 #include <utility>
 
@@ -16,13 +17,23 @@
     const auto weight = [tenant](const directory::storage_member& member) {
         return base::stable_hash(member.node.value(), base::stable_hash(tenant));
     };
-    const std::size_t count = std::min(members.size(), quota_shares);
-    std::partial_sort(members.begin(), members.begin() + static_cast<std::ptrdiff_t>(count),
-                      members.end(), [&](const auto& left, const auto& right) {
-                          return std::make_pair(weight(left), left.node) >
-                                 std::make_pair(weight(right), right.node);
-                      });
-    members.resize(count);
+    std::sort(members.begin(), members.end(), [&](const auto& left, const auto& right) {
+        return std::make_pair(weight(left), left.node) > std::make_pair(weight(right), right.node);
+    });
+    // Each zone's heaviest first, then each zone's second, and so on.
+    std::map<std::string, std::size_t> seen;
+    std::vector<std::pair<std::size_t, directory::storage_member>> placed;
+    for (directory::storage_member& member : members) {
+        const std::size_t place = seen[member.zone]++;
+        placed.emplace_back(place, std::move(member));
+    }
+    std::stable_sort(placed.begin(), placed.end(),
+                     [](const auto& left, const auto& right) { return left.first < right.first; });
+    placed.resize(std::min(placed.size(), quota_shares));
+    members.clear();
+    for (auto& entry : placed) {
+        members.push_back(std::move(entry.second));
+    }
     return members;
 }
 
--- a/src/pearbarrow/turns/replica_groups.cc
+++ b/src/pearbarrow/turns/replica_groups.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "pearbarrow/base/hash.h"
+#include "pearbarrow/turns/loss_check.h"
 
 namespace pearbarrow::turns {
 namespace {
@@ -41,6 +42,33 @@
     return members;
 }
 
+/// The members in this order, cut into groups.
+directory::storage_view in_runs(std::vector<directory::storage_member> ordered,
+                                std::size_t groups) {
+    directory::storage_view view{
+        .revision = 0, .members = std::move(ordered), .groups = static_cast<std::uint32_t>(groups)};
+    for (std::size_t index = 0; index < view.members.size(); ++index) {
+        view.members[index].group =
+            static_cast<std::uint32_t>(index * groups / view.members.size());
+    }
+    return view;
+}
+
+/// Each zone's members dealt out to the groups in turn: no group has over one more of a zone than
+/// another, also where zones differ in size.
+directory::storage_view dealt_by_zone(std::vector<directory::storage_member> members,
+                                      std::size_t groups) {
+    std::sort(members.begin(), members.end(), [](const auto& left, const auto& right) {
+        return std::tie(left.zone, left.node) < std::tie(right.zone, right.node);
+    });
+    directory::storage_view view{
+        .revision = 0, .members = std::move(members), .groups = static_cast<std::uint32_t>(groups)};
+    for (std::size_t index = 0; index < view.members.size(); ++index) {
+        view.members[index].group = static_cast<std::uint32_t>(index % groups);
+    }
+    return view;
+}
+
 }  // namespace
 
 std::size_t group_options::least_size() const {
@@ -64,15 +92,25 @@
 
 directory::storage_view form_groups(std::vector<directory::storage_member> candidates,
                                     const group_options& options) {
-    const std::size_t groups = std::max<std::size_t>(1, candidates.size() / options.least_size());
-    directory::storage_view view{.revision = 0,
-                                 .members = by_turns_of_zones(std::move(candidates)),
-                                 .groups = static_cast<std::uint32_t>(groups)};
-    for (std::size_t index = 0; index < view.members.size(); ++index) {
-        view.members[index].group =
-            static_cast<std::uint32_t>(index * groups / view.members.size());
+    const std::size_t most = std::max<std::size_t>(1, candidates.size() / options.least_size());
+    const auto ordered = by_turns_of_zones(std::move(candidates));
+    directory::storage_view first = in_runs(ordered, most);
+    if (options.tolerated_zones == 0) {
+        return first;
     }
-    return view;
+    // One group bears the loss of zones wherever any number of groups does: of a group of s members
+    // (s - 1) / 2 may be lost, and the sum of that over groups is never more than over one of all.
+    for (std::size_t groups = most; groups > 0; --groups) {
+        directory::storage_view runs = in_runs(ordered, groups);
+        if (bears_zones(runs, options.tolerated_zones)) {
+            return runs;
+        }
+        directory::storage_view dealt = dealt_by_zone(ordered, groups);
+        if (bears_zones(dealt, options.tolerated_zones)) {
+            return dealt;
+        }
+    }
+    return first;
 }
 
 // A member that comes back prefers its former group, where it copies only what it missed; in
@@ -103,4 +141,28 @@
     return static_cast<std::uint32_t>(smallest - counts.begin());
 }
 
+std::optional<std::uint32_t> group_to_enter(const directory::storage_view& view,
+                                            const directory::storage_member& newcomer,
+                                            std::optional<std::uint32_t> former,
+                                            const group_options& options) {
+    const std::uint32_t preferred = group_for_newcomer(view, newcomer, former);
+    const auto may_take = [&](std::uint32_t group) {
+        directory::storage_view part = members_of(view, group);
+        const bool bears =
+            leaves_majority(voter_count(part), most_lost_with_zones(part, options.tolerated_zones));
+        part.members.push_back(newcomer);
+        return !bears || leaves_majority(voter_count(part),
+                                         most_lost_with_zones(part, options.tolerated_zones));
+    };
+    if (options.tolerated_zones == 0 || may_take(preferred)) {
+        return preferred;
+    }
+    for (std::uint32_t group = 0; group < view.groups; ++group) {
+        if (may_take(group)) {
+            return group;
+        }
+    }
+    return std::nullopt;
+}
+
 }  // namespace pearbarrow::turns
--- a/src/pearbarrow/turns/replica_groups.h
+++ b/src/pearbarrow/turns/replica_groups.h
@@ -19,6 +19,8 @@
 struct group_options {
     /// Disks that may be lost at once.
     std::size_t tolerated_losses = 1;
+    /// Whole zones that may be lost at once.
+    std::size_t tolerated_zones = 0;
 
     /// Members of a group at its forming, at least, where the fleet has that many.
     std::size_t least_size() const;
@@ -31,7 +33,8 @@
 directory::storage_view members_of(const directory::storage_view& view, std::uint32_t group);
 
 /// The first view of a fleet, revision 0. Each group spreads over as many zones as it can; the
-/// sizes of two groups differ by one at most. Needs a candidate at least.
+/// sizes of two groups differ by one at most. Where any layout of all candidates bears the loss of
+/// the tolerated zones, this one does, if need be with fewer groups. Needs a candidate at least.
 directory::storage_view form_groups(std::vector<directory::storage_member> candidates,
                                     const group_options& options);
 
@@ -41,4 +44,11 @@
                                  const directory::storage_member& newcomer,
                                  std::optional<std::uint32_t> former);
 
+/// The same, but none where each group that bears the loss of the tolerated zones would bear it no
+/// longer: the newcomer waits for one of another zone.
+std::optional<std::uint32_t> group_to_enter(const directory::storage_view& view,
+                                            const directory::storage_member& newcomer,
+                                            std::optional<std::uint32_t> former,
+                                            const group_options& options);
+
 }  // namespace pearbarrow::turns
--- a/src/pearbarrow/turns/storage_membership.cc
+++ b/src/pearbarrow/turns/storage_membership.cc
@@ -112,12 +112,17 @@
     }
 }
 
-std::optional<directory::storage_view> storage_membership::wanted_view() const {
+std::optional<directory::storage_view> storage_membership::wanted_view() {
     const auto* self = view_->find(options_.self.node);
     if (self == nullptr) {
         directory::storage_view next = *view_;
         directory::storage_member entry = options_.self;
-        entry.group = group_for_newcomer(*view_, entry, replica_.group());
+        const auto group = group_to_enter(*view_, entry, replica_.group(), options_.groups);
+        note_waiting(!group.has_value());
+        if (!group.has_value()) {
+            return std::nullopt;
+        }
+        entry.group = *group;
         next.members.push_back(std::move(entry));
         return next;
     }
@@ -135,6 +140,16 @@
     return without_dead();
 }
 
+void storage_membership::note_waiting(bool waits) {
+    if (std::exchange(waits_to_enter_, waits) == waits) {
+        return;
+    }
+    base::log(base::log_level::warning, waits ? "storage_member_waits" : "storage_member_enters",
+              {{"zone", options_.self.zone},
+               {"view", view_->revision},
+               {"reason", "a lost zone would take the majority of its group"}});
+}
+
 std::optional<directory::storage_view> storage_membership::without_dead() const {
     const directory::storage_view group = own_group();
     if (!replica_.is_complete() || group.members.size() <= least_members) {
--- a/src/pearbarrow/turns/storage_membership.h
+++ b/src/pearbarrow/turns/storage_membership.h
@@ -73,7 +73,9 @@
     void form_later();
     void form_view();
     /// The next view that this member wants, if any.
-    std::optional<directory::storage_view> wanted_view() const;
+    std::optional<directory::storage_view> wanted_view();
+    /// Says once that the member waits, or that it waits no longer.
+    void note_waiting(bool waits);
     std::optional<directory::storage_view> without_dead() const;
     /// The members of this one's group; none when the view does not name it.
     directory::storage_view own_group() const;
@@ -90,6 +92,8 @@
     storage_register& outside_;
     membership_options options_;
     std::optional<directory::storage_view> view_;
+    /// It would enter a group that then bears no lost zone.
+    bool waits_to_enter_ = false;
     std::unique_ptr<net::timer_handle> timer_;
     std::vector<directory::storage_member> candidates_;
     std::unique_ptr<net::timer_handle> formation_timer_;
--- a/tests/unit/settings/fleet_settings_test.cc
+++ b/tests/unit/settings/fleet_settings_test.cc
@@ -66,6 +66,24 @@
     cr_assert(result.problems.size() == 1 && names(result, "data_folder"));
 }
 
+Test(fleet_settings, reads_what_a_storage_member_tolerates) {
+    const std::string text = R"(
+role = "storage"
+node = "storage-1"
+zone = "z"
+directory_service = "10.0.0.1:80"
+data_folder = "/data"
+tolerated_losses = 2
+)";
+    const std::string listen = "[listen]\npeer = \"10.0.0.4:70\"\n";
+    const auto result = check_fleet(text + "tolerated_zones = 1\n" + listen);
+    cr_assert(result.problems.empty());
+    cr_assert(result.settings.tolerated_losses == 2 && result.settings.tolerated_zones == 1);
+    cr_assert(check_fleet(text + listen).settings.tolerated_zones == 0);
+    cr_assert(names(check_fleet(text + "tolerated_zones = 99\n" + listen), "tolerated_zones"));
+    cr_assert(names(check_fleet(text + "tolerated_zones = \"one\"\n" + listen), "tolerated_zones"));
+}
+
 Test(fleet_settings, text_that_is_no_toml_is_one_problem) {
     cr_assert(check_fleet("role = ").problems.size() == 1);
     cr_assert(check_fleet_file("/nowhere/at/all").problems.size() == 1);
--- a/tests/unit/turns/storage_membership_test.cc
+++ b/tests/unit/turns/storage_membership_test.cc
@@ -82,6 +82,7 @@
     std::optional<directory::storage_view> view;
     std::vector<directory::storage_member> candidates;
     std::size_t proposals = 0;
+    group_options groups{.tolerated_losses = 0};
 };
 
 replica_options replica_options_of(const std::string& name) {
@@ -103,7 +104,7 @@
     cr_assert(this->rpc->start().ok());
     membership_options options{
         .self = {.node = base::node_id(name), .address = this->rpc->local_endpoint(), .zone = zone},
-        .groups = {.tolerated_losses = 0}};
+        .groups = owner.groups};
     options.check_interval = base::milliseconds{20};
     options.dead_after = base::milliseconds{400};
     options.formation_quiet = base::milliseconds{100};
@@ -185,6 +186,20 @@
     cr_assert(run_until(fleet.loop, [&] { return fleet.members.back().replica.is_complete(); }));
 }
 
+Test(storage_membership, a_member_that_would_let_a_zone_take_a_majority_waits_for_another_zone) {
+    fleet fleet;
+    fleet.groups = {.tolerated_losses = 1, .tolerated_zones = 1};
+    for (const char* zone : {"a", "b", "c"}) {
+        fleet.add(std::string("store-") + zone, zone);
+    }
+    cr_assert(run_until(fleet.loop, [&] { return fleet.size_of(0) == 3; }));
+    fleet.add("second-a", "a", false);
+    run_for(fleet.loop, base::milliseconds{200});
+    cr_assert(fleet.size_of(0) == 3, "two of four in one zone would be half");
+    fleet.add("first-d", "d", false);
+    cr_assert(run_until(fleet.loop, [&] { return fleet.size_of(0) == 5; }), "both enter");
+}
+
 Test(storage_membership, members_of_other_groups_are_nobodys_dead) {
     fleet fleet;
     form(fleet);
