--- a/src/pearbarrow/fleet/edge_node.cc
+++ b/src/pearbarrow/fleet/edge_node.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "pearbarrow/fleet/place_gauges.h"
+#include "pearbarrow/fleet/traffic_names.h"
 #include "pearbarrow/places/storage_places.h"
 
 namespace pearbarrow::fleet {
@@ -93,13 +94,17 @@
                        return exchange.peer_count() == 0 || exchange.is_connected();
                    },
                .places = &places_,
-               .permits = &permits_},
+               .permits = &permits_,
+               .traffic = forward::backend_traffic(distances_from(settings))},
       service_(context_) {
     pool_.set_places(places_);
     pool_.set_cold_table(cold_);
     context_.options.permit_lifetime = permit_client_.limits().grant_lifetime;
     context_.options.tells_priority = settings.dispatch.tells_priority;
-    parts_.gauges().add([this](base::metrics_registry& registry) { collect(registry); });
+    parts_.gauges().add([this](base::metrics_registry& registry) {
+        collect(registry);
+        parts_.gauges().collect_traffic(context_.traffic);
+    });
 }
 
 edge_node::~edge_node() = default;
--- a/src/pearbarrow/fleet/storage_node.h
+++ b/src/pearbarrow/fleet/storage_node.h
@@ -10,6 +10,7 @@
 #include "pearbarrow/slowstart/start_limits.h"
 #include "pearbarrow/tenants/quota_service.h"
 #include "pearbarrow/turns/board_exchange.h"
+#include "pearbarrow/turns/loss_check.h"
 #include "pearbarrow/turns/storage_membership.h"
 #include "pearbarrow/turns/turn_replica.h"
 
@@ -39,6 +40,8 @@
     void keep_directory();
     void take_changes(const directory::directory_state::changes& changed);
     void take_start_limits(const directory::directory_state::changes& changed, base::instant now);
+    /// Tells operators when a tolerated loss would take the majority of a group.
+    void check_losses(const directory::storage_view& view);
 
     node_parts parts_;
     std::unique_ptr<turns::turn_store> store_;
@@ -49,6 +52,7 @@
     slowstart::start_limits start_limits_;
     /// Counts permits for back ends that have just started.
     std::unique_ptr<tenants::quota_service> permits_;
+    turns::groups_at_risk at_risk_;
 };
 
 }  // namespace pearbarrow::fleet
--- a/src/pearbarrow/forward/forward_context.h
+++ b/src/pearbarrow/forward/forward_context.h
@@ -9,6 +9,7 @@
 #include "pearbarrow/directory/route_table.h"
 #include "pearbarrow/directory/snapshot.h"
 #include "pearbarrow/forward/backend_pool.h"
+#include "pearbarrow/forward/backend_traffic.h"
 #include "pearbarrow/forward/forward_log.h"
 #include "pearbarrow/forward/header_names.h"
 #include "pearbarrow/forward/program_gate.h"
@@ -65,6 +66,7 @@
     const places::place_rules* places = nullptr;
     /// Whether a cold back end bears a request; null: all are sent to at once.
     slowstart::permit_source* permits = nullptr;
+    backend_traffic traffic = backend_traffic();
 };
 
 }  // namespace pearbarrow::forward
