The gate counts what a mostly cold service bears; simulated nodes start again in the middle

Cause: the gate for new programs counted a cold back end's places, though its rate fills fewer of them; and the simulation had no nodes that start while back ends are cold.

Change: where more than half of a service is cold, a cold back end counts as its rate times the mean stay of a request. The simulation restarts some nodes, or all.

Tests of slowstart, forward and forward simulation pass. Not played on a fleet since this change.

--- a/src/pearbarrow/forward/backend_pool.cc
+++ b/src/pearbarrow/forward/backend_pool.cc
@@ -287,6 +287,16 @@
     mean = mean == 0 ? time : mean + newest_gap_weight * (time - mean);
 }
 
+void backend_pool::note_stay(const std::string& id, base::microseconds stay) {
+    const auto found = entries_.find(id);
+    if (found == entries_.end()) {
+        return;
+    }
+    const double seconds = std::chrono::duration<double>(stay).count();
+    double& mean = stays_.emplace(found->second.backend.service, seconds).first->second;
+    mean += newest_weight * (seconds - mean);
+}
+
 void backend_pool::ended(const std::string& id, attempt_result result, base::microseconds took,
                          base::instant now) {
     const auto found = entries_.find(id);
--- a/src/pearbarrow/forward/backend_pool.h
+++ b/src/pearbarrow/forward/backend_pool.h
@@ -146,6 +146,8 @@
     /// only.
     void ended(const std::string& id, attempt_result result, base::microseconds took,
                base::instant now);
+    /// An answered request was at the back end for this long, from its sending to its end.
+    void note_stay(const std::string& id, base::microseconds stay);
     /// An event of a stream has come, `gap` after the one before.
     void note_event(const std::string& id, base::microseconds gap);
     /// How long an attempt at the back end may stay without the head of an answer before another
@@ -208,6 +210,8 @@
     /// How often the typical pace the back end takes, where that is more than tolerated; else 1.
     double slowness_of(const entry& one, double typical, base::instant now) const;
     dispatch::backend_load elsewhere(const entry& one, base::instant now) const;
+    /// Requests that the back end works on at once, in those of a usual one.
+    double places_of(const entry& one, double typical, bool counts_cold, base::instant now) const;
     /// Requests at the back end, of this node and all others, with one more, for each place.
     double fullness(const entry& one, base::instant now) const;
 
@@ -219,6 +223,8 @@
     std::map<std::string, entry> entries_;
     /// By service.
     std::map<std::string, request_rate, std::less<>> rates_;
+    /// By service: mean time of recent requests at a back end. Seconds.
+    std::map<std::string, double, std::less<>> stays_;
     std::uint64_t revision_ = 0;
 };
 
--- a/src/pearbarrow/forward/forwarded_attempt.cc
+++ b/src/pearbarrow/forward/forwarded_attempt.cc
@@ -224,6 +224,9 @@
     }
     const auto took =
         is_stream() && event_count_ > 0 ? first_event_ - attempt_began_ : now - attempt_began_;
+    if (result == attempt_result::served) {
+        context_.pool.note_stay(target_.id, now - attempt_began_);
+    }
     context_.pool.ended(target_.id, result, took, now);
     context_.log.count_attempt(to_string(result));
 }
--- a/src/pearbarrow/forward/service_load.cc
+++ b/src/pearbarrow/forward/service_load.cc
@@ -31,6 +31,19 @@
                                                   : 1.0;
 }
 
+/// A cold back end takes no more at once than come to it while one request is under way. Where only
+/// a few are cold their requests go to the others, and places of all count.
+double backend_pool::places_of(const entry& one, double typical, bool counts_cold,
+                               base::instant now) const {
+    const double places = one.backend.slots / slowness_of(one, typical, now);
+    const auto stay = stays_.find(one.backend.service);
+    if (!counts_cold || cold_ == nullptr || stay == stays_.end()) {
+        return places;
+    }
+    const auto cold = cold_->find(one.backend.id, now);
+    return cold.has_value() ? std::min(places, cold->rate * stay->second) : places;
+}
+
 service_load backend_pool::load_of(std::string_view service, base::instant now) const {
     service_load load{.service = std::string(service),
                       .is_known = elsewhere_ != nullptr && elsewhere_->is_known(now)};
@@ -42,8 +55,11 @@
         }
     }
     const double typical = typical_pace(fit, now);
+    const auto cold =
+        std::count_if(fit.begin(), fit.end(), [&](const entry* one) { return is_cold(*one, now); });
+    const bool most_are_cold = 2 * static_cast<std::size_t>(cold) > fit.size();
     for (const entry* one : fit) {
-        load.places += one->backend.slots / slowness_of(*one, typical, now);
+        load.places += places_of(*one, typical, most_are_cold, now);
         load.requests += one->in_flight + elsewhere(*one, now).requests;
     }
     return load;
--- a/src/pearbarrow/slowstart/cold_table.cc
+++ b/src/pearbarrow/slowstart/cold_table.cc
@@ -37,6 +37,8 @@
     state& one = this->states[backend.id];
     const bool is_back = !one.listed;
     const bool has_started = one.started_at != backend.started_at;
+    // All of a node's first list too: where a tenth of the nodes had just started and took each
+    // entry at its word, 3 of 200 simulated fleets passed the bound (57 in a second of 53).
     if (is_back || has_started) {
         one.suspected_at = now;
     }
--- a/tests/unit/forward/backend_pool_test.cc
+++ b/tests/unit/forward/backend_pool_test.cc
@@ -416,3 +416,17 @@
     cr_assert(fixture.cold.is_cold("c", fixture.now + milliseconds{2'999}));
     cr_assert(!fixture.cold.is_cold("c", fixture.now + milliseconds{3'000}));
 }
+
+Test(backend_pool, a_service_that_is_mostly_cold_has_the_places_that_its_rate_fills) {
+    cold_fixture fixture;
+    fixture.pool.note_stay("w", milliseconds{50});
+    cr_assert(fixture.pool.load_of("service", fixture.now).places == 8, "one of two is cold");
+    directory::backend_list list{.revision = 2,
+                                 .backends = {{"c", backend_of("c")}, {"d", backend_of("d")}}};
+    fixture.cold.set_backends(list, fixture.now);
+    fixture.pool.set_backends(list, fixture.now);
+    // 32 a second, each of which stays 0.05 s: 1.6 at once.
+    cr_assert_float_eq(fixture.pool.load_of("service", fixture.now).places, 3.2, 1e-9);
+    fixture.now += milliseconds{3'000};
+    cr_assert(fixture.pool.load_of("service", fixture.now).places == 8, "both are warm");
+}
--- a/tests/unit/slowstart/cold_simulation_test.cc
+++ b/tests/unit/slowstart/cold_simulation_test.cc
@@ -238,6 +238,18 @@
         });
     }
 
+    void restart(std::size_t index) {
+        simulated_edge& edge = this->edges[index];
+        edge.table = cold_table();
+        edge.table.set_configuration(this->config);
+        edge.list = this->list();
+        edge.emptied = {.revision = this->emptied_revision, .zones = this->emptied_zones};
+        edge.view = this->view;
+        edge.cut_until = 0;
+        edge.table.set_emptied_zones(edge.emptied, at(this->now));
+        edge.table.set_backends(edge.list, at(this->now));
+    }
+
     void cut_off(std::size_t count, std::uint64_t time) {
         for (std::size_t one = 0; one < count; ++one) {
             this->cut(this->random.below(edge_count), time);
@@ -331,7 +343,7 @@
     void make_trouble() {
         const std::size_t index = this->random.below(this->view.members.size());
         const base::node_id node = this->view.members[index].node;
-        switch (this->random.below(5)) {
+        switch (this->random.below(7)) {
             case 0:  // killed, back after a while with nothing
                 this->members.erase(node);
                 this->schedule(this->random.below(1'500'000),
@@ -354,6 +366,19 @@
             case 3:  // nodes are cut off
                 this->cut_off(this->random.below(edge_count / 2), this->random.below(6'000'000));
                 return;
+            case 4:  // some nodes start again, knowing nothing
+                for (std::size_t count = 0; count < edge_count / 10; ++count) {
+                    this->restart(this->random.below(edge_count));
+                }
+                return;
+            case 5:  // all of them do: what was under way is lost, and all back ends are idle
+                for (std::size_t index = 0; index < edge_count; ++index) {
+                    this->restart(index);
+                }
+                for (simulated_backend& one : this->backends) {
+                    one.idle_until = 0;
+                }
+                return;
             default:  // nodes stand still
                 for (std::size_t count = 0; count < edge_count / 3; ++count) {
                     this->edges[this->random.below(edge_count)].paused_until =
