--- a/tests/unit/operator/trace_test.cc
+++ b/tests/unit/operator/trace_test.cc
@@ -74,7 +74,7 @@
 }
 
 Test(trace, a_limit_and_full_engines_decide) {
-    for (const char* event : {"quota_refused", "program_turned_away"}) {
+    for (const char* event : {"quota_refused", "program_turned_away", "start_permit_refused"}) {
         trace_collector collector("r1");
         collector.add_line(
             line("05.200", "edge-1", std::string(R"("event":")") + event + R"(","request":"r1")"));
