--- a/src/pearbarrow/forward/backend_pool.cc
+++ b/src/pearbarrow/forward/backend_pool.cc
@@ -304,6 +304,16 @@
     mean = mean == 0 ? time : mean + newest_gap_weight * (time - mean);
 }
 
+void backend_pool::note_stay(const directory::backend_run& run, base::microseconds stay) {
+    const auto found = find(run);
+    if (found == entries_.end()) {
+        return;
+    }
+    const double seconds = std::chrono::duration<double>(stay).count();
+    double& mean = stays_.emplace(found->second.backend.service, seconds).first->second;
+    mean += newest_weight * (seconds - mean);
+}
+
 void backend_pool::ended(const directory::backend_run& run, attempt_result result,
                          base::microseconds took, base::instant now) {
     const auto found = find(run);
