The soak learns back ends that start again, entries by other writers and emptied zones

Stand-in runners have a zone and a start, and start again under their id and address. Injected beside the faults there were, which keep their rate: a restart (now and then with its clock set back), an entry with a needed field missing, of another type, or unreadable, and an emptied zone. Checked: a back end that may not be used runs nothing later than 2 s after, while the outside service is well. Zones are emptied once second_zone differs from the first one: nothing in the fleet reads the order yet.

--- a/src/pearbarrow/emulator/runner.cc
+++ b/src/pearbarrow/emulator/runner.cc
@@ -18,24 +18,48 @@
 }  // namespace
 
 runner::runner(net::event_loop& loop, runner_options options)
-    : loop_(loop),
-      options_(std::move(options)),
-      server_(
-          net::make_http_server(loop, {.listen = {"127.0.0.1", 0}},
-                                [this](const exchange_pointer& exchange) { handle(exchange); })) {}
+    : loop_(loop), options_(std::move(options)), server_(make_server({"127.0.0.1", 0})) {}
 
 runner::~runner() = default;
 
+std::unique_ptr<net::http_server> runner::make_server(const net::endpoint& listen) {
+    return net::make_http_server(loop_, {.listen = listen},
+                                 [this](const exchange_pointer& exchange) { handle(exchange); });
+}
+
+absl::Status runner::start_again(std::uint64_t born) {
+    const net::endpoint same = address();
+    for (auto& [number, stream] : streams_) {
+        stream.exchange->abort();
+    }
+    streams_.clear();
+    for (const exchange_pointer& exchange : held_) {
+        exchange->abort();
+    }
+    held_.clear();
+    server_.reset();
+    options_.born = born;
+    server_ = make_server(same);
+    return server_->start();
+}
+
 absl::Status runner::start() {
     return server_->start();
 }
 
 std::string runner::list_entry(const std::string& service, const std::string& state) const {
-    return nlohmann::json{{"service", service}, {"address", net::to_string(address())},
-                          {"zone", "a"},        {"version", "v1"},
-                          {"slots", 8},         {"state", state},
-                          {"cold_left_ms", 0},  {"seq", 1}}
-        .dump();
+    nlohmann::json entry{{"service", service},
+                         {"address", net::to_string(address())},
+                         {"zone", options_.zone},
+                         {"version", "v1"},
+                         {"slots", 8},
+                         {"state", state},
+                         {"cold_left_ms", 0},
+                         {"seq", 1}};
+    if (options_.born > 0) {
+        entry["born"] = options_.born;
+    }
+    return entry.dump();
 }
 
 net::http_headers runner::answer_headers(const net::http_request& request) const {
--- a/src/pearbarrow/emulator/runner.h
+++ b/src/pearbarrow/emulator/runner.h
@@ -36,6 +36,9 @@
 
 struct runner_options {
     std::string id = "i-1";
+    std::string zone = "a";
+    /// When the process started. Unix time in milliseconds; 0: it doesn't tell.
+    std::uint64_t born = 0;
     /// Events of a stream, and the pause before each.
     std::uint32_t events = 3;
     base::milliseconds event_interval{2};
@@ -60,11 +63,16 @@
     runner& operator=(const runner&) = delete;
 
     absl::Status start();
+    /// Ends as a crash does, and starts again under the same id and address; `runs` are kept, as
+    /// the test's record.
+    absl::Status start_again(std::uint64_t born);
     net::endpoint address() const { return server_->local_endpoint(); }
     /// The entry under `servers/ID` of a runner of `service`.
     std::string list_entry(const std::string& service, const std::string& state = "ready") const;
     void set_fault(runner_fault fault) { fault_ = fault; }
     const std::deque<run_record>& runs() const { return runs_; }
+    const std::string& id() const { return options_.id; }
+    const std::string& zone() const { return options_.zone; }
 
   private:
     using exchange_pointer = std::shared_ptr<net::http_exchange>;
@@ -74,6 +82,7 @@
         std::unique_ptr<net::timer_handle> next;
     };
 
+    std::unique_ptr<net::http_server> make_server(const net::endpoint& listen);
     void handle(const exchange_pointer& exchange);
     void answer_plain(net::http_exchange& exchange) const;
     void start_stream(const exchange_pointer& exchange);
--- a/tests/unit/fleet/fleet_fixture.h
+++ b/tests/unit/fleet/fleet_fixture.h
@@ -163,8 +163,9 @@
              {{{"name", "tool"}}, {{"name", "model"}, {"engine", {{"chunk_tokens", 10}}}}}}};
         store.put("op/config", config.dump());
     }
-    emulator::runner& add_runner(const std::string& service, const std::string& id) {
-        auto& one = runners.emplace_back(loop, emulator::runner_options{.id = id});
+    emulator::runner& add_runner(const std::string& service, const std::string& id,
+                                 const std::string& zone = "a") {
+        auto& one = runners.emplace_back(loop, emulator::runner_options{.id = id, .zone = zone});
         cr_assert(one.start().ok());
         store.put("servers/" + id, one.list_entry(service));
         return one;
--- a/tests/unit/fleet/soak_test.cc
+++ b/tests/unit/fleet/soak_test.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstdlib>
 #include <deque>
+#include <map>
 #include <set>
 
 #include "fleet_fixture.h"
@@ -22,6 +23,16 @@
 constexpr std::uint64_t most_tokens = 50;
 constexpr std::uint64_t tokens_per_event = 10;
 
+/// Zone of the second back end of each service. Zones are emptied, and what reaches them is
+/// checked, where this differs from the first one's.
+constexpr char second_zone[] = "a";
+/// Longest time until a zone or a back end that may not be used gets nothing more, while the
+/// outside service is well: a node rests for a second at most between two watches, and what is
+/// placed is sent at once.
+constexpr milliseconds shut_bound{2'000};
+/// For how long a zone stays emptied and an entry unreadable.
+constexpr milliseconds shut_time{3'500};
+
 std::uint64_t number_from(const char* variable, std::uint64_t otherwise) {
     const char* text = std::getenv(variable);
     return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
@@ -48,6 +59,12 @@
     bool is_open = false;
 };
 
+/// A back end that may not be used, and what it had run when the bound had passed.
+struct shut_back_end {
+    base::instant since;
+    std::optional<std::size_t> runs;
+};
+
 struct soak_call {
     std::string id;
     std::optional<client_answer> answer;
@@ -66,8 +83,8 @@
         fleet_.make_ready();
         const auto& view = fleet_.edges[0]->node.parts().directory().state().current().storage;
         cr_assert(view->groups == groups, "%u groups", view->groups);
-        models_ = {fleet_.model, &fleet_.add_runner("model", "i-model-b")};
-        tools_ = {fleet_.tool, &fleet_.add_runner("tool", "i-tool-b")};
+        models_ = {fleet_.model, &fleet_.add_runner("model", "i-model-b", second_zone)};
+        tools_ = {fleet_.tool, &fleet_.add_runner("tool", "i-tool-b", second_zone)};
         cr_assert(run_until(fleet_.loop, [this] { return fleet_.is_settled(); }));
         for (int index = 0; index < 6; ++index) {
             programs_.emplace_back().id = "p" + std::to_string(index);
@@ -77,6 +94,7 @@
     void run(std::chrono::seconds time) {
         const auto work = fleet_.loop.every(milliseconds{10}, [this] { step(); });
         const auto faults = fleet_.loop.every(milliseconds{250}, [this] { inject(); });
+        const auto more = fleet_.loop.every(milliseconds{300}, [this] { inject_at_back_ends(); });
         run_for(fleet_.loop, time);
     }
 
@@ -91,13 +109,26 @@
         }
     }
 
+    void tell(std::uint64_t seed) const {
+        cr_log_info(
+            "seed %lu: %d faults, %d retirements, %d restarts, %d foreign entries, "
+            "%d emptied zones, %d checks of shut ones, %d whole turns, %d whole calls",
+            seed, faults, retirements, restarts, foreign_entries, emptied_zones, shut_checks,
+            whole_turns, whole_calls);
+    }
+
     int whole_turns = 0;
     int whole_calls = 0;
     int faults = 0;
     int retirements = 0;
+    int restarts = 0;
+    int foreign_entries = 0;
+    int emptied_zones = 0;
+    int shut_checks = 0;
 
   private:
     void step() {
+        check_shut();
         for (soak_program& program : programs_) {
             if (program.is_open) {
                 take_turn(program);
@@ -235,7 +266,7 @@
                 trouble_store();
                 return;
             case 4:
-                fleet_.store.set_trouble(metadata_store::trouble::none);
+                end_store_trouble();
                 return;
             case 5:
                 some_runner().set_fault(random_.chance(0.5) ? runner_fault::lose_answer
@@ -256,15 +287,137 @@
         }
     }
 
+    void inject_at_back_ends() {
+        ++faults;
+        switch (random_.below(4)) {
+            case 0:
+                restart_runner();
+                return;
+            case 1:
+                empty_zone();
+                return;
+            default:
+                write_foreign_entry();
+                return;
+        }
+    }
+
+    /// The process starts again under its id and address; now and then its clock is set back.
+    void restart_runner() {
+        emulator::runner& runner = some_runner();
+        const auto now = static_cast<std::uint64_t>(fleet_.clock.unix_microseconds() / 1'000);
+        const std::uint64_t born = random_.chance(0.2) ? now - 60'000 : now;
+        cr_assert(runner.start_again(born).ok());
+        ++restarts;
+        if (&runner != foreign_) {
+            list(runner);
+        }
+    }
+
+    std::string entry_of(const emulator::runner& runner) const {
+        const bool is_model = std::find(models_.begin(), models_.end(), &runner) != models_.end();
+        return runner.list_entry(is_model ? "model" : "tool");
+    }
+
+    void list(const emulator::runner& runner) {
+        fleet_.store.put("servers/" + runner.id(), entry_of(runner));
+    }
+
+    /// The entry of a back end is overwritten by one that names none, until `heal_entry`.
+    void write_foreign_entry() {
+        if (foreign_ != nullptr) {
+            return;
+        }
+        foreign_ = &some_runner();
+        ++foreign_entries;
+        auto entry = nlohmann::json::parse(entry_of(*foreign_));
+        constexpr std::array needed{"service", "address", "zone", "slots", "state"};
+        const char* field = needed.at(random_.below(needed.size()));
+        if (random_.chance(0.7)) {
+            entry.erase(field);
+        } else {
+            entry[field] = nlohmann::json::array();
+        }
+        const bool is_text = random_.chance(0.8);
+        fleet_.store.put("servers/" + foreign_->id(), is_text ? entry.dump() : "\xff\xfe");
+        shut(*foreign_);
+        entry_timer_ = fleet_.loop.after(shut_time, [this] { heal_entry(); });
+    }
+
+    void heal_entry() {
+        if (foreign_ == nullptr) {
+            return;
+        }
+        list(*foreign_);
+        if (!zone_is_emptied_ || foreign_->zone() != second_zone) {
+            shut_.erase(foreign_);
+        }
+        foreign_ = nullptr;
+    }
+
+    void empty_zone() {
+        if (std::string_view(second_zone) == fleet_.tool->zone() || zone_is_emptied_) {
+            return;
+        }
+        zone_is_emptied_ = true;
+        ++emptied_zones;
+        fleet_.store.put("op/evacuate/" + std::string(second_zone), "{}");
+        shut(*models_.back());
+        shut(*tools_.back());
+        zone_timer_ = fleet_.loop.after(shut_time, [this] { take_back_zone(); });
+    }
+
+    void take_back_zone() {
+        if (zone_is_emptied_) {
+            zone_is_emptied_ = false;
+            fleet_.store.remove("op/evacuate/" + std::string(second_zone));
+            std::erase_if(shut_, [this](const auto& item) { return item.first != foreign_; });
+        }
+    }
+
+    /// Most often the outside service is well meanwhile: else nothing could be said of the bound.
+    void shut(const emulator::runner& runner) {
+        if (random_.chance(0.9)) {
+            end_store_trouble();
+        }
+        shut_[&runner] = {.since = fleet_.clock.now(), .runs = std::nullopt};
+    }
+
+    /// A back end that may not be used runs nothing once the bound has passed. The bound runs only
+    /// while the outside service is well: nobody hears of it else.
+    void check_shut() {
+        const base::instant now = fleet_.clock.now();
+        for (auto& [runner, state] : shut_) {
+            if (store_is_troubled_) {
+                state = {.since = now, .runs = std::nullopt};
+            } else if (state.runs.has_value()) {
+                ++shut_checks;
+                cr_assert(runner->runs().size() == *state.runs, "%s got a request it may not get",
+                          runner->id().c_str());
+            } else if (now - state.since > shut_bound) {
+                state.runs = runner->runs().size();
+            }
+        }
+    }
+
+    void end_store_trouble() {
+        store_is_troubled_ = false;
+        fleet_.store.set_trouble(metadata_store::trouble::none);
+    }
+
     emulator::runner& some_runner() {
         return random_.chance(0.5) ? *models_[random_.below(models_.size())]
                                    : *tools_[random_.below(tools_.size())];
     }
 
     void trouble_store() {
+        if (!shut_.empty() && random_.chance(0.9)) {
+            return;
+        }
         constexpr std::array troubles{
             metadata_store::trouble::refusing, metadata_store::trouble::silent,
             metadata_store::trouble::losing_answers, metadata_store::trouble::deaf_watches};
+        store_is_troubled_ = true;
         fleet_.store.set_trouble(troubles.at(random_.below(troubles.size())));
     }
 
@@ -330,7 +483,9 @@
     }
 
     void heal() {
-        fleet_.store.set_trouble(metadata_store::trouble::none);
+        end_store_trouble();
+        heal_entry();
+        take_back_zone();
         for (emulator::runner& runner : fleet_.runners) {
             runner.set_fault(runner_fault::none);
         }
@@ -353,6 +508,13 @@
     bool taken_away_ = false;
     std::unique_ptr<net::timer_handle> retirement_;
     std::uint64_t last_id_ = 0;
+    std::map<const emulator::runner*, shut_back_end> shut_;
+    /// The back end whose entry another writer has overwritten.
+    const emulator::runner* foreign_ = nullptr;
+    std::unique_ptr<net::timer_handle> entry_timer_;
+    std::unique_ptr<net::timer_handle> zone_timer_;
+    bool zone_is_emptied_ = false;
+    bool store_is_troubled_ = false;
 };
 
 }  // namespace
@@ -363,8 +525,7 @@
     soak run(seed, 4, 1);
     run.run(std::chrono::seconds(seconds));
     run.check_all_turns();
-    cr_log_info("seed %lu: %d faults, %d retirements, %d whole turns, %d whole calls", seed,
-                run.faults, run.retirements, run.whole_turns, run.whole_calls);
+    run.tell(seed);
     cr_assert(run.whole_turns > 0 && run.whole_calls > 0);
 }
 
@@ -375,7 +536,6 @@
     soak run(seed, 9, 3);
     run.run(std::chrono::seconds(seconds));
     run.check_all_turns();
-    cr_log_info("seed %lu: %d faults, %d retirements, %d whole turns, %d whole calls", seed,
-                run.faults, run.retirements, run.whole_turns, run.whole_calls);
+    run.tell(seed);
     cr_assert(run.whole_turns > 0 && run.whole_calls > 0);
 }
