--- a/src/pearbarrow/forward/backend_traffic.h
+++ b/src/pearbarrow/forward/backend_traffic.h
@@ -22,7 +22,8 @@
         std::uint64_t received = 0;
     };
 
-    explicit backend_traffic(distance_function distance_of = nullptr) : distance_of(std::move(distance_of)) {}
+    explicit backend_traffic(distance_function distance_of = nullptr)
+        : distance_of(std::move(distance_of)) {}
 
     void sent(std::string_view zone, std::uint64_t bytes) { this->at(zone).sent += bytes; }
     void received(std::string_view zone, std::uint64_t bytes) { this->at(zone).received += bytes; }
--- a/src/pearbarrow/turns/loss_check.cc
+++ b/src/pearbarrow/turns/loss_check.cc
@@ -23,6 +23,7 @@
         }
     }
     std::vector<std::size_t> counts;
+    counts.reserve(by_zone.size());
     for (const auto& [zone, count] : by_zone) {
         counts.push_back(count);
     }
