Frames between zones packed with zstd, each by itself

Change: a node says in its hello that it understands packed frames; requests and answers of 160 bytes and more to a peer of another zone are packed with zstd, level 1, where that is shorter. In a zone, and to nodes that don't say where they are, nothing changes. What is unpacked is bounded by the longest frame before any memory is taken.

--- a/cmake/Pearbarrow.cmake
+++ b/cmake/Pearbarrow.cmake
@@ -9,6 +9,7 @@
 pkg_check_modules(CRITERION REQUIRED IMPORTED_TARGET criterion)
 find_library(ROCKSDB_LIBRARY rocksdb REQUIRED)
 find_library(XXHASH_LIBRARY xxhash REQUIRED)
+find_library(ZSTD_LIBRARY zstd REQUIRED)
 find_library(PROMETHEUS_CORE_LIBRARY prometheus-cpp-core REQUIRED)
 
 find_program(CCACHE_PROGRAM ccache)
--- a/scripts/common.sh
+++ b/scripts/common.sh
@@ -12,7 +12,7 @@
 packages=(
     g++ cmake ninja-build ccache pkg-config clang clang-format clang-tidy libclang-rt-14-dev python3
     libboost-dev libabsl-dev libspdlog-dev libfmt-dev libcli11-dev libtomlplusplus-dev
-    nlohmann-json3-dev libmsgpack-cxx-dev libcriterion-dev librocksdb-dev libxxhash-dev
+    nlohmann-json3-dev libmsgpack-cxx-dev libcriterion-dev librocksdb-dev libxxhash-dev libzstd-dev
     prometheus-cpp-dev libssl-dev librapidcheck-dev gnuplot-nox
 )
 
--- a/src/pearbarrow/net/peer_frame.cc
+++ b/src/pearbarrow/net/peer_frame.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "pearbarrow/base/status.h"
+#include "pearbarrow/net/frame_packing.h"
 #include "pearbarrow/wire/codec.h"
 
 namespace pearbarrow::net {
@@ -74,6 +75,34 @@
     return {buffer.data(), buffer.size()};
 }
 
+std::string packed_frame(std::string encoded) {
+    if (encoded.size() < least_packed_bytes) {
+        return encoded;
+    }
+    auto body = pack_bytes(std::string_view(encoded).substr(frame_prefix_bytes));
+    if (!body.has_value()) {
+        return encoded;
+    }
+    std::string packed = encode_frame(
+        {.kind = static_cast<std::uint8_t>(frame_kind::packed), .payload = *std::move(body)});
+    return packed.size() < encoded.size() ? packed : encoded;
+}
+
+absl::StatusOr<peer_frame> unpacked_frame(const peer_frame& packed, std::size_t max_frame_bytes) {
+    const auto body = unpack_bytes(packed.payload, max_frame_bytes);
+    if (!body.ok()) {
+        return body.status();
+    }
+    auto frame = wire::decode<peer_frame>(*body);
+    const auto kind = frame.ok() ? static_cast<frame_kind>(frame->kind) : frame_kind::packed;
+    const bool may_be_packed = kind == frame_kind::request || kind == frame_kind::part ||
+                               kind == frame_kind::reply || kind == frame_kind::error;
+    if (!may_be_packed) {
+        return bad_frame("a packed frame that holds none", "malformed_frame");
+    }
+    return frame;
+}
+
 absl::Status frame_decoder::feed(std::string_view bytes, const frame_handler& handler) {
     if (stopped_) {
         return absl::OkStatus();
@@ -123,7 +152,7 @@
 
 absl::Status frame_decoder::take_frame(std::string_view body, const frame_handler& handler) {
     auto frame = wire::decode<peer_frame>(body);
-    constexpr auto highest_kind = static_cast<std::uint8_t>(frame_kind::probe_answer);
+    constexpr auto highest_kind = static_cast<std::uint8_t>(frame_kind::packed);
     if (!frame.ok() || frame->kind == 0 || frame->kind > highest_kind) {
         stopped_ = true;
         return bad_frame(frame.ok() ? "unknown kind of frame" : "not a frame", "malformed_frame");
--- a/src/pearbarrow/net/peer_frame.h
+++ b/src/pearbarrow/net/peer_frame.h
@@ -30,6 +30,8 @@
     cancel = 6,
     probe = 7,
     probe_answer = 8,
+    /// Another frame, without its length prefix, packed (`frame_packing.h`).
+    packed = 9,
 };
 
 struct peer_frame {
@@ -52,8 +54,10 @@
     base::node_id node;
     /// Empty: not told.
     std::string zone;
+    /// Whether the node understands packed frames.
+    bool unpacks = false;
 
-    MSGPACK_DEFINE(version, cluster, node, zone);
+    MSGPACK_DEFINE(version, cluster, node, zone, unpacks);
 };
 
 /// A failed status with its details.
@@ -77,6 +81,12 @@
 /// The frame with its length prefix.
 std::string encode_frame(const peer_frame& frame);
 
+/// The same frame packed, with its length prefix; as it is where that is no shorter.
+std::string packed_frame(std::string encoded);
+
+/// The frame that a packed one holds; never one of a kind that may not be packed.
+absl::StatusOr<peer_frame> unpacked_frame(const peer_frame& packed, std::size_t max_frame_bytes);
+
 /// Cuts a stream of bytes into frames. Holds no more than one frame's bytes that have arrived; a
 /// length prefix alone reserves nothing.
 class frame_decoder {
--- a/src/pearbarrow/net/peer_link.cc
+++ b/src/pearbarrow/net/peer_link.cc
@@ -59,19 +59,23 @@
     const auto kind = static_cast<frame_kind>(frame.kind);
     const bool is_answer =
         kind == frame_kind::part || kind == frame_kind::reply || kind == frame_kind::error;
-    count(frame.method, is_answer, bytes.size());
-    link_->write(std::move(bytes));
+    link_->write(for_link(frame.method, is_answer, std::move(bytes)));
 }
 
-void framed_link::count(wire::method_number method, bool is_answer, std::size_t bytes) {
-    core_->traffic.add(method, is_answer, distance_, bytes);
+std::string framed_link::for_link(wire::method_number method, bool is_answer, std::string encoded) {
+    if (packs_) {
+        encoded = packed_frame(std::move(encoded));
+    }
+    core_->traffic.add(method, is_answer, distance_, encoded.size());
+    return encoded;
 }
 
 void framed_link::send_hello() {
     send({.kind = static_cast<std::uint8_t>(frame_kind::hello),
           .payload = wire::encode(hello_message{.cluster = core_->options.cluster,
                                                 .node = core_->options.self,
-                                                .zone = core_->options.zone})});
+                                                .zone = core_->options.zone,
+                                                .unpacks = true})});
 }
 
 void framed_link::on_data(std::string_view bytes) {
@@ -99,6 +103,10 @@
             return absl::OkStatus();
         case frame_kind::probe_answer:
             return absl::OkStatus();
+        case frame_kind::packed: {
+            auto inner = unpacked_frame(frame, core_->options.max_frame_bytes);
+            return inner.ok() ? on_frame(*std::move(inner)) : inner.status();
+        }
         default:
             return on_frame(std::move(frame));
     }
@@ -121,6 +129,8 @@
     if (const auto& distance_of = core_->options.distance_of; distance_of && !hello->zone.empty()) {
         distance_ = distance_of(hello->zone);
     }
+    packs_ = hello->unpacks &&
+             (distance_ == peer_distance::other_zone || distance_ == peer_distance::other_region);
     return on_hello(*hello);
 }
 
@@ -238,8 +248,7 @@
     pending_call pending{.call = call};
     if (is_ready()) {
         pending.position = link_->queued_position();
-        count(request.method, false, bytes.size());
-        link_->write(std::move(bytes));
+        link_->write(for_link(request.method, false, std::move(bytes)));
         watch_silence();
     } else {
         waiting_bytes_ += bytes.size();
@@ -263,8 +272,7 @@
     for (waiting_frame& frame : waiting_) {
         if (const auto found = calls_.find(frame.call); found != calls_.end()) {
             found->second.position = link_->queued_position();
-            count(frame.method, false, frame.bytes.size());
-            link_->write(std::move(frame.bytes));
+            link_->write(for_link(frame.method, false, std::move(frame.bytes)));
         }
     }
     waiting_.clear();
--- a/src/pearbarrow/net/peer_link.h
+++ b/src/pearbarrow/net/peer_link.h
@@ -35,7 +35,8 @@
 
     void begin();
     void send(const peer_frame& frame);
-    void count(wire::method_number method, bool is_answer, std::size_t bytes);
+    /// Counts a frame that is about to be written, and packs it where the link's bytes are dear.
+    std::string for_link(wire::method_number method, bool is_answer, std::string encoded);
     void send_hello();
     /// Gives the link up unless the other side's hello comes in this time from now.
     void expect_hello_within(base::milliseconds time) { hello_deadline_.set_after(time); }
@@ -57,6 +58,8 @@
     deadline silence_;
     base::instant last_heard_{};
     peer_distance distance_ = peer_distance::unknown;
+    /// The peer is in another zone and understands packed frames.
+    bool packs_ = false;
     bool hello_seen_ = false;
     bool ended_ = false;
 };
--- a/tests/unit/net/peer_bad_input_test.cc
+++ b/tests/unit/net/peer_bad_input_test.cc
@@ -100,6 +100,8 @@
         length_prefix(0xffffffff) + "x",
         length_prefix(40) + std::string(40, '\x91'),  // deep nesting
         frame_of(static_cast<frame_kind>(99), ""),
+        frame_of(frame_kind::packed, ""),
+        frame_of(frame_kind::packed, "not packed"),
         frame_of(frame_kind::reply, "", 1),
         hello_of("caller"),
         frame_of(frame_kind::request, "", 7, hold_method) +
