--- a/src/pearbarrow/forward/forwarded_attempt.cc
+++ b/src/pearbarrow/forward/forwarded_attempt.cc
@@ -75,7 +75,10 @@
                                     .affinity_key = is_stream() ? scoped(facts_.program) : "",
                                     .excluded = tried_,
                                     .place = place_bounds(),
-                                    .without_permit = without_permit_},
+                                    .without_permit = without_permit_,
+                                    .prompt_tokens = is_stream() ? facts_.prompt_tokens : 0,
+                                    .begins = begins_program(),
+                                    .earlier = earlier_backend_},
                                    attempt_began_);
     if (!placed_.has_value() && !without_permit_.empty()) {
         wait_for_permit();
@@ -115,7 +118,11 @@
         {.on_head = [this](int status,
                            const net::http_headers& headers) { on_head(status, headers); },
          .on_chunk = [this](std::string_view bytes) { on_chunk(bytes); },
-         .on_done = [this](const absl::Status& status) { on_call_done(status); }});
+         .on_done = [this](const absl::Status& status) { on_call_done(status); },
+         .on_connected =
+             [this](base::microseconds took) {
+                 context_.pool.note_connection(target_.run(), took, context_.clock.now());
+             }});
     watch_silence();
 }
 
@@ -240,6 +247,9 @@
     if (result == attempt_result::served) {
         context_.pool.note_stay(target_.run(), now - attempt_began_);
     }
+    if (placed_.has_value()) {
+        context_.pool.prompt_dropped(*placed_);
+    }
     context_.pool.ended(target_.run(), result, took, now);
     context_.log.count_attempt(to_string(result));
 }
--- a/src/pearbarrow/forward/forwarded_permit.cc
+++ b/src/pearbarrow/forward/forwarded_permit.cc
@@ -67,9 +67,7 @@
     if (!std::exchange(holds_place_, false)) {
         return;
     }
-    context_.pool.answered(target_.run(), attempt_began_);
-    context_.pool.ended(target_.run(), attempt_result::abandoned, base::microseconds{0},
-                        context_.clock.now());
+    context_.pool.withdraw(*placed_, attempt_began_, context_.clock.now());
 }
 
 /// All that could run the request are cold and used up. A new program comes back when there is
--- a/src/pearbarrow/forward/forwarded_turn.cc
+++ b/src/pearbarrow/forward/forwarded_turn.cc
@@ -43,6 +43,7 @@
     chain_text_ = std::move(prepared.chain_text);
     copied_turns_ = std::move(prepared.copied);
     other_tokens_ = prepared.other_tokens;
+    earlier_backend_ = prepared.earlier_backend;
     prepared_ = true;
     go_on();
 }
@@ -115,9 +116,15 @@
     turns::reservation settled = reserved();
     settled.tokens = tokens;
     settled.settled = true;
+    settled.backend = ran_at();
     context_.turns.settle(settled);
 }
 
+/// A back end that has given an event has read the prompt.
+dispatch::backend_key forwarded_request::ran_at() const {
+    return event_count_ == 0 ? 0 : dispatch::key_of(target_.id, target_.started_at);
+}
+
 void forwarded_request::store_turn() {
     if (is_storage_closed()) {
         // The group has changed since the turn began: better no turn than one in a wrong region.
@@ -130,6 +137,7 @@
     turns::reservation settled = reserved();
     settled.tokens = spent_tokens();
     settled.settled = true;
+    settled.backend = ran_at();
     turns::finish_request request;
     request.settled.push_back(std::move(settled));
     request.records = std::move(copied_turns_);
--- a/tests/unit/forward/backend_runs_test.cc
+++ b/tests/unit/forward/backend_runs_test.cc
@@ -125,14 +125,14 @@
     }
     fixture.end(fixture.send(), attempt_result::served, milliseconds{4'000});
     const auto before = fixture.send();
-    fixture.pool.note_event(before.run(), milliseconds{400});
+    fixture.pool.note_event(before.run(), milliseconds{400}, fixture.now);
     cr_assert(fixture.pool.failing_count(fixture.now) == 1);
     fixture.start_again();
     cr_assert(fixture.pool.failing_count(fixture.now) == 0);
     const auto usual = fixture.pool.patience(run_of("none", 0).run(), milliseconds{100});
     cr_assert(fixture.pool.patience(run_of("again", second_start).run(), milliseconds{100}) ==
               usual);
-    fixture.pool.note_event(before.run(), milliseconds{400});
+    fixture.pool.note_event(before.run(), milliseconds{400}, fixture.now);
     fixture.end(before, attempt_result::served, milliseconds{4'000});
     fixture.send();
     cr_assert(fixture.pool.own_loads(fixture.now).front().pace_us == 0);
