--- a/tests/unit/fleet/places_test.cc
+++ b/tests/unit/fleet/places_test.cc
@@ -206,6 +206,20 @@
     cr_assert(fleet.tool->runs().empty());
 }
 
+Test(places, a_turn_that_no_zone_may_run_is_refused_with_its_reason_and_may_come_again) {
+    places_fixture fleet(3, 1);
+    fleet.store.put(zone_a_key, "{}");
+    fleet.store.put(zone_b_key, "{}");
+    cr_assert(run_until(fleet.loop, [&] { return fleet.all_know(2); }));
+    assert_refused(fleet.turn(0, "t1", "", "hello", 150), "zone_emptied");
+    fleet.store.remove(zone_b_key);
+    cr_assert(run_until(fleet.loop, [&] { return fleet.all_know(1); }));
+    // The budget holds one such turn: nothing is left reserved for the one that was refused.
+    const auto answer = fleet.turn(0, "t2", "", "hello", 150);
+    cr_assert(answer.status == 200, "status %d: %s", answer.status, answer.body.c_str());
+    cr_assert(fleet.model->runs().empty());
+}
+
 Test(places, a_service_whose_last_zone_is_emptied_is_refused_and_others_are_served) {
     places_fixture fleet;
     fleet.store.remove("servers/tool-b");
