--- a/tests/fuzz/platform_decoders.cc
+++ b/tests/fuzz/platform_decoders.cc
@@ -62,7 +62,8 @@
     }
     require(read->groups > 0);
     for (const directory::storage_member& member : read->members) {
-        require(!member.node.value().empty() && has_place(member.address) && member.group < read->groups);
+        require(!member.node.value().empty() && has_place(member.address) &&
+                member.group < read->groups);
     }
     const auto again =
         platform::read_storage_view(platform::write_storage_view(*read), any_revision);
