A back end's run is named explicitly: an id alone no longer stands for one

Cause: backend_run was made from a text by itself, so a call that passed an id compiled and meant the run without a start.

Change: the constructor is explicit; tests name runs. The simulation passes the run that was chosen.

--- a/src/pearbarrow/directory/snapshot.h
+++ b/src/pearbarrow/directory/snapshot.h
@@ -128,10 +128,8 @@
 /// One run of a back end's process, from a start to its end.
 struct backend_run {
     /// A back end that doesn't tell its start is named by its id alone.
-    backend_run(std::string id,
-                std::uint64_t started_at = 0)  // NOLINT(google-explicit-constructor)
+    explicit backend_run(std::string id, std::uint64_t started_at = 0)
         : id(std::move(id)), started_at(started_at) {}
-    backend_run(const char* id) : id(id) {}  // NOLINT(google-explicit-constructor)
 
     std::string id;
     /// As `backend::started_at`. No order: the clock of a machine may be set back between two runs.
--- a/tests/unit/forward/backend_pool_test.cc
+++ b/tests/unit/forward/backend_pool_test.cc
@@ -71,7 +71,8 @@
 Test(backend_pool, one_that_refuses_rests_but_is_better_than_none) {
     pool_fixture fixture({backend_of("1"), backend_of("2")});
     const std::string refusing = fixture.choose();
-    fixture.pool.ended(refusing, attempt_result::refused, milliseconds{1}, fixture.now);
+    fixture.pool.ended(directory::backend_run(refusing), attempt_result::refused, milliseconds{1},
+                       fixture.now);
     for (int index = 0; index < 5; ++index) {
         cr_assert(fixture.choose() != refusing);
     }
@@ -86,7 +87,8 @@
     fixture.pool.set_backends({.revision = 2, .backends = {}}, fixture.now);
     fixture.now += milliseconds{1'800};
     cr_assert(fixture.choose().empty());
-    fixture.pool.ended(first, attempt_result::served, milliseconds{1}, fixture.now);
+    fixture.pool.ended(directory::backend_run(first), attempt_result::served, milliseconds{1},
+                       fixture.now);
     cr_assert(fixture.pool.backend_count("service") == 0);
 }
 
@@ -98,9 +100,10 @@
     for (int index = 0; index < 5; ++index) {
         cr_assert(fixture.choose() != silent);
         fixture.now += milliseconds{100};
-        fixture.pool.answered(silent == "1" ? "2" : "1", fixture.now - milliseconds{100});
+        fixture.pool.answered(directory::backend_run(silent == "1" ? "2" : "1"),
+                              fixture.now - milliseconds{100});
     }
-    fixture.pool.answered(silent, began);
+    fixture.pool.answered(directory::backend_run(silent), began);
     cr_assert(fixture.choose() == silent, "it has answered, and has the least load");
 }
 
@@ -121,8 +124,9 @@
     fixture.pool.set_backends(list_of({}, 2), fixture.now);
     const std::string first = fixture.choose();
     cr_assert(!first.empty(), "an empty list after an outage proves nothing");
-    fixture.pool.answered(first, fixture.now);
-    fixture.pool.ended(first, attempt_result::served, milliseconds{1}, fixture.now);
+    fixture.pool.answered(directory::backend_run(first), fixture.now);
+    fixture.pool.ended(directory::backend_run(first), attempt_result::served, milliseconds{1},
+                       fixture.now);
     fixture.now += milliseconds{1'000};
     fixture.pool.set_backends(list_of({"1"}, 3), fixture.now);
     std::set<std::string> chosen;
@@ -161,16 +165,18 @@
     for (int index = 0; index < 3; ++index) {
         cr_assert(fixture.pool.choose(
             {.service = "service", .affinity_key = {}, .excluded = {"good"}}, fixture.now));
-        fixture.pool.answered("bad", fixture.now);
-        fixture.pool.ended("bad", attempt_result::failed, milliseconds{1}, fixture.now);
+        fixture.pool.answered(directory::backend_run("bad"), fixture.now);
+        fixture.pool.ended(directory::backend_run("bad"), attempt_result::failed, milliseconds{1},
+                           fixture.now);
     }
     cr_assert(fixture.pool.failing_count(fixture.now) == 1);
     int trials = 0;
     for (int index = 0; index < 100; ++index) {
         const std::string chosen = fixture.choose();
         trials += chosen == "bad" ? 1 : 0;
-        fixture.pool.answered(chosen, fixture.now);
-        fixture.pool.ended(chosen, attempt_result::abandoned, milliseconds{1}, fixture.now);
+        fixture.pool.answered(directory::backend_run(chosen), fixture.now);
+        fixture.pool.ended(directory::backend_run(chosen), attempt_result::abandoned,
+                           milliseconds{1}, fixture.now);
     }
     cr_assert(trials < 20, "an idle one that fails at once must not draw the requests");
     fixture.now += milliseconds{3'000};
@@ -205,9 +211,9 @@
 
 Test(backend_pool, a_slow_one_gets_less_but_not_nothing) {
     pool_fixture fixture({backend_of("slow"), backend_of("1"), backend_of("2")});
-    fixture.pool.note_event("slow", milliseconds{100}, fixture.now);
-    fixture.pool.note_event("1", milliseconds{20}, fixture.now);
-    fixture.pool.note_event("2", milliseconds{20}, fixture.now);
+    fixture.pool.note_event(directory::backend_run("slow"), milliseconds{100}, fixture.now);
+    fixture.pool.note_event(directory::backend_run("1"), milliseconds{20}, fixture.now);
+    fixture.pool.note_event(directory::backend_run("2"), milliseconds{20}, fixture.now);
     std::map<std::string, int> taken;
     for (int index = 0; index < 22; ++index) {
         ++taken[fixture.choose()];
@@ -239,8 +245,8 @@
                              .excluded = {}},
                             now);
             ++used[chosen->target.id];
-            pool.answered(chosen->target.id, now);
-            pool.ended(chosen->target.id, attempt_result::served, milliseconds{1}, now);
+            pool.answered(chosen->target.run(), now);
+            pool.ended(chosen->target.run(), attempt_result::served, milliseconds{1}, now);
         }
         return used;
     }
@@ -271,7 +277,8 @@
     std::set<std::string> used;
     for (int index = 0; index < 200; ++index) {
         const std::string id = fixture.choose("program-" + std::to_string(index));
-        fixture.pool.ended(id, attempt_result::served, milliseconds{1}, fixture.now);
+        fixture.pool.ended(directory::backend_run(id), attempt_result::served, milliseconds{1},
+                           fixture.now);
         used.insert(id);
     }
     cr_assert(used.size() == 12, "%zu of 12", used.size());
@@ -342,7 +349,8 @@
             node.pool.choose({.service = "service", .affinity_key = "", .excluded = {}}, node.now);
         cr_assert(chosen->target.zone == "a", "the next of its own zone");
         cr_assert(failed.insert(chosen->target.id).second, "one that failed rests");
-        node.pool.ended(chosen->target.id, attempt_result::unreachable, milliseconds{1}, node.now);
+        node.pool.ended(chosen->target.run(), attempt_result::unreachable, milliseconds{1},
+                        node.now);
     }
 }
 
@@ -396,7 +404,7 @@
     fixture.now += milliseconds{1'000};
     const auto second = fixture.pool.choose({.service = "service"}, fixture.now);
     cr_assert(second->candidates == 2);
-    fixture.pool.answered(second->target.id, fixture.now);
+    fixture.pool.answered(second->target.run(), fixture.now);
     fixture.now += milliseconds{3'000};
     cr_assert(fixture.pool.choose({.service = "service"}, fixture.now)->candidates == 1,
               "a warm one is");
@@ -407,19 +415,21 @@
     fixture.now += milliseconds{10'000};
     cr_assert(!fixture.cold.is_cold("c", fixture.now));
     fixture.pool.choose({.service = "service", .excluded = {"w"}}, fixture.now);
-    fixture.pool.answered("c", fixture.now);
-    fixture.pool.ended("c", attempt_result::unreachable, milliseconds{0}, fixture.now);
+    fixture.pool.answered(directory::backend_run("c"), fixture.now);
+    fixture.pool.ended(directory::backend_run("c"), attempt_result::unreachable, milliseconds{0},
+                       fixture.now);
     fixture.now += milliseconds{10'000};
     fixture.pool.choose({.service = "service", .excluded = {"w"}}, fixture.now);
-    fixture.pool.answered("c", fixture.now);
-    fixture.pool.ended("c", attempt_result::served, milliseconds{5}, fixture.now);
+    fixture.pool.answered(directory::backend_run("c"), fixture.now);
+    fixture.pool.ended(directory::backend_run("c"), attempt_result::served, milliseconds{5},
+                       fixture.now);
     cr_assert(fixture.cold.is_cold("c", fixture.now + milliseconds{2'999}));
     cr_assert(!fixture.cold.is_cold("c", fixture.now + milliseconds{3'000}));
 }
 
 Test(backend_pool, a_service_that_is_mostly_cold_has_the_places_that_its_rate_fills) {
     cold_fixture fixture;
-    fixture.pool.note_stay("w", milliseconds{50});
+    fixture.pool.note_stay(directory::backend_run("w"), milliseconds{50});
     cr_assert(fixture.pool.load_of("service", fixture.now).places == 8, "one of two is cold");
     directory::backend_list list{.revision = 2,
                                  .backends = {{"c", backend_of("c")}, {"d", backend_of("d")}}};
--- a/tests/unit/forward/cold_return_simulation_test.cc
+++ b/tests/unit/forward/cold_return_simulation_test.cc
@@ -56,6 +56,7 @@
     int tried = 0;
     int sent_ms = 0;
     std::size_t engine = 0;
+    directory::backend_run run{""};
 };
 
 struct engine_state {
@@ -214,8 +215,8 @@
         one.sent_ms = this->now_ms;
         while (chosen.has_value() && chosen->cold.has_value() &&
                !this->is_permitted(chosen->target.id)) {
-            pool.answered(chosen->target.id, this->instant());
-            pool.ended(chosen->target.id, attempt_result::abandoned, milliseconds{0},
+            pool.answered(chosen->target.run(), this->instant());
+            pool.ended(chosen->target.run(), attempt_result::abandoned, milliseconds{0},
                        this->instant());
             wanted.without_permit.insert(chosen->target.id);
             chosen = pool.choose(wanted, this->instant());
@@ -224,6 +225,7 @@
             this->again(one);
             return;
         }
+        one.run = chosen->target.run();
         one.engine = std::stoul(chosen->target.id.substr(1));
         engine_state& engine = this->engines[one.engine];
         if (engine.down_until_ms > this->now_ms) {
@@ -296,9 +298,8 @@
 
     void end(const request& one, attempt_result result) {
         backend_pool& pool = *this->edges[one.edge]->pool;
-        const std::string id = "e" + std::to_string(one.engine);
-        pool.answered(id, this->at(one.sent_ms));
-        pool.ended(id, result, milliseconds{this->now_ms - one.sent_ms}, this->instant());
+        pool.answered(one.run, this->at(one.sent_ms));
+        pool.ended(one.run, result, milliseconds{this->now_ms - one.sent_ms}, this->instant());
     }
 
     void again(request one) {
--- a/tests/unit/forward/overload_simulation_test.cc
+++ b/tests/unit/forward/overload_simulation_test.cc
@@ -229,8 +229,9 @@
         backend_pool& pool = *this->edges[one.edge]->pool;
         const std::string id = "e" + std::to_string(one.engine);
         const base::instant sent = base::instant(milliseconds{one.sent_ms + 1'000});
-        pool.answered(id, sent);
-        pool.ended(id, result, milliseconds{this->now_ms - one.sent_ms}, this->instant());
+        pool.answered(directory::backend_run(id), sent);
+        pool.ended(directory::backend_run(id), result, milliseconds{this->now_ms - one.sent_ms},
+                   this->instant());
     }
 
     void fail_turn(program& one, int wait_ms) {
@@ -265,8 +266,8 @@
 
     void end_turn(program& one) {
         const auto gap = milliseconds{this->now_ms - one.sent_ms} / answer_tokens * 12;
-        this->edges[one.edge]->pool->note_event("e" + std::to_string(one.engine), gap,
-                                                this->instant());
+        this->edges[one.edge]->pool->note_event(
+            directory::backend_run("e" + std::to_string(one.engine)), gap, this->instant());
         this->end_attempt(one, attempt_result::served);
         one.tries = 0;
         if (++one.turn < turns_of_program) {
--- a/tests/unit/forward/place_check_test.cc
+++ b/tests/unit/forward/place_check_test.cc
@@ -275,8 +275,8 @@
         const auto began = std::chrono::steady_clock::now();
         for (int index = 0; index < choices; ++index) {
             const auto chosen = pool.choose({.service = "tool", .place = place}, now);
-            pool.answered(chosen->target.id, now);
-            pool.ended(chosen->target.id, attempt_result::served, base::microseconds{1}, now);
+            pool.answered(chosen->target.run(), now);
+            pool.ended(chosen->target.run(), attempt_result::served, base::microseconds{1}, now);
         }
         const std::chrono::duration<double, std::micro> took =
             std::chrono::steady_clock::now() - began;
--- a/tests/unit/forward/program_gate_test.cc
+++ b/tests/unit/forward/program_gate_test.cc
@@ -106,9 +106,9 @@
     backend_pool pool({}, random);
     pool.set_backends(engines({8, 8, 8}), {});
     for (int round = 0; round < 100; ++round) {
-        pool.note_event("e0", base::milliseconds{40}, base::instant{});
-        pool.note_event("e1", base::milliseconds{40}, base::instant{});
-        pool.note_event("e2", base::milliseconds{200}, base::instant{});
+        pool.note_event(directory::backend_run("e0"), base::milliseconds{40}, base::instant{});
+        pool.note_event(directory::backend_run("e1"), base::milliseconds{40}, base::instant{});
+        pool.note_event(directory::backend_run("e2"), base::milliseconds{200}, base::instant{});
     }
     const double places = pool.load_of("model", {}).places;
     cr_assert(places > 17 && places < 18, "%.1f", places);
--- a/tests/unit/forward/zone_load_simulation_test.cc
+++ b/tests/unit/forward/zone_load_simulation_test.cc
@@ -235,7 +235,7 @@
         one.engine = std::stoul(one.placed->target.id.substr(1));
         one.sent_ms = this->now_ms;
         one.had_event = false;
-        pool.note_connection(one.placed->target.id, milliseconds{2 * this->way_ms(one)},
+        pool.note_connection(one.placed->target.run(), milliseconds{2 * this->way_ms(one)},
                              this->instant());
         if (one.turn == 0 && one.zone < 2) {
             this->first_turns.emplace_back(this->now_ms, one.engine % zone_count >= 2);
@@ -271,8 +271,8 @@
     void end_attempt(program& one, attempt_result result) {
         backend_pool& pool = *this->edges[one.edge]->pool;
         pool.prompt_dropped(*one.placed);
-        pool.answered(one.placed->target.id, this->instant_at(one.sent_ms));
-        pool.ended(one.placed->target.id, result, milliseconds{this->now_ms - one.sent_ms},
+        pool.answered(one.placed->target.run(), this->instant_at(one.sent_ms));
+        pool.ended(one.placed->target.run(), result, milliseconds{this->now_ms - one.sent_ms},
                    this->instant());
     }
 
@@ -304,11 +304,11 @@
         backend_pool& pool = *this->edges[one.edge]->pool;
         if (!std::exchange(one.had_event, true)) {
             const int took = this->now_ms + this->way_ms(one) - one.sent_ms;
-            pool.answered(one.placed->target.id, this->instant_at(one.sent_ms));
+            pool.answered(one.placed->target.run(), this->instant_at(one.sent_ms));
             pool.prompt_read(*one.placed, milliseconds{took}, this->instant());
             this->last_event[number] = this->now_ms;
         } else if (token % tokens_of_event == 0) {
-            pool.note_event(one.placed->target.id,
+            pool.note_event(one.placed->target.run(),
                             milliseconds{this->now_ms - this->last_event[number]}, this->instant());
             this->last_event[number] = this->now_ms;
         }
