--- a/src/pearbarrow/operator/trace.cc
+++ b/src/pearbarrow/operator/trace.cc
@@ -29,9 +29,9 @@
 
 /// Events that end the hopes of a request, or of one attempt.
 constexpr std::array<std::string_view, 9> deciding_events{
-    "turn_refused",  "attempt_broken",  "attempt_refused",     "attempt_failed",
-    "quota_refused", "request_refused", "program_turned_away", "place_refused",
-    "start_permit_refused"};
+    "turn_refused",        "attempt_broken", "attempt_refused",
+    "attempt_failed",      "quota_refused",  "request_refused",
+    "program_turned_away", "place_refused",  "start_permit_refused"};
 
 template <typename List>
 bool contains(const List& list, std::string_view text) {
