A permit for a cold back end that has grown old is asked for again when the request goes out

Cause: the permit's age was looked at when it came, not when the request's bytes went out: a connection may take half a second to come up, and the request then counts in another second than the one its permit was granted for.

--- a/src/pearbarrow/forward/forwarded_attempt.cc
+++ b/src/pearbarrow/forward/forwarded_attempt.cc
@@ -141,7 +141,7 @@
     call.server_run = target.started_at;
     call.connect_timeout = context_.options.connect_timeout;
     call.resend_when_stale = is_repeatable();
-    call.may_send = [this] { return may_go_to_target(); };
+    call.may_send = [this] { return may_go_to_target() && holds_permit(); };
     const auto caller_left =
         facts_.deadline_ms.has_value()
             ? arrived_ + base::milliseconds{*facts_.deadline_ms} - context_.clock.now()
--- a/src/pearbarrow/forward/forwarded_permit.cc
+++ b/src/pearbarrow/forward/forwarded_permit.cc
@@ -62,6 +62,15 @@
     permit_pause_ = context_.loop.after(base::milliseconds{0}, [this] { send(); });
 }
 
+/// Asked again when the request goes out: a connection may take half a second to come up, and a
+/// permit that is used late counts in another second than the one it was granted for.
+bool forwarded_request::holds_permit() const {
+    const bool is_needed =
+        placed_.has_value() && placed_->cold.has_value() && context_.permits != nullptr;
+    return !is_needed ||
+           context_.clock.now() - permit_asked_at_ <= context_.options.permit_lifetime;
+}
+
 /// The back end was counted as sent to when it was chosen.
 void forwarded_request::leave_place() {
     if (!std::exchange(holds_place_, false)) {
--- a/src/pearbarrow/forward/forwarded_place.cc
+++ b/src/pearbarrow/forward/forwarded_place.cc
@@ -110,8 +110,11 @@
     nlohmann::json fields = {{"request", facts_.request_id},
                              {"backend", target_.id},
                              {"zone", target_.zone},
-                             {"attempt", attempts_}};
-    fields["emptied"] = show(context_.places->all_emptied(), now);
+                             {"attempt", attempts_},
+                             {"permit_held", holds_permit()}};
+    if (context_.places != nullptr) {
+        fields["emptied"] = show(context_.places->all_emptied(), now);
+    }
     context_.log.notable("attempt_withdrawn", std::move(fields));
 }
 
--- a/src/pearbarrow/forward/forwarded_request.h
+++ b/src/pearbarrow/forward/forwarded_request.h
@@ -53,6 +53,8 @@
     void place_cold();
     void ask_permit(const slowstart::cold_start& target);
     void take_permit(const slowstart::permit_decision& decision);
+    /// Whether the chosen back end is warm, or its permit is still good.
+    bool holds_permit() const;
     /// Gives back the place at a back end that was chosen and not sent to.
     void leave_place();
     void wait_for_permit();
--- a/tests/unit/forward/place_check_test.cc
+++ b/tests/unit/forward/place_check_test.cc
@@ -151,6 +151,34 @@
     std::unique_ptr<forward_service> service = std::make_unique<forward_service>(context);
 };
 
+/// Grants every permit, from the loop.
+class granting_permits final : public slowstart::permit_source {
+  public:
+    explicit granting_permits(net::event_loop& loop) : loop(loop) {}
+    std::unique_ptr<turns::turn_operation> ask(
+        const slowstart::cold_start& /*target*/,
+        std::function<void(const slowstart::permit_decision&)> done) override {
+        ++this->asked;
+        return std::make_unique<question>(this->loop, std::move(done));
+    }
+
+    int asked = 0;
+
+  private:
+    class question final : public turns::turn_operation {
+      public:
+        question(net::event_loop& loop, std::function<void(const slowstart::permit_decision&)> done)
+            : timer(loop.after(base::milliseconds{0}, [done = std::move(done)] {
+                  done({.verdict = slowstart::permit_verdict::granted});
+              })) {}
+
+      private:
+        std::unique_ptr<net::timer_handle> timer;
+    };
+
+    net::event_loop& loop;
+};
+
 absl::Status withdrawn() {
     return base::make_error(absl::StatusCode::kAborted, "withdrawn",
                             {.step = "send",
@@ -297,3 +325,25 @@
         2 * half, without, with_zones, with_regions);
     cr_assert(with_regions < 2 * without + 10);
 }
+
+// A connection that takes longer to come up than the permit lasts.
+Test(place_check, a_permit_that_has_grown_old_is_asked_for_again) {
+    place_fixture node;
+    slowstart::cold_table cold;
+    granting_permits permits(node.loop);
+    directory::configuration config;
+    config.services.push_back({.name = "tool", .cold_start_ms = 3'000, .cold_rate = 32});
+    cold.set_configuration(config);
+    cold.set_backends(two_zones(1), node.clock.now());
+    node.pool.set_cold_table(cold);
+    node.context.permits = &permits;
+    const auto exchange = node.ask();
+    cr_assert(net::testing::run_until(node.loop, [&] { return node.client.sent.size() == 1; }));
+    cr_assert(node.client.sent[0].call.may_send());
+    net::testing::run_for(node.loop, node.context.options.permit_lifetime + base::milliseconds{20});
+    cr_assert(!node.client.sent[0].call.may_send());
+    node.client.sent[0].callbacks.on_done(withdrawn());
+    cr_assert(net::testing::run_until(node.loop, [&] { return node.client.sent.size() == 2; }));
+    cr_assert(permits.asked == 2 && node.client.sent[1].call.may_send());
+    cr_assert(!exchange->answer.has_value());
+}
