--- a/scripts/check_platform_words.py
+++ b/scripts/check_platform_words.py
@@ -8,7 +8,7 @@
 
 WORDS = re.compile(
     r"Pearbarrow-[A-Z]|/kv-(key|range|watch|txn|lease|keep)|op/config|op/retire|status/retire|"
-    r"expect_rev|slo_ms|retain_s|can_resume|keeps_history\"|chunk_tokens|port_range")
+    r"expect_rev|op/evacuate|allowed_regions|cold_per_s|cold_start_s|slo_ms|retain_s|can_resume|keeps_history\"|chunk_tokens|port_range")
 STAND_INS = {"metadata_store.cc", "metadata_store.h", "runner.cc", "runner.h"}
 
 
