--- a/tests/unit/turns/overload_test.cc
+++ b/tests/unit/turns/overload_test.cc
@@ -188,7 +188,7 @@
     storm one(milliseconds(3));
     one.callers_for(milliseconds(3'000), milliseconds(3));
     const base::instant late = one.clock.now();
-    // Over 2 s the share in time lies between 0.10 and 0.29 by chance (20 runs), over 5 s between
+    // Over 2 s the share in time lies between 0.10 and 0.29 by chance (13 runs), over 5 s between
     // 0.15 and 0.28 (24 runs).
     one.callers_for(milliseconds(5'000), milliseconds(3));
     const double rate = one.served_per_second(late);
