--- a/src/pearbarrow/forward/forwarded_permit.cc
+++ b/src/pearbarrow/forward/forwarded_permit.cc
@@ -38,7 +38,7 @@
 void forwarded_request::take_permit(const slowstart::permit_decision& decision) {
     const base::instant now = context_.clock.now();
     steps_.permit += now - permit_asked_at_;
-    const bool is_late = now - permit_asked_at_ > context_.options.permit_lifetime;
+    const bool is_late = !holds_permit();
     const std::string_view verdict = is_late ? "too_late" : slowstart::to_string(decision.verdict);
     context_.log.count_permit(verdict);
     if (decision.verdict == slowstart::permit_verdict::granted && !is_late) {
