Slow readers never cost a node its memory: one ledger of bytes held for others

Cause: nothing summed what a node holds for callers, back ends and peers; a connection's queue was bounded by 4 MB (callers) and 64 MB (back ends, peers) where the smallest edges have 88 MB, and an answer of over 8 MB was cut and passed on as if it were whole. Ruled out: pausing a back end at once (its place is dear), a fixed share for each (200 callers of 4 MB are 800 MB). Change: net/held_bytes sums by kind; a caller's answer holds a sixteenth of what is free (16 KB to 1 MB), beyond it the back end's connection is read no further; beyond the bound (a third of memory_mb) whoever makes no progress is cut off, the largest first; large bodies are refused 503 with Retry-After before they are read; callers that take nothing are given up after 5 s.

--- a/src/pearbarrow/fleet/edge_node.cc
+++ b/src/pearbarrow/fleet/edge_node.cc
@@ -19,8 +19,13 @@
 /// Kept back from the stop timeout for the process to end.
 constexpr base::milliseconds exit_margin{400};
 
-net::http_client_options client_options() {
+/// A caller that takes none of its answer for so long is given up: longer than a burst of losses on
+/// its way, and not so long that its back end's place is lost to others for the rest of a deadline.
+constexpr base::milliseconds slow_reader_time{5'000};
+
+net::http_client_options client_options(const node_parts& parts) {
     net::http_client_options options;
+    options.held = parts.held();
     options.max_idle_connections_per_server = 8;
     // A node of a large fleet comes back to an engine every 4 s in the mean: with 4 s 22,900
     // connections were opened for 95,600 requests, with 9 s and an even draw among equal back
@@ -55,9 +60,11 @@
                                              : forward::make_open_gate();
 }
 
-net::http_server_options caller_options(const settings::fleet_settings& settings) {
+net::http_server_options caller_options(const node_parts& parts) {
     net::http_server_options options;
-    options.listen = to_endpoint(settings.caller);
+    options.listen = to_endpoint(parts.settings().caller);
+    options.held = parts.held();
+    options.write_timeout = slow_reader_time;
     options.max_pending_bytes = std::size_t{4} * 1024 * 1024;
     options.max_receiving_bytes = std::size_t{24} * 1024 * 1024;
     return options;
@@ -69,7 +76,7 @@
                      const settings::fleet_settings& settings, forward::forward_options options)
     : parts_(loop, clock, settings, [this](const auto& changed) { take_changes(changed); }),
       log_(clock, parts_.metrics(), {}),
-      client_(net::make_http_client(loop, client_options())),
+      client_(net::make_http_client(loop, client_options(parts_))),
       places_(settings.regions),
       pool_(pool_options(settings), parts_.random()),
       load_(clock, pool_, reporter_options(settings, parts_.random())),
@@ -98,7 +105,8 @@
                    },
                .places = &places_,
                .permits = &permits_,
-               .traffic = forward::backend_traffic(distances_from(settings))},
+               .traffic = forward::backend_traffic(distances_from(settings)),
+               .held = parts_.held()},
       service_(context_) {
     pool_.set_places(places_);
     pool_.set_cold_table(cold_);
@@ -113,7 +121,7 @@
 edge_node::~edge_node() = default;
 
 absl::Status edge_node::start() {
-    callers_ = net::make_http_server(parts_.loop(), caller_options(parts_.settings()),
+    callers_ = net::make_http_server(parts_.loop(), caller_options(parts_),
                                      [this](std::shared_ptr<net::http_exchange> exchange) {
                                          service_.handle(std::move(exchange));
                                      });
--- a/src/pearbarrow/fleet/node_gauges.cc
+++ b/src/pearbarrow/fleet/node_gauges.cc
@@ -95,6 +95,23 @@
     }
 }
 
+void node_gauges::collect_held(const net::held_bytes& held) {
+    for (const net::holding kind : {net::holding::answers, net::holding::requests,
+                                    net::holding::frames, net::holding::bodies}) {
+        this->registry
+            .add_gauge("pearbarrow_held_bytes", "Bytes held for others, by what they are",
+                       {{"kind", std::string(net::to_string(kind))}})
+            .set(static_cast<double>(held.of(kind)));
+    }
+    this->registry
+        .add_gauge("pearbarrow_held_bytes_bound", "Most bytes held for others; 0: no bound")
+        .set(static_cast<double>(held.bound()));
+    this->registry
+        .add_gauge("pearbarrow_held_cut_off_total",
+                   "Connections cut off since the node held as many bytes as it may")
+        .set(static_cast<double>(held.cut_off_count()));
+}
+
 void node_gauges::collect_traffic(const forward::backend_traffic& traffic) {
     for (const forward::backend_traffic::row& row : traffic.rows()) {
         const std::string distance(name_of(row.distance));
--- a/src/pearbarrow/fleet/node_gauges.h
+++ b/src/pearbarrow/fleet/node_gauges.h
@@ -8,6 +8,7 @@
 #include "pearbarrow/base/metrics.h"
 #include "pearbarrow/directory/directory_exchange.h"
 #include "pearbarrow/forward/backend_traffic.h"
+#include "pearbarrow/net/held_bytes.h"
 #include "pearbarrow/net/peer_rpc.h"
 
 namespace pearbarrow::fleet {
@@ -28,6 +29,8 @@
     /// Versions, their age, and whether peers answer.
     void collect_directory(const directory::directory_exchange& exchange);
     void collect_traffic(const net::peer_rpc& rpc);
+    /// Bytes held for others, and how many of these were cut off for the memory that they took.
+    void collect_held(const net::held_bytes& held);
     /// Bytes to and from back ends, by how far these are.
     void collect_traffic(const forward::backend_traffic& traffic);
 
--- a/src/pearbarrow/fleet/node_parts.cc
+++ b/src/pearbarrow/fleet/node_parts.cc
@@ -8,9 +8,21 @@
 namespace {
 
 constexpr char cluster_name[] = "pearbarrow-fleet";
+/// Of the machine's memory, for bytes held for others: a process at rest takes a quarter of the
+/// smallest machines (22 of 88 MB, the most seen of an edge in a day), and a connection's buffers
+/// and the allocator's gaps come on top of what is counted.
+constexpr double held_part_of_memory = 1.0 / 3;
+constexpr std::size_t bytes_per_megabyte = std::size_t{1024} * 1024;
 
-net::peer_rpc_options link_options(const settings::fleet_settings& settings) {
+net::held_bytes_options held_options(const settings::fleet_settings& settings) {
+    const auto memory = static_cast<double>(settings.memory_mb * bytes_per_megabyte);
+    return {.bound = static_cast<std::size_t>(memory * held_part_of_memory)};
+}
+
+net::peer_rpc_options link_options(const settings::fleet_settings& settings,
+                                   std::shared_ptr<net::held_bytes> held) {
     net::peer_rpc_options options;
+    options.held = std::move(held);
     options.self = settings.node;
     options.cluster = cluster_name;
     options.zone = settings.zone;
@@ -47,7 +59,8 @@
       settings_(settings),
       random_(base::random_source::system_seed()),
       gauges_(metrics_, clock),
-      rpc_(net::make_peer_rpc(loop, link_options(settings))),
+      held_(std::make_shared<net::held_bytes>(held_options(settings))),
+      rpc_(net::make_peer_rpc(loop, link_options(settings, held_))),
       exchange_(std::make_unique<directory::directory_exchange>(
           loop, *rpc_, random_, exchange_options(settings),
           [this, on_change = std::move(on_change)](const auto& changed) {
@@ -57,6 +70,7 @@
     gauges_.add([this](auto&) {
         gauges_.collect_directory(*exchange_);
         gauges_.collect_traffic(*rpc_);
+        gauges_.collect_held(*held_);
     });
 }
 
--- a/src/pearbarrow/fleet/node_parts.h
+++ b/src/pearbarrow/fleet/node_parts.h
@@ -12,6 +12,7 @@
 #include "pearbarrow/directory/directory_exchange.h"
 #include "pearbarrow/fleet/node_gauges.h"
 #include "pearbarrow/net/event_loop.h"
+#include "pearbarrow/net/held_bytes.h"
 #include "pearbarrow/net/http.h"
 #include "pearbarrow/net/peer_rpc.h"
 #include "pearbarrow/settings/fleet_settings.h"
@@ -41,6 +42,8 @@
     base::metrics_registry& metrics() { return metrics_; }
     node_gauges& gauges() { return gauges_; }
     net::peer_rpc& rpc() { return *rpc_; }
+    /// What the node holds for callers, back ends and peers.
+    const std::shared_ptr<net::held_bytes>& held() const { return held_; }
     directory::directory_exchange& directory() { return *exchange_; }
     const settings::fleet_settings& settings() const { return settings_; }
 
@@ -51,6 +54,7 @@
     base::random_source random_;
     base::metrics_registry metrics_;
     node_gauges gauges_;
+    std::shared_ptr<net::held_bytes> held_;
     std::unique_ptr<net::peer_rpc> rpc_;
     std::unique_ptr<directory::directory_exchange> exchange_;
     std::unique_ptr<net::http_server> metrics_server_;
--- a/src/pearbarrow/fleet/settings_reload.cc
+++ b/src/pearbarrow/fleet/settings_reload.cc
@@ -31,6 +31,7 @@
     note(difference.need_restart, current.role != next.role, "role");
     note(difference.need_restart, current.node != next.node, "node");
     note(difference.need_restart, current.zone != next.zone, "zone");
+    note(difference.need_restart, current.memory_mb != next.memory_mb, "memory_mb");
     note(difference.need_restart, current.log_level != next.log_level, "log_level");
     note(difference.need_restart, current.caller != next.caller, "listen.caller");
     note(difference.need_restart, current.ready != next.ready, "listen.ready");
--- a/src/pearbarrow/forward/forward_context.h
+++ b/src/pearbarrow/forward/forward_context.h
@@ -67,6 +67,8 @@
     /// Whether a cold back end bears a request; null: all are sent to at once.
     slowstart::permit_source* permits = nullptr;
     backend_traffic traffic = backend_traffic();
+    /// What the node holds for others; null: without a bound.
+    std::shared_ptr<net::held_bytes> held = nullptr;
 };
 
 }  // namespace pearbarrow::forward
--- a/src/pearbarrow/forward/forward_log.cc
+++ b/src/pearbarrow/forward/forward_log.cc
@@ -49,6 +49,13 @@
         .increment();
 }
 
+void forward_log::count_held_back() {
+    metrics_
+        .add_counter("pearbarrow_forward_held_back_total",
+                     "Times that an answer was read no further until its caller had taken more")
+        .increment();
+}
+
 void forward_log::count_quota(std::string_view tenant, std::string_view verdict) {
     if (counted_tenants_.size() < options_.counted_tenants) {
         counted_tenants_.emplace(tenant);
--- a/src/pearbarrow/forward/forward_log.h
+++ b/src/pearbarrow/forward/forward_log.h
@@ -37,6 +37,8 @@
     void count_answer(std::string_view kind, int status, std::string_view reason,
                       base::microseconds took);
     void count_attempt(std::string_view result);
+    /// Counts an answer that is read no further until its caller has taken more.
+    void count_held_back();
     /// Counts what came of a question about a tenant's limit. Only so many tenants are told apart.
     void count_quota(std::string_view tenant, std::string_view verdict);
     /// Counts what came of a question whether a cold back end bears one more request.
--- a/src/pearbarrow/forward/forwarded_attempt.cc
+++ b/src/pearbarrow/forward/forwarded_attempt.cc
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr base::milliseconds least_useful_time{5};
-constexpr std::size_t max_buffered_answer_bytes = std::size_t{8} * 1024 * 1024;
 
 }  // namespace
 
@@ -108,6 +107,8 @@
     status_ = 0;
     headers_ = {};
     body_.clear();
+    gathered_.set(0);
+    held_back_ = false;
     head_seen_ = false;
     is_foreign_ = false;
     is_refusal_ = false;
@@ -208,18 +209,6 @@
     }
 }
 
-void forwarded_request::on_chunk(std::string_view bytes) {
-    context_.traffic.received(target_.zone, bytes.size());
-    if (stage_ == answer_stage::streaming) {
-        events_.feed(bytes);
-        exchange_->write(std::string(bytes));
-        return;
-    }
-    if (body_.size() + bytes.size() <= max_buffered_answer_bytes) {
-        body_.append(bytes);
-    }
-}
-
 void forwarded_request::on_call_done(const absl::Status& status) {
     if (!status.ok()) {
         take_failure(status);
--- a/src/pearbarrow/forward/forwarded_request.cc
+++ b/src/pearbarrow/forward/forwarded_request.cc
@@ -30,6 +30,7 @@
       facts_(std::move(facts)),
       on_over_(std::move(on_over)),
       arrived_(context.clock.now()),
+      gathered_(context.held, net::holding::answers),
       events_([this](const net::server_sent_event& event) {
           note_event();
           if (route_.keeps_history) {
@@ -105,6 +106,7 @@
             .status = status_, .headers = passed_back(headers_), .body = std::move(body_)};
         stage_ = answer_stage::done;
         exchange_->respond(std::move(response));
+        gathered_.set(0);
         finish(status_, is_success(status_) ? "served" : "backend_status");
         return;
     }
@@ -116,7 +118,7 @@
         settle(spent_tokens());
     }
     exchange_->finish();
-    finish(status_, "served");
+    finish(status_, is_success(status_) ? "served" : "backend_status");
 }
 
 void forwarded_request::answer_problem(int status, std::string_view reason, std::string_view detail,
@@ -174,7 +176,7 @@
     if (facts_.turn.has_value()) {
         settle(spent_tokens());
     }
-    finish(0, "caller_gone");
+    finish(0, why_caller_went());
 }
 
 void forwarded_request::on_time_up() {
@@ -252,7 +254,9 @@
         note_turn(now - attempt_began_ <= base::milliseconds{route_.objective_ms});
     } else {
         steps_.longest_gap = std::max<base::microseconds>(steps_.longest_gap, now - last_event_);
-        context_.pool.note_event(target_.run(), now - last_event_, now);
+        if (!std::exchange(was_held_back_, false)) {
+            context_.pool.note_event(target_.run(), now - last_event_, now);
+        }
         steps_.generating = now - first_event_;
     }
     last_event_ = now;
--- a/src/pearbarrow/forward/forwarded_request.h
+++ b/src/pearbarrow/forward/forwarded_request.h
@@ -109,7 +109,6 @@
     net::http_call make_call(const directory::backend& target) const;
     std::string choose_service() const;
     void on_head(int status, const net::http_headers& headers);
-    void on_chunk(std::string_view bytes);
     void on_call_done(const absl::Status& status);
     void take_whole_answer();
     void take_refusal();
@@ -120,6 +119,15 @@
     void on_silence();
     bool may_try_again(bool ran) const;
 
+    // Bytes on their way to the caller, forwarded_answer.cc.
+    void on_chunk(std::string_view bytes);
+    /// Keeps bytes of an answer that is not passed on yet.
+    void gather(std::string_view bytes);
+    /// Reads no further at the back end while the caller lags far behind.
+    void hold_back();
+    void read_on();
+    std::string_view why_caller_went() const;
+
     // Answers.
     void pass_answer();
     void answer_problem(int status, std::string_view reason, std::string_view detail,
@@ -204,6 +212,11 @@
     int status_ = 0;
     net::http_headers headers_;
     std::string body_;
+    net::held_part gathered_;
+    /// The back end's connection is not read until the caller has taken more.
+    bool held_back_ = false;
+    /// It was so since the last event: the gap is not the back end's.
+    bool was_held_back_ = false;
     bool head_seen_ = false;
     bool is_foreign_ = false;
     bool is_refusal_ = false;
--- a/src/pearbarrow/net/connection.cc
+++ b/src/pearbarrow/net/connection.cc
@@ -22,6 +22,9 @@
 constexpr std::size_t tls_merge_bytes = std::size_t{16} * 1024;
 /// How long a closing connection waits for the other side to see the last bytes.
 constexpr base::milliseconds linger_time{1'000};
+/// A queue below this is never cut off for the memory that it takes: ending a thousand of them
+/// would free 16 MB.
+constexpr std::size_t least_cut_off = std::size_t{16} * 1024;
 
 template <int Level, int Name>
 using integer_option = boost::asio::detail::socket_option::integer<Level, Name>;
@@ -49,7 +52,7 @@
     : context_(context),
       socket_(std::move(socket)),
       tls_context_(std::move(tls)),
-      options_(options),
+      options_(std::move(options)),
       counters_(counters ? std::move(counters) : std::make_shared<traffic_counters>()),
       give_up_(context, [this] {
           lose(base::make_error(absl::StatusCode::kUnavailable, "the other side takes no bytes",
@@ -63,7 +66,32 @@
     }
 }
 
-connection::~connection() = default;
+connection::~connection() {
+    set_pending(0);
+}
+
+void connection::set_pending(std::size_t bytes) {
+    const std::size_t before = std::exchange(pending_, bytes);
+    if (options_.held == nullptr) {
+        return;
+    }
+    options_.held->remove(options_.held_as, before);
+    options_.held->add(options_.held_as, bytes);
+    if (bytes >= least_cut_off && before < least_cut_off) {
+        options_.held->join(*this);
+    } else if (bytes < least_cut_off && before >= least_cut_off) {
+        options_.held->leave(*this);
+    }
+}
+
+void connection::cut_off() {
+    lose(base::make_error(absl::StatusCode::kResourceExhausted,
+                          "the node holds as many bytes as it may",
+                          {.step = "write",
+                           .peer = peer_,
+                           .reason = "memory_bound",
+                           .was_executed = base::executed::unknown}));
+}
 
 void connection::connect(const endpoint& server, ready_handler ready) {
     error_code error;
@@ -195,7 +223,10 @@
     if (!is_open() || bytes.empty()) {
         return;
     }
-    pending_ += bytes.size();
+    if (pending_ == 0) {
+        progressed_at_ = now();
+    }
+    set_pending(pending_ + bytes.size());
     queued_position_ += bytes.size();
     queue_.push_back(std::move(bytes));
     if (pending_ > options_.max_pending_bytes) {
@@ -215,6 +246,10 @@
         });
         return;
     }
+    if (options_.held != nullptr && options_.held->is_over()) {
+        // From the loop: whoever is cut off may be in the middle of its own call.
+        boost::asio::post(context_, [held = options_.held] { held->enforce(); });
+    }
     schedule_flush();
 }
 
@@ -285,7 +320,8 @@
     }
     counters_->sent += size;
     written_position_ += size;
-    pending_ -= size;
+    progressed_at_ = now();
+    set_pending(pending_ - size);
     front_offset_ += size;
     while (!queue_.empty() && front_offset_ >= queue_.front().size()) {
         front_offset_ -= queue_.front().size();
@@ -295,6 +331,10 @@
         give_up_.clear();
     }
     flush();
+    // A copy, so that the user outlives its own call to `close`.
+    if (const auto user = user_; user != nullptr) {
+        user->on_progress();
+    }
 }
 
 void connection::post(std::function<void()> task) {
@@ -341,7 +381,7 @@
     if (!writing_) {
         queue_.clear();
     }
-    pending_ = 0;
+    set_pending(0);
 }
 
 void connection::release_user() {
--- a/src/pearbarrow/net/connection.h
+++ b/src/pearbarrow/net/connection.h
@@ -17,6 +17,7 @@
 
 #include "pearbarrow/net/deadline.h"
 #include "pearbarrow/net/endpoint.h"
+#include "pearbarrow/net/held_bytes.h"
 #include "pearbarrow/net/tls.h"
 
 namespace pearbarrow::net {
@@ -29,6 +30,8 @@
     /// The other side closed, the connection broke, or a limit cut it off. Not called after
     /// `close` or `close_after_writes`. Code kOutOfRange means an orderly end by the other side.
     virtual void on_lost(const absl::Status& status) = 0;
+    /// The other side has taken some of what was queued.
+    virtual void on_progress() {}
 };
 
 struct connection_options {
@@ -37,6 +40,9 @@
     std::size_t read_buffer_bytes = std::size_t{8} * 1024;
     /// Whether a TLS server's certificate must name the IP number connected to.
     bool verify_address = true;
+    /// Where queued bytes are counted, and as what; null: nowhere.
+    std::shared_ptr<held_bytes> held = nullptr;
+    holding held_as = holding::answers;
 };
 
 /// Total traffic of several connections.
@@ -45,7 +51,8 @@
     std::uint64_t received = 0;
 };
 
-class connection final : public std::enable_shared_from_this<connection> {
+class connection final : public std::enable_shared_from_this<connection>,
+                         private held_bytes::holder {
   public:
     using tcp = boost::asio::ip::tcp;
     using ready_handler = std::function<void(const absl::Status&)>;
@@ -55,7 +62,7 @@
     connection(boost::asio::io_context& context, tcp::socket socket,
                std::shared_ptr<tls_context> tls, connection_options options,
                std::shared_ptr<traffic_counters> counters = nullptr);
-    ~connection();
+    ~connection() override;
     connection(const connection&) = delete;
     connection& operator=(const connection&) = delete;
 
@@ -94,6 +101,13 @@
     struct tls_layer;
     using error_code = boost::system::error_code;
 
+    // As one who holds bytes.
+    std::size_t held() const override { return pending_; }
+    base::instant progressed_at() const override { return progressed_at_; }
+    void cut_off() override;
+    /// Notes how many bytes are queued, here and in the ledger.
+    void set_pending(std::size_t bytes);
+
     void remember_peer();
     void handshake(bool as_server, ready_handler ready);
     void read_next();
@@ -118,6 +132,8 @@
     std::deque<std::string> queue_;
     std::size_t front_offset_ = 0;
     std::size_t pending_ = 0;
+    /// When the other side last took bytes, or the first of those that wait were queued.
+    base::instant progressed_at_{};
     std::uint64_t queued_position_ = 0;
     std::uint64_t written_position_ = 0;
     std::uint64_t submitted_position_ = 0;
--- a/src/pearbarrow/net/http.h
+++ b/src/pearbarrow/net/http.h
@@ -17,6 +17,7 @@
 #include "pearbarrow/base/clock.h"
 #include "pearbarrow/net/endpoint.h"
 #include "pearbarrow/net/event_loop.h"
+#include "pearbarrow/net/held_bytes.h"
 #include "pearbarrow/net/tls_files.h"
 
 namespace pearbarrow::net {
@@ -80,6 +81,10 @@
     virtual std::size_t pending_bytes() const = 0;
     /// `callback` runs once when the client goes away before the answer is complete.
     virtual void on_closed(std::function<void()> callback) = 0;
+    /// `callback` runs each time the client has taken some of what is queued.
+    virtual void on_progress(std::function<void()> /*callback*/) {}
+    /// Once the client has gone: the reason of the connection's loss, e.g. `slow_reader`.
+    virtual std::string lost_reason() const { return {}; }
 };
 
 using http_handler = std::function<void(std::shared_ptr<http_exchange>)>;
@@ -98,6 +103,8 @@
     base::milliseconds write_timeout{30'000};
     /// Bytes queued for one client above which it is cut off.
     std::size_t max_pending_bytes = std::size_t{16} * 1024 * 1024;
+    /// Counts what is held for the clients, and admits bodies; null: nobody does.
+    std::shared_ptr<held_bytes> held = nullptr;
     std::optional<tls_files> tls;
 };
 
@@ -170,6 +177,9 @@
   public:
     virtual ~http_call_handle() = default;
     virtual void cancel() = 0;
+    /// Reads nothing more of the answer until `resume`; its idle time does not count meanwhile.
+    virtual void pause() {}
+    virtual void resume() {}
 };
 
 /// Sends requests, keeping idle connections open for reuse, shorter where a server's `Keep-Alive`
@@ -194,6 +204,8 @@
     /// An idle connection older than this is not used again; kept under the servers' own limit,
     /// so that a request seldom meets a connection that its server is closing.
     base::milliseconds idle_lifetime{10'000};
+    /// Counts what servers have not taken of their requests; null: nobody does.
+    std::shared_ptr<held_bytes> held = nullptr;
     /// Servers are then spoken to over TLS, and their certificate must name their IP number.
     std::optional<tls_files> tls;
 };
--- a/src/pearbarrow/net/http_call_core.cc
+++ b/src/pearbarrow/net/http_call_core.cc
@@ -45,7 +45,9 @@
     if (call_.connect_timeout.count() > 0) {
         deadline_.set_after(call_.connect_timeout);
     }
-    const connection_options limits{.read_buffer_bytes = client_read_bytes};
+    const connection_options limits{.read_buffer_bytes = client_read_bytes,
+                                    .held = core_->options.held,
+                                    .held_as = holding::requests};
     link_ = std::make_shared<connection>(core_->context, connection::tcp::socket(core_->context),
                                          core_->tls, limits);
     const auto began = std::chrono::steady_clock::now();
@@ -117,7 +119,7 @@
     if (done_) {
         return;
     }
-    if (head_seen_ && call_.idle_timeout.count() > 0) {
+    if (head_seen_ && !paused_ && call_.idle_timeout.count() > 0) {
         deadline_.set_after(call_.idle_timeout);
     }
     inbox_.append(bytes);
@@ -172,6 +174,8 @@
 }
 
 void http_call_core::complete() {
+    // What was paused in its last part is whole: the next call reads on.
+    resume();
     if (reader_->keep_alive() && inbox_.empty() && link_->is_open()) {
         core_->keep_idle({call_.server, call_.server_run}, link_, reader_->idle_lifetime());
         link_ = nullptr;
@@ -237,6 +241,24 @@
     }
 }
 
+void http_call_core::pause() {
+    if (done_ || !head_seen_ || std::exchange(paused_, true)) {
+        return;
+    }
+    deadline_.clear();
+    link_->pause_reading();
+}
+
+void http_call_core::resume() {
+    if (done_ || !std::exchange(paused_, false)) {
+        return;
+    }
+    if (call_.idle_timeout.count() > 0) {
+        deadline_.set_after(call_.idle_timeout);
+    }
+    link_->resume_reading();
+}
+
 void http_call_core::cancel() {
     if (done_) {
         return;
--- a/src/pearbarrow/net/http_call_core.h
+++ b/src/pearbarrow/net/http_call_core.h
@@ -82,6 +82,8 @@
 
     void start();
     void cancel();
+    void pause();
+    void resume();
     void on_data(std::string_view bytes) override;
     void on_lost(const absl::Status& status) override;
 
@@ -113,6 +115,7 @@
     /// It has gone out on some connection, maybe on one that broke.
     bool was_sent_ = false;
     bool head_seen_ = false;
+    bool paused_ = false;
     bool done_ = false;
 };
 
--- a/src/pearbarrow/net/http_client.cc
+++ b/src/pearbarrow/net/http_client.cc
@@ -126,6 +126,18 @@
         }
     }
 
+    void pause() override {
+        if (const auto core = core_.lock(); core != nullptr) {
+            core->pause();
+        }
+    }
+
+    void resume() override {
+        if (const auto core = core_.lock(); core != nullptr) {
+            core->resume();
+        }
+    }
+
   private:
     std::weak_ptr<http_call_core> core_;
 };
--- a/src/pearbarrow/net/http_codec.cc
+++ b/src/pearbarrow/net/http_codec.cc
@@ -135,6 +135,10 @@
     return state_->begun;
 }
 
+std::size_t http_request_reader::content_length() const {
+    return static_cast<std::size_t>(state_->parser.content_length().value_or(0));
+}
+
 bool http_request_reader::expects_continue() const {
     return boost::beast::iequals(state_->parser.get()[http::field::expect], "100-continue");
 }
--- a/src/pearbarrow/net/http_codec.h
+++ b/src/pearbarrow/net/http_codec.h
@@ -33,6 +33,8 @@
     std::string refusal_reason() const;
     bool has_begun() const;
     bool expects_continue() const;
+    /// Of the body, as the head tells it; 0 where it does not.
+    std::size_t content_length() const;
     bool keep_alive() const;
     /// False for HTTP/1.0, which does not know chunks.
     bool can_take_chunks() const;
--- a/src/pearbarrow/net/http_exchange.cc
+++ b/src/pearbarrow/net/http_exchange.cc
@@ -9,7 +9,9 @@
     : core_(std::move(core)),
       session_(session),
       request_(std::move(request)),
+      body_(core_->options.held, holding::bodies),
       is_head_(request_.method == "HEAD") {
+    body_.set(request_.body.size());
     ++core_->open_exchanges;
 }
 
@@ -102,9 +104,23 @@
     }
 }
 
+void session_exchange::on_progress(std::function<void()> callback) {
+    if (stage_ != stage::done) {
+        on_progress_ = std::move(callback);
+    }
+}
+
+void session_exchange::progressed() {
+    // A copy: the callback may end the answer.
+    if (const auto callback = on_progress_; callback) {
+        callback();
+    }
+}
+
 void session_exchange::complete() {
     stage_ = stage::done;
     on_closed_ = nullptr;
+    on_progress_ = nullptr;
     --core_->open_exchanges;
     if (const auto session = session_.lock(); session != nullptr) {
         session->answer_complete();
@@ -116,6 +132,10 @@
         return;
     }
     stage_ = stage::done;
+    on_progress_ = nullptr;
+    if (const auto session = session_.lock(); session != nullptr) {
+        lost_reason_ = session->lost_reason();
+    }
     --core_->open_exchanges;
     if (const auto callback = std::exchange(on_closed_, nullptr); callback) {
         callback();
--- a/src/pearbarrow/net/http_exchange.h
+++ b/src/pearbarrow/net/http_exchange.h
@@ -25,9 +25,13 @@
     void abort() override;
     std::size_t pending_bytes() const override;
     void on_closed(std::function<void()> callback) override;
+    void on_progress(std::function<void()> callback) override;
+    std::string lost_reason() const override { return lost_reason_; }
 
     /// The session's word that nobody waits for the answer any more.
     void client_gone();
+    /// The session's word that the client has taken some of the answer.
+    void progressed();
 
   private:
     enum class stage { waiting, streaming, done };
@@ -37,7 +41,10 @@
     std::shared_ptr<http_server_core> core_;
     std::weak_ptr<http_session> session_;
     http_request request_;
+    held_part body_;
     std::function<void()> on_closed_;
+    std::function<void()> on_progress_;
+    std::string lost_reason_;
     stage stage_ = stage::waiting;
     body_framing framing_ = body_framing::chunks;
     bool is_head_ = false;
--- a/src/pearbarrow/net/http_server.cc
+++ b/src/pearbarrow/net/http_server.cc
@@ -74,7 +74,9 @@
             return;
         }
         const connection_options limits{.max_pending_bytes = core_->options.max_pending_bytes,
-                                        .write_timeout = core_->options.write_timeout};
+                                        .write_timeout = core_->options.write_timeout,
+                                        .held = core_->options.held,
+                                        .held_as = holding::answers};
         auto link = std::make_shared<connection>(context_, std::move(socket), tls_, limits);
         auto session = std::make_shared<http_session>(context_, core_, std::move(link));
         core_->sessions.insert(session);
--- a/src/pearbarrow/net/http_session.cc
+++ b/src/pearbarrow/net/http_session.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "pearbarrow/base/status.h"
 #include "pearbarrow/net/http_exchange.h"
 
 namespace pearbarrow::net {
@@ -9,6 +10,8 @@
 
 /// Bytes of a next request kept while one is answered; beyond it reading stops.
 constexpr std::size_t max_inbox_bytes = std::size_t{64} * 1024;
+/// Told with 503, in seconds: callers that read slowly are ended within about a second.
+constexpr char refused_retry_after[] = "0.500";
 
 }  // namespace
 
@@ -33,6 +36,7 @@
                            std::shared_ptr<connection> link)
     : core_(std::move(core)),
       link_(std::move(link)),
+      arriving_(core_->options.held, holding::bodies),
       request_deadline_(context, [this] { request_overdue(); }) {}
 
 void http_session::start(bool overloaded) {
@@ -53,8 +57,9 @@
     inbox_.append(bytes);
     received_bytes_ += bytes.size();
     core_->receiving_bytes += bytes.size();
+    arriving_.add(bytes.size());
     if (!answering_) {
-        if (core_->receiving_bytes > core_->options.max_receiving_bytes) {
+        if (!has_room()) {
             refuse(503, "too_many_requests_arriving",
                    "the server holds as many bytes of incomplete requests as it takes");
             return;
@@ -65,6 +70,13 @@
     }
 }
 
+/// Whether what has arrived of this request may be kept.
+bool http_session::has_room() const {
+    const std::shared_ptr<held_bytes>& held = core_->options.held;
+    return core_->receiving_bytes <= core_->options.max_receiving_bytes &&
+           (held == nullptr || held->admits(arriving_.size(), arriving_.size()));
+}
+
 void http_session::read_request() {
     for (;;) {
         switch (reader_->feed(inbox_)) {
@@ -90,6 +102,9 @@
 void http_session::on_head() {
     if (overloaded_) {
         refuse(503, "too_many_connections", "the server has as many connections as it takes");
+    } else if (const auto& held = core_->options.held;
+               held != nullptr && !held->admits(reader_->content_length())) {
+        refuse(503, "memory_bound", "the server holds as many bytes as it may");
     } else if (reader_->expects_continue()) {
         link_->write("HTTP/1.1 100 Continue\r\n\r\n");
     }
@@ -141,7 +156,10 @@
 }
 
 void http_session::refuse(int status, std::string_view reason, std::string_view detail) {
-    const http_response response = problem_response(status, reason, detail);
+    http_response response = problem_response(status, reason, detail);
+    if (status == 503) {
+        response.headers.add("Retry-After", refused_retry_after);
+    }
     link_->write(format_response_head({.status = status,
                                        .headers = &response.headers,
                                        .body_size = response.body.size(),
@@ -159,7 +177,14 @@
     close();
 }
 
-void http_session::on_lost(const absl::Status& /*status*/) {
+void http_session::on_progress() {
+    if (const auto exchange = exchange_.lock(); exchange != nullptr) {
+        exchange->progressed();
+    }
+}
+
+void http_session::on_lost(const absl::Status& status) {
+    lost_reason_ = base::details_of(status).reason;
     const auto exchange = exchange_.lock();
     exchange_.reset();
     leave_server();
@@ -188,6 +213,7 @@
 
 void http_session::release_received() {
     core_->receiving_bytes -= std::exchange(received_bytes_, 0);
+    arriving_.set(0);
 }
 
 void http_session::leave_server() {
--- a/src/pearbarrow/net/http_session.h
+++ b/src/pearbarrow/net/http_session.h
@@ -44,6 +44,7 @@
     void start(bool overloaded);
     void on_data(std::string_view bytes) override;
     void on_lost(const absl::Status& status) override;
+    void on_progress() override;
     /// Closes unless a request is being answered; then after that answer.
     void close_when_idle();
     /// Closes at once.
@@ -55,9 +56,11 @@
     std::size_t pending_bytes() const { return link_->pending_bytes(); }
     bool keeps_alive() const;
     bool can_take_chunks() const { return can_take_chunks_; }
+    const std::string& lost_reason() const { return lost_reason_; }
 
   private:
     void read_request();
+    bool has_room() const;
     void on_head();
     void dispatch();
     void refuse(int status, std::string_view reason, std::string_view detail);
@@ -72,6 +75,7 @@
     std::string inbox_;
     /// This session's share of `receiving_bytes`.
     std::size_t received_bytes_ = 0;
+    held_part arriving_;
     std::weak_ptr<session_exchange> exchange_;
     bool answering_ = false;
     bool client_keeps_alive_ = true;
@@ -79,6 +83,7 @@
     bool close_after_answer_ = false;
     bool overloaded_ = false;
     bool ended_ = false;
+    std::string lost_reason_;
 };
 
 }  // namespace pearbarrow::net
--- a/src/pearbarrow/net/peer_link.cc
+++ b/src/pearbarrow/net/peer_link.cc
@@ -21,7 +21,9 @@
     return {.max_pending_bytes = options.max_queued_bytes + options.max_frame_bytes,
             .write_timeout = options.write_timeout,
             .read_buffer_bytes = read_bytes,
-            .verify_address = false};
+            .verify_address = false,
+            .held = options.held,
+            .held_as = holding::frames};
 }
 
 absl::Status bad_link(std::string_view message, std::string peer, std::string reason) {
--- a/src/pearbarrow/net/peer_rpc.cc
+++ b/src/pearbarrow/net/peer_rpc.cc
@@ -153,7 +153,9 @@
             core->context, std::move(socket), core->server_tls,
             connection_options{.max_pending_bytes = options.max_queued_bytes,
                                .write_timeout = options.write_timeout,
-                               .read_buffer_bytes = read_bytes},
+                               .read_buffer_bytes = read_bytes,
+                               .held = options.held,
+                               .held_as = holding::frames},
             core->counters);
         auto inbound = std::make_shared<peer_inbound>(core, std::move(link));
         core->inbound.insert(inbound);
--- a/src/pearbarrow/net/peer_rpc.h
+++ b/src/pearbarrow/net/peer_rpc.h
@@ -23,6 +23,7 @@
 #include "pearbarrow/base/ids.h"
 #include "pearbarrow/net/endpoint.h"
 #include "pearbarrow/net/event_loop.h"
+#include "pearbarrow/net/held_bytes.h"
 #include "pearbarrow/net/peer_traffic.h"
 #include "pearbarrow/net/tls_files.h"
 #include "pearbarrow/wire/methods.h"
@@ -57,6 +58,8 @@
     base::milliseconds silence_before_loss{8'000};
     /// A peer that takes none of the bytes sent for this long is cut off.
     base::milliseconds write_timeout{8'000};
+    /// Counts what peers have not taken; null: nobody does.
+    std::shared_ptr<held_bytes> held = nullptr;
     /// Mutual TLS: both sides must be signed by `client_authorities`, which should sign nodes only.
     std::optional<tls_files> tls;
 };
--- a/src/pearbarrow/settings/fleet_settings.cc
+++ b/src/pearbarrow/settings/fleet_settings.cc
@@ -15,6 +15,7 @@
 /// A turn is written to twice as many members and some more.
 constexpr std::uint64_t most_tolerated_losses = 16;
 constexpr std::uint64_t most_tolerated_zones = 16;
+constexpr std::uint64_t most_memory_mb = std::uint64_t{1024} * 1024;
 constexpr std::uint64_t most_quota_slack = 1'000'000;
 constexpr double most_cold_overage = 1'000;
 constexpr double most_cold_slack = 1'000'000;
@@ -71,6 +72,7 @@
     reader.read("zone", settings.zone, max_name_bytes);
     reader.read_text_table("regions", settings.regions);
     reader.read("log_level", settings.log_level, max_name_bytes);
+    reader.read_integer("memory_mb", 0, most_memory_mb, settings.memory_mb);
     read_required(reader, "listen.peer", endpoint_use::listen, settings.peer);
     reader.read_endpoint("listen.metrics", endpoint_use::listen, settings.metrics);
     reader.read_endpoints("seeds", settings.seeds);
--- a/src/pearbarrow/settings/fleet_settings.h
+++ b/src/pearbarrow/settings/fleet_settings.h
@@ -58,6 +58,9 @@
     /// Region by zone, of all zones; empty: every zone is in one region without a name.
     std::map<std::string, std::string, std::less<>> regions;
     std::string log_level = "info";
+    /// The machine's memory for this process. Megabytes; 0: not told, and what is held for others
+    /// has no bound.
+    std::uint64_t memory_mb = 0;
     /// Where callers connect; edges only.
     ip_endpoint caller;
     /// Where readiness is asked for; edges only.
--- /dev/null
+++ b/tests/unit/net/held_bytes_test.cc
@@ -0,0 +1,207 @@
+#include "pearbarrow/net/held_bytes.h"
+
+#include <list>
+
+#include "http_fixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace pearbarrow;
+using namespace pearbarrow::net;
+using net::testing::raw_client;
+using net::testing::run_for;
+using net::testing::run_until;
+using net::testing::serve;
+
+namespace {
+
+constexpr std::size_t kilobyte = 1024;
+constexpr std::size_t megabyte = 1024 * kilobyte;
+
+class fake_holder final : public held_bytes::holder {
+  public:
+    fake_holder(held_bytes& ledger, std::size_t bytes, base::instant progressed)
+        : ledger(ledger), bytes(bytes), progressed(progressed) {
+        ledger.add(holding::answers, bytes);
+        ledger.join(*this);
+    }
+    std::size_t held() const override { return this->bytes; }
+    base::instant progressed_at() const override { return this->progressed; }
+    void cut_off() override {
+        this->ledger.remove(holding::answers, std::exchange(this->bytes, 0));
+        this->is_cut_off = true;
+    }
+
+    held_bytes& ledger;
+    std::size_t bytes;
+    base::instant progressed;
+    bool is_cut_off = false;
+};
+
+}  // namespace
+
+Test(held_bytes, the_largest_that_makes_no_progress_goes_first) {
+    const base::instant now{base::seconds{100}};
+    held_bytes ledger({.bound = 100}, [now] { return now; });
+    fake_holder busy(ledger, 70, now);
+    fake_holder stalled(ledger, 20, now - base::seconds{1});
+    fake_holder stalled_more(ledger, 40, now - base::seconds{1});
+    ledger.enforce();
+    cr_assert(stalled_more.is_cut_off && !stalled.is_cut_off && !busy.is_cut_off);
+    cr_assert(ledger.cut_off_count() == 1 && ledger.total() == 90);
+    fake_holder more(ledger, 60, now);
+    ledger.enforce();
+    cr_assert(stalled.is_cut_off, "a stalled one before a larger one that reads");
+    cr_assert(busy.is_cut_off && !more.is_cut_off, "and then the largest");
+}
+
+Test(held_bytes, large_bodies_are_let_in_up_to_a_part_and_small_ones_up_to_the_bound) {
+    held_bytes ledger({.bound = 10 * megabyte});
+    cr_assert(ledger.admits(4 * megabyte));
+    ledger.add(holding::answers, 6 * megabyte);
+    cr_assert(!ledger.admits(kilobyte * 100) && ledger.admits(kilobyte));
+    ledger.add(holding::answers, 4 * megabyte);
+    cr_assert(!ledger.admits(kilobyte));
+    held_bytes unbounded;
+    unbounded.add(holding::answers, 400 * megabyte);
+    cr_assert(unbounded.admits(100 * megabyte));
+}
+
+Test(held_bytes, the_share_of_one_shrinks_as_less_is_free) {
+    held_bytes ledger({.bound = 16 * megabyte});
+    cr_assert(ledger.share() == megabyte);
+    ledger.add(holding::answers, 8 * megabyte);
+    cr_assert(ledger.share() == megabyte / 2);
+    ledger.add(holding::answers, 9 * megabyte);
+    cr_assert(ledger.share() == 16 * kilobyte, "some bytes at least, so that an answer goes on");
+}
+
+// However many take their share as long as it is one, all together stay within the bound.
+Test(held_bytes, shares_of_many_never_pass_the_bound) {
+    held_bytes ledger({.bound = 29 * megabyte});
+    std::vector<std::size_t> held(200, 0);
+    for (int round = 0; round < 2'000; ++round) {
+        for (std::size_t& one : held) {
+            if (one < ledger.share()) {
+                one += 8 * kilobyte;
+                ledger.add(holding::answers, 8 * kilobyte);
+            }
+        }
+    }
+    cr_assert(!ledger.is_over(), "%zu bytes", ledger.total());
+    cr_assert(ledger.total() > 20 * megabyte, "%zu bytes", ledger.total());
+}
+
+Test(held_bytes, what_a_client_does_not_take_is_counted_and_given_back) {
+    event_loop loop;
+    const auto ledger = std::make_shared<held_bytes>(held_bytes_options{.bound = 64 * megabyte});
+    http_server_options options;
+    options.held = ledger;
+    const auto server = serve(
+        loop,
+        [](const std::shared_ptr<http_exchange>& exchange) {
+            exchange->respond({.status = 200, .headers = {}, .body = std::string(8 * megabyte, 'x')});
+        },
+        options);
+    raw_client client(server->local_endpoint(), 4'096);
+    client.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    cr_assert(run_until(loop, [&] { return ledger->of(holding::answers) > megabyte; }));
+    cr_assert(run_until(loop, [&] {
+        client.receive();
+        return ledger->of(holding::answers) == 0;
+    }));
+    cr_assert(client.received.size() > 8 * megabyte);
+    cr_assert(ledger->total() == 0);
+}
+
+// Clients that read nothing are ended one after the other, before the others notice.
+Test(held_bytes, clients_that_take_nothing_are_cut_off_at_the_bound) {
+    event_loop loop;
+    const auto ledger = std::make_shared<held_bytes>(
+        held_bytes_options{.bound = 16 * megabyte, .stalled_after = base::milliseconds{50}});
+    http_server_options options;
+    options.held = ledger;
+    std::list<std::shared_ptr<http_exchange>> answered;
+    std::vector<std::string> reasons;
+    const auto server = serve(
+        loop,
+        [&](const std::shared_ptr<http_exchange>& exchange) {
+            if (exchange->request().target == "/small") {
+                exchange->respond({.status = 200, .headers = {}, .body = "small"});
+                return;
+            }
+            exchange->start_stream(200, {});
+            exchange->on_closed(
+                [&, weak = std::weak_ptr(exchange)] { reasons.push_back(weak.lock()->lost_reason()); });
+            exchange->write(std::string(8 * megabyte, 'x'));
+            answered.push_back(exchange);
+        },
+        options);
+    std::list<raw_client> slow;
+    for (int index = 0; index < 12; ++index) {
+        slow.emplace_back(server->local_endpoint(), 4'096);
+        slow.back().send("GET /large HTTP/1.1\r\nHost: a\r\n\r\n");
+        run_for(loop, base::milliseconds{20});
+        cr_assert(ledger->total() <= 24 * megabyte, "one answer more than the bound, at most");
+    }
+    cr_assert(run_until(loop, [&] { return !ledger->is_over(); }));
+    cr_assert(ledger->cut_off_count() >= 6 && reasons.size() == ledger->cut_off_count(),
+              "%lu cut off, %zu told", ledger->cut_off_count(), reasons.size());
+    cr_assert(reasons.front() == "memory_bound");
+    raw_client quick(server->local_endpoint());
+    quick.send("GET /small HTTP/1.1\r\nHost: a\r\n\r\n");
+    cr_assert(run_until(loop, [&] { return quick.has("small"); }));
+}
+
+Test(held_bytes, a_body_that_has_no_room_is_refused_before_it_is_read) {
+    event_loop loop;
+    const auto ledger = std::make_shared<held_bytes>(held_bytes_options{.bound = 4 * megabyte});
+    ledger->add(holding::answers, 3 * megabyte);
+    http_server_options options;
+    options.held = ledger;
+    bool was_handled = false;
+    const auto server = serve(
+        loop,
+        [&](const std::shared_ptr<http_exchange>& exchange) {
+            was_handled = true;
+            net::testing::echo(exchange);
+        },
+        options);
+    raw_client client(server->local_endpoint());
+    client.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 500000\r\n\r\n");
+    cr_assert(run_until(loop, [&] { return client.has("503"); }));
+    cr_assert(client.has("Retry-After: 0.500") && !was_handled);
+    raw_client small(server->local_endpoint());
+    small.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody");
+    cr_assert(run_until(loop, [&] { return small.has("body"); }));
+    ledger->remove(holding::answers, 3 * megabyte);
+    cr_assert(run_until(loop, [&] { return ledger->total() == 0; }), "a body counts until its end");
+}
+
+Test(held_bytes, an_answer_that_is_paused_goes_on_whole) {
+    event_loop loop;
+    const auto server = serve(loop, [](const std::shared_ptr<http_exchange>& exchange) {
+        exchange->respond({.status = 200, .headers = {}, .body = std::string(8 * megabyte, 'x')});
+    });
+    const auto client = make_http_client(loop);
+    std::size_t received = 0;
+    bool done = false;
+    http_call call = net::testing::get(server->local_endpoint());
+    call.idle_timeout = base::milliseconds{200};
+    const auto handle = client->start(
+        call, {.on_head = nullptr,
+               .on_chunk = [&](std::string_view chunk) { received += chunk.size(); },
+               .on_done = [&](const absl::Status& status) {
+                   cr_assert(status.ok(), "%s", status.ToString().c_str());
+                   done = true;
+               }});
+    cr_assert(run_until(loop, [&] { return received > 0; }));
+    handle->pause();
+    run_for(loop, base::milliseconds{50});
+    const std::size_t before = received;
+    run_for(loop, base::milliseconds{400});
+    cr_assert(received == before && !done, "nothing is read, and the idle time does not count");
+    handle->resume();
+    cr_assert(run_until(loop, [&] { return done; }));
+    cr_assert(received == 8 * megabyte);
+}
