A choice looks at a bounded number of back ends, whatever their number

Ruled out: rendezvous over all (6,666 hashes a turn), a fixed number of subsets (flaps where the number of back ends crosses a bound). Change: forward/service_backends keeps each service in two orders, a node's own and a ring of hash points for each zone that all nodes share. A request without a key is weighed among the first 128 fit ones of the own order, more only while all are full; a program among 64 of each zone's ring from its point on, so zones of up to 64 are weighed whole as before. Load of a service is counted from what is known of back ends in use; has_lapsed and closed_by keep counts.

--- a/src/pearbarrow/dispatch/shared_load.h
+++ b/src/pearbarrow/dispatch/shared_load.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
+#include <unordered_map>
 
 #include "pearbarrow/base/clock.h"
 #include "pearbarrow/dispatch/load_report.h"
@@ -29,12 +29,14 @@
     bool is_known(base::instant now) const;
     /// What other nodes have told of the back end; zeros when nothing is known.
     backend_load at(backend_key backend, base::instant now) const;
+    /// Everything that was told; counts only while `is_known`.
+    const std::unordered_map<backend_key, backend_load>& all() const { return this->loads; }
     /// Since the totals came; for logs.
     base::milliseconds age(base::instant now) const;
 
   private:
     shared_load_options options;
-    std::map<backend_key, backend_load> loads;
+    std::unordered_map<backend_key, backend_load> loads;
     bool was_told = false;
     base::instant told_at{};
 };
--- a/src/pearbarrow/forward/backend_pool.cc
+++ b/src/pearbarrow/forward/backend_pool.cc
@@ -65,103 +65,114 @@
       policy_(make_policy(options_, random)),
       ways_(options_.regions) {}
 
+service_backends& backend_pool::service_of(const std::string& name) {
+    return services_.try_emplace(name, options_.zone).first->second;
+}
+
 void backend_pool::set_backends(const directory::backend_list& list, base::instant now) {
-    revision_ = list.revision;
-    for (auto& [id, one] : entries_) {
-        if (one.listed) {
-            one.vanished_at = now;
-        }
-        one.listed = false;
-    }
+    directory::backend_changes step{.revision = list.revision};
     for (const auto& [id, backend] : list.backends) {
-        entry& one = entries_[id];
-        if (!(one.backend.run() == backend.run())) {
-            // The process has started again, or is new: it holds none of the requests of before,
-            // and neither rests nor is slow since another one did. What is still under way there
-            // ends as an attempt at the run before, and counts for nobody.
-            one = entry{};
+        step.present.push_back(backend);
+    }
+    for (const auto& [id, one] : entries_) {
+        if (one.listed && list.backends.count(id) == 0) {
+            step.gone.push_back(id);
         }
-        one.backend = backend;
-        one.key = dispatch::key_of(id, backend.started_at);
-        // By id alone: a place in an order is nothing that a process knows, and connections and
-        // prompts spread as before.
-        one.order = base::stable_hash(options_.node, base::stable_hash(id));
-        one.listed = true;
     }
-    std::erase_if(entries_, [&](const auto& item) {
-        const entry& one = item.second;
-        return !one.listed && one.in_flight == 0 && !has_just_vanished(one, now);
-    });
+    apply(step, now);
 }
 
-std::size_t backend_pool::lapsed_count(base::instant now) const {
-    return static_cast<std::size_t>(
-        std::count_if(entries_.begin(), entries_.end(), [&](const auto& item) {
-            const entry& one = item.second;
-            return has_just_vanished(one, now) && has_lapsed(one.backend.service, now);
-        }));
+void backend_pool::apply(const directory::backend_changes& step, base::instant now) {
+    revision_ = step.revision;
+    for (const directory::backend& backend : step.present) {
+        take_present(backend);
+    }
+    for (const std::string& id : step.gone) {
+        take_gone(id, now);
+    }
+    forget_departed(now);
 }
 
-bool backend_pool::has_just_vanished(const entry& one, base::instant now) const {
-    return !one.listed && !one.backend.draining && now - one.vanished_at < options_.lapse_grace;
+void backend_pool::take_present(const directory::backend& backend) {
+    const auto [at, is_new] = entries_.try_emplace(backend.id);
+    pool_entry& one = at->second;
+    if (!is_new) {
+        service_of(one.backend.service).remove(one);
+        by_key_.erase(one.key);
+    }
+    if (!(one.backend.run() == backend.run())) {
+        // The process has started again, or is new: it holds none of the requests of before, and
+        // neither rests nor is slow since another one did. What is still under way there ends as an
+        // attempt at the run before, and counts for nobody.
+        one = pool_entry{};
+        used_.erase(&one);
+    }
+    one.backend = backend;
+    one.key = dispatch::key_of(backend.id, backend.started_at);
+    // By id alone: a place in an order is nothing that a process knows, and connections and prompts
+    // spread as before.
+    one.point = base::stable_hash(backend.id);
+    one.order = base::stable_hash(options_.node, one.point);
+    one.listed = true;
+    by_key_[one.key] = &one;
+    service_of(backend.service).add(one);
 }
 
-bool backend_pool::has_lapsed(std::string_view service, base::instant now) const {
-    std::size_t vanished = 0;
-    std::size_t known = 0;
-    for (const auto& [id, one] : entries_) {
-        if (one.backend.service != service || one.backend.draining) {
-            continue;
-        }
-        const bool just_vanished = has_just_vanished(one, now);
-        vanished += just_vanished ? 1 : 0;
-        known += just_vanished || one.listed ? 1 : 0;
+void backend_pool::take_gone(const std::string& id, base::instant now) {
+    const auto at = entries_.find(id);
+    if (at == entries_.end() || !at->second.listed) {
+        return;
     }
-    return vanished >= options_.least_lapsed &&
-           static_cast<double>(vanished) >= options_.lapse_share * static_cast<double>(known);
+    pool_entry& one = at->second;
+    service_backends& service = service_of(one.backend.service);
+    service.remove(one);
+    one.listed = false;
+    one.vanished_at = now;
+    service.add(one);
+    if (!one.backend.draining) {
+        service.note_vanished(one);
+    }
+    departed_.emplace_back(now, id);
 }
 
-std::vector<backend_pool::entry*> backend_pool::candidates(const choice_request& request,
-                                                           base::instant now) {
-    std::vector<entry*> fit;
-    std::vector<entry*> resting;
-    std::vector<entry*> cold;
-    const bool lapsed = has_lapsed(request.service, now);
-    for (auto& [id, one] : entries_) {
-        const bool is_known = one.listed || (lapsed && has_just_vanished(one, now));
-        if (!is_known || one.backend.draining || one.backend.service != request.service ||
-            request.excluded.count(id) > 0 || request.without_permit.count(id) > 0 ||
-            judge(one, request.place) != places::place_verdict::permitted) {
-            continue;
-        }
-        const bool passed_over =
-            is_resting(one, now) ||
-            (is_failing(one, now) && random_.below(options_.trial_interval) != 0);
-        if (!passed_over && !request.without_permit.empty() && is_cold(one, now)) {
-            cold.push_back(&one);
-            continue;
-        }
-        (passed_over ? resting : fit).push_back(&one);
+void backend_pool::erase(entry_map::iterator at) {
+    pool_entry& one = at->second;
+    service_of(one.backend.service).remove(one);
+    used_.erase(&one);
+    if (const auto key = by_key_.find(one.key); key != by_key_.end() && key->second == &one) {
+        by_key_.erase(key);
     }
-    if (fit.empty() && !cold.empty()) {
-        return cold;
+    entries_.erase(at);
+}
+
+void backend_pool::forget_departed(base::instant now) {
+    while (!departed_.empty() && now - departed_.front().first >= options_.lapse_grace) {
+        const auto at = entries_.find(departed_.front().second);
+        departed_.pop_front();
+        if (at != entries_.end() && !at->second.listed && at->second.in_flight == 0 &&
+            !has_just_vanished(at->second, now)) {
+            erase(at);
+        }
     }
-    // A resting back end may have recovered: better than none.
-    return fit.empty() ? resting : fit;
 }
 
-void backend_pool::mark_near(const std::vector<entry*>& fit, std::size_t count) {
-    std::vector<entry*> ordered = fit;
-    const auto end = ordered.begin() + static_cast<std::ptrdiff_t>(std::min(count, fit.size()));
-    std::partial_sort(
-        ordered.begin(), end, ordered.end(), [this](const entry* left, const entry* right) {
-            const bool left_is_far = left->backend.zone != options_.zone;
-            const bool right_is_far = right->backend.zone != options_.zone;
-            return std::tie(left_is_far, left->order) < std::tie(right_is_far, right->order);
-        });
-    for (auto at = ordered.begin(); at != ordered.end(); ++at) {
-        (*at)->is_near = at < end;
+std::size_t backend_pool::lapsed_count(base::instant now) const {
+    std::size_t lapsed = 0;
+    for (const auto& [name, service] : services_) {
+        lapsed += has_lapsed(service, now) ? service.vanished_since(now - options_.lapse_grace) : 0;
     }
+    return lapsed;
+}
+
+bool backend_pool::has_just_vanished(const pool_entry& one, base::instant now) const {
+    return !one.listed && !one.backend.draining && now - one.vanished_at < options_.lapse_grace;
+}
+
+bool backend_pool::has_lapsed(const service_backends& service, base::instant now) const {
+    const std::size_t vanished = service.vanished_since(now - options_.lapse_grace);
+    const std::size_t known = service.usable_count() + vanished;
+    return vanished >= options_.least_lapsed &&
+           static_cast<double>(vanished) >= options_.lapse_share * static_cast<double>(known);
 }
 
 std::size_t backend_pool::near_count(const std::string& service, base::instant now) {
@@ -172,25 +183,28 @@
     return std::max(options_.least_near, static_cast<std::size_t>(std::ceil(wanted)));
 }
 
-bool backend_pool::is_cold(const entry& one, base::instant now) const {
-    return cold_ != nullptr && cold_->is_cold(one.backend.id, now);
+bool backend_pool::is_cold(const pool_entry& one, base::instant now) const {
+    return cold_ != nullptr && cold_->is_needed() && cold_->is_cold(one.backend.id, now);
 }
 
-bool backend_pool::is_failing(const entry& one, base::instant now) const {
-    const dispatch::backend_load others = elsewhere(one, now);
-    const double failed = one.results.failed(now) + others.failed / hundredths;
-    const double served = one.results.served(now) + others.served / hundredths;
+bool backend_pool::is_failing(const weighed_entry& item, base::instant now) const {
+    const double failed = item.one->results.failed(now) + item.others.failed / hundredths;
+    const double served = item.one->results.served(now) + item.others.served / hundredths;
     return failed >= options_.least_failures &&
            failed >= options_.failing_share * (failed + served);
 }
 
 std::size_t backend_pool::failing_count(base::instant now) const {
-    return static_cast<std::size_t>(std::count_if(
-        entries_.begin(), entries_.end(),
-        [&](const auto& item) { return item.second.listed && is_failing(item.second, now); }));
+    std::size_t failing = 0;
+    for (const auto& [name, service] : services_) {
+        for (const weighed_entry& item : known_of(name, now)) {
+            failing += item.one->listed && is_failing(item, now) ? 1 : 0;
+        }
+    }
+    return failing;
 }
 
-bool backend_pool::is_resting(const entry& one, base::instant now) const {
+bool backend_pool::is_resting(const pool_entry& one, base::instant now) const {
     if (one.rests_until > now) {
         return true;
     }
@@ -204,40 +218,24 @@
            std::max<base::microseconds>(options_.least_silence, by_mean);
 }
 
-dispatch::backend_load backend_pool::elsewhere(const entry& one, base::instant now) const {
-    return elsewhere_ == nullptr ? dispatch::backend_load{} : elsewhere_->at(one.key, now);
-}
-
-double backend_pool::fullness(const entry& one, base::instant now) const {
-    return static_cast<double>(one.in_flight + elsewhere(one, now).requests + 1) /
-           std::max(1U, one.backend.slots);
-}
-
-double backend_pool::pace_of(const entry& one, base::instant now) const {
-    const double own = one.mean_gap > 0 ? one.mean_gap : one.mean_time;
-    const dispatch::backend_load others = elsewhere(one, now);
-    if (own == 0 || others.pace_us == 0) {
-        return std::max<double>(own, others.pace_us);
-    }
-    const double requests = one.in_flight + others.requests;
-    return requests == 0
-               ? (own + others.pace_us) / 2
-               : (own * one.in_flight + static_cast<double>(others.pace_us) * others.requests) /
-                     requests;
+backend_pool::weighed_entry backend_pool::with_others(const pool_entry& one,
+                                                      base::instant now) const {
+    return {&one,
+            elsewhere_ == nullptr ? dispatch::backend_load{} : elsewhere_->at(one.key, now)};
 }
 
-std::vector<choice_candidate> backend_pool::with_load(const std::vector<entry*>& fit,
+std::vector<choice_candidate> backend_pool::with_load(const weighed_entries& fit,
                                                       base::instant now) const {
-    const double typical = typical_pace({fit.begin(), fit.end()}, now);
+    const double typical = typical_pace(fit);
     std::vector<choice_candidate> loaded;
     loaded.reserve(fit.size());
-    for (const entry* one : fit) {
-        loaded.push_back({.id = one->backend.id,
-                          .zone = one->backend.zone,
-                          .slots = std::max(1U, one->backend.slots),
-                          .in_flight = one->in_flight,
-                          .load = fullness(*one, now) * slowness_of(*one, typical, now),
-                          .is_near = one->is_near});
+    for (const weighed_entry& item : fit) {
+        loaded.push_back({.id = item.one->backend.id,
+                          .zone = item.one->backend.zone,
+                          .slots = std::max(1U, item.one->backend.slots),
+                          .in_flight = item.one->in_flight,
+                          .load = fullness(item) * slowness_of(item, typical, now),
+                          .is_near = item.is_near});
     }
     return loaded;
 }
@@ -247,11 +245,12 @@
 }
 
 std::optional<choice> backend_pool::choose(const choice_request& request, base::instant now) {
-    const std::vector<entry*> fit = candidates(request, now);
+    const std::size_t wanted_near = near_count(request.service, now);
+    weighed_entries fit = candidates(request, wanted_near, now);
     if (fit.empty()) {
         return std::nullopt;
     }
-    const std::size_t near = std::min(near_count(request.service, now), fit.size());
+    const std::size_t near = std::min(wanted_near, fit.size());
     mark_near(fit, near);
     std::vector<choice_candidate> loaded = with_load(fit, now);
     add_work(loaded, fit, request, now);
@@ -260,12 +259,13 @@
                                                           .prompt_tokens = request.prompt_tokens,
                                                           .begins = request.begins,
                                                           .read_us = read_us(request.service)});
-    entry* chosen = fit[ranked.index];
+    pool_entry* chosen = &entries_.find(fit[ranked.index].one->backend.id)->second;
+    used_.insert(chosen);
     ++chosen->in_flight;
     chosen->unanswered.insert(now);
     choice made{.target = chosen->backend,
                 .in_flight = chosen->in_flight,
-                .elsewhere = elsewhere(*chosen, now).requests,
+                .elsewhere = fit[ranked.index].others.requests,
                 .elsewhere_known = knows_others(now),
                 .reason = ranked.reason,
                 .candidates = fit.size(),
@@ -282,7 +282,8 @@
 
 std::vector<dispatch::backend_load> backend_pool::own_loads(base::instant now) const {
     std::vector<dispatch::backend_load> loads;
-    for (const auto& [id, one] : entries_) {
+    for (const pool_entry* used : used_) {
+        const pool_entry& one = *used;
         const auto failed = static_cast<std::uint32_t>(one.results.failed(now) * hundredths);
         const auto served = static_cast<std::uint32_t>(one.results.served(now) * hundredths);
         if (one.in_flight > 0 || failed > 0) {
@@ -295,12 +296,14 @@
                              .unread_tokens = static_cast<std::uint32_t>(one.unread_tokens)});
         }
     }
+    std::sort(loads.begin(), loads.end(), [](const auto& left, const auto& right) {
+        return left.backend < right.backend;
+    });
     return loads;
 }
 
 /// Of an attempt at an earlier run of the process nothing is to be noted.
-std::map<std::string, backend_pool::entry>::iterator backend_pool::find(
-    const directory::backend_run& run) {
+backend_pool::entry_map::iterator backend_pool::find(const directory::backend_run& run) {
     const auto found = entries_.find(run.id);
     const bool is_present = found != entries_.end() && found->second.backend.run() == run;
     return is_present ? found : entries_.end();
@@ -339,7 +342,7 @@
     if (found == entries_.end()) {
         return;
     }
-    entry& one = found->second;
+    pool_entry& one = found->second;
     --one.in_flight;
     if (cold_ != nullptr && result == attempt_result::unreachable) {
         cold_->note_unreachable(run.id);
@@ -363,7 +366,7 @@
             one.mean_time == 0 ? time : one.mean_time + newest_weight * (time - one.mean_time);
     }
     if (!one.listed && one.in_flight == 0 && !has_just_vanished(one, now)) {
-        entries_.erase(found);
+        erase(found);
     }
 }
 
@@ -378,10 +381,8 @@
 }
 
 std::size_t backend_pool::backend_count(std::string_view service) const {
-    return static_cast<std::size_t>(
-        std::count_if(entries_.begin(), entries_.end(), [&](const auto& item) {
-            return item.second.listed && item.second.backend.service == service;
-        }));
+    const auto found = services_.find(service);
+    return found == services_.end() ? 0 : found->second.listed_count();
 }
 
 }  // namespace pearbarrow::forward
--- a/src/pearbarrow/forward/backend_pool.h
+++ b/src/pearbarrow/forward/backend_pool.h
@@ -5,12 +5,16 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "pearbarrow/base/clock.h"
@@ -19,10 +23,11 @@
 #include "pearbarrow/dispatch/load_report.h"
 #include "pearbarrow/dispatch/shared_load.h"
 #include "pearbarrow/forward/choice_policy.h"
+#include "pearbarrow/forward/pool_entry.h"
 #include "pearbarrow/forward/program_gate.h"
 #include "pearbarrow/forward/reading_pace.h"
-#include "pearbarrow/forward/recent_results.h"
 #include "pearbarrow/forward/request_rate.h"
+#include "pearbarrow/forward/service_backends.h"
 #include "pearbarrow/forward/way_times.h"
 #include "pearbarrow/places/place_rules.h"
 #include "pearbarrow/slowstart/cold_table.h"
@@ -80,6 +85,9 @@
     /// Load that a back end beyond those is charged, in requests: about what a handshake's time and
     /// a cold prompt are worth.
     double beyond_load = 1.0;
+    /// So many fit back ends are weighed for a request without a key, in the node's own order; more
+    /// only while all of these are full.
+    std::size_t weighed = 128;
     /// A back end that could not be reached, or refused, rests this long; doubled each time in a
     /// row up to the most.
     base::milliseconds least_rest{100};
@@ -175,6 +183,9 @@
     /// Where it is looked up which back ends are cold; it outlives the pool.
     void set_cold_table(slowstart::cold_table& table) { cold_ = &table; }
 
+    /// Takes what has changed in the list of back ends.
+    void apply(const directory::backend_changes& step, base::instant now);
+    /// The same from a whole list.
     void set_backends(const directory::backend_list& list, base::instant now);
 
     /// The back end to send to, counted as sent; none when no back end is fit.
@@ -220,31 +231,17 @@
     std::uint64_t revision() const { return revision_; }
 
   private:
-    /// What is known of one run of a back end: it begins anew when the process starts again.
-    struct entry {
-        directory::backend backend;
-        dispatch::backend_key key = 0;
-        bool listed = true;
-        /// Place in this node's own order, and whether it is among those that go first now.
-        std::uint64_t order = 0;
+    using entry_map = std::map<std::string, pool_entry>;
+
+    /// A back end that a choice weighs, with what other nodes have told of it.
+    struct weighed_entry {
+        const pool_entry* one;
+        dispatch::backend_load others;
+        /// Among those that this node works with first.
         bool is_near = true;
-        /// When it left the list; it counts while `listed` is false.
-        base::instant vanished_at{};
-        std::uint32_t in_flight = 0;
-        std::uint32_t failures_in_row = 0;
-        base::instant rests_until{};
-        /// When the attempts began that have no head of an answer yet.
-        std::multiset<base::instant> unanswered;
-        recent_results results;
-        /// Mean time of recent answers, in microseconds; 0: none yet.
-        double mean_time = 0;
-        /// Mean time between events of recent streams, in microseconds; 0: none yet.
-        double mean_gap = 0;
-        base::instant last_event{};
-        /// Tokens of this node's prompts there that have no first event yet.
-        double unread_tokens = 0;
-        std::optional<base::instant> last_connected;
     };
+    using weighed_entries = std::vector<weighed_entry>;
+
     /// What is known of a service's streams.
     struct stream_work {
         reading_pace pace;
@@ -256,45 +253,68 @@
     };
 
     /// The entry of this run of a back end; end when there is none, or it is that of another run.
-    std::map<std::string, entry>::iterator find(const directory::backend_run& run);
-    std::vector<entry*> candidates(const choice_request& request, base::instant now);
-    places::place_verdict judge(const entry& one, const places::place_request& request) const;
-    bool is_in_emptied(const entry& one) const;
-    bool is_cold(const entry& one, base::instant now) const;
+    entry_map::iterator find(const directory::backend_run& run);
+    void take_present(const directory::backend& backend);
+    void take_gone(const std::string& id, base::instant now);
+    void erase(entry_map::iterator at);
+    /// Forgets back ends that have left a while ago.
+    void forget_departed(base::instant now);
+    service_backends& service_of(const std::string& name);
+
+    // Which back ends a request is weighed among, pool_candidates.cc.
+    /// Sorts the back ends that a choice looks at by what speaks against them.
+    class candidate_sieve;
+    /// `near`: how many of the own order make up the back ends that this node works with first.
+    weighed_entries candidates(const choice_request& request, std::size_t near,
+                               base::instant now) const;
+    static void look_from_point(const service_backends& service, std::uint64_t point,
+                                candidate_sieve& sieve);
+    void look_at_earlier(const choice_request& request, candidate_sieve& sieve) const;
+    void look_in_own_order(const service_backends& service, std::size_t near,
+                           candidate_sieve& sieve) const;
+    places::place_verdict judge(std::string_view zone, const places::place_request& request) const;
+    bool is_in_emptied(std::string_view zone) const;
+    bool is_cold(const pool_entry& one, base::instant now) const;
     /// Marks the back ends that this node works with first: those of its own zone before others,
     /// in an order that differs from node to node, so that together they use all of them evenly.
-    void mark_near(const std::vector<entry*>& fit, std::size_t count);
+    void mark_near(weighed_entries& fit, std::size_t count) const;
     std::size_t near_count(const std::string& service, base::instant now);
     /// Whether so many of the service's back ends have just vanished that it is no proof that they
     /// have gone.
-    bool has_lapsed(std::string_view service, base::instant now) const;
+    bool has_lapsed(const service_backends& service, base::instant now) const;
     /// Whether the back end left the list a short while ago without saying that it would.
-    bool has_just_vanished(const entry& one, base::instant now) const;
-    bool is_resting(const entry& one, base::instant now) const;
-    bool is_failing(const entry& one, base::instant now) const;
-    std::vector<choice_candidate> with_load(const std::vector<entry*>& fit,
-                                            base::instant now) const;
+    bool has_just_vanished(const pool_entry& one, base::instant now) const;
+    bool is_resting(const pool_entry& one, base::instant now) const;
+    bool is_failing(const weighed_entry& item, base::instant now) const;
+
+    std::vector<choice_candidate> with_load(const weighed_entries& fit, base::instant now) const;
     // The choice by cost, prompt_work.cc.
-    void add_work(std::vector<choice_candidate>& loaded, const std::vector<entry*>& fit,
+    void add_work(std::vector<choice_candidate>& loaded, const weighed_entries& fit,
                   const choice_request& request, base::instant now) const;
     /// Recent mean time of one event there, drawn to the typical one the fewer requests speak for
     /// it. Microseconds; 0: not known.
-    double event_time(const entry& one, double typical, base::instant now) const;
-    double recent_pace(const entry& one, base::instant now) const;
+    double event_time(const weighed_entry& item, double typical, base::instant now) const;
+    double recent_pace(const weighed_entry& item, base::instant now) const;
     double read_us(const std::string& service) const;
     /// Whether the load of other nodes has been told of late.
     bool knows_others(base::instant now) const;
+    weighed_entry with_others(const pool_entry& one, base::instant now) const;
+
+    // How slow and how full back ends are, service_load.cc.
     /// Mean pace of the back end over all nodes. Microseconds; 0: not known.
-    double pace_of(const entry& one, base::instant now) const;
+    static double pace_of(const weighed_entry& item);
     /// The middle pace of some back ends; 0: none is known.
-    double typical_pace(const std::vector<const entry*>& entries, base::instant now) const;
+    static double typical_pace(const weighed_entries& entries);
     /// How often the typical pace the back end takes, where that is more than tolerated; else 1.
-    double slowness_of(const entry& one, double typical, base::instant now) const;
-    dispatch::backend_load elsewhere(const entry& one, base::instant now) const;
+    double slowness_of(const weighed_entry& item, double typical, base::instant now) const;
     /// Requests that the back end works on at once, in those of a usual one.
-    double places_of(const entry& one, double typical, bool counts_cold, base::instant now) const;
+    double places_of(const weighed_entry& item, double typical, bool counts_cold,
+                     base::instant now) const;
     /// Requests at the back end, of this node and all others, with one more, for each place.
-    double fullness(const entry& one, base::instant now) const;
+    static double fullness(const weighed_entry& item);
+    /// Back ends of the service of which this node or others know more than their entries; all,
+    /// where cold ones are to be told apart.
+    weighed_entries known_of(std::string_view service, base::instant now) const;
 
     pool_options options_;
     base::random_source& random_;
@@ -302,7 +322,13 @@
     const dispatch::shared_load* elsewhere_ = nullptr;
     const places::place_rules* places_ = nullptr;
     slowstart::cold_table* cold_ = nullptr;
-    std::map<std::string, entry> entries_;
+    entry_map entries_;
+    std::unordered_map<dispatch::backend_key, pool_entry*> by_key_;
+    std::map<std::string, service_backends, std::less<>> services_;
+    /// Those that have requests of this node, or have answered some.
+    std::unordered_set<pool_entry*> used_;
+    /// Ids that have left the list, by when.
+    std::deque<std::pair<base::instant, std::string>> departed_;
     /// By service.
     std::map<std::string, request_rate, std::less<>> rates_;
     /// By service: mean time of recent requests at a back end. Seconds.
--- a/src/pearbarrow/forward/cost_policy.cc
+++ b/src/pearbarrow/forward/cost_policy.cc
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <limits>
 #include <set>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -41,16 +42,20 @@
                                             const choice_question& question) const {
     std::vector<std::uint64_t> weights;
     weights.reserve(candidates.size());
+    std::vector<std::size_t> order;
+    order.reserve(candidates.size());
     for (const choice_candidate& item : candidates) {
         weights.push_back(base::stable_hash(question.affinity_key, base::stable_hash(item.id)));
+        order.push_back(order.size());
     }
+    std::sort(order.begin(), order.end(), [&](std::size_t left, std::size_t right) {
+        return std::tie(candidates[left].zone, weights[right]) <
+               std::tie(candidates[right].zone, weights[left]);
+    });
     std::vector<std::size_t> ranks(candidates.size());
-    for (std::size_t index = 0; index < candidates.size(); ++index) {
-        for (std::size_t other = 0; other < candidates.size(); ++other) {
-            const bool goes_before =
-                weights[other] > weights[index] && candidates[other].zone == candidates[index].zone;
-            ranks[index] += goes_before ? 1 : 0;
-        }
+    for (std::size_t place = 1; place < order.size(); ++place) {
+        const bool same_zone = candidates[order[place]].zone == candidates[order[place - 1]].zone;
+        ranks[order[place]] = same_zone ? ranks[order[place - 1]] + 1 : 0;
     }
     return ranks;
 }
--- a/src/pearbarrow/forward/pool_places.cc
+++ b/src/pearbarrow/forward/pool_places.cc
@@ -3,14 +3,13 @@
 
 namespace pearbarrow::forward {
 
-places::place_verdict backend_pool::judge(const entry& one,
+places::place_verdict backend_pool::judge(std::string_view zone,
                                           const places::place_request& request) const {
-    return places_ == nullptr ? places::place_verdict::permitted
-                              : places_->judge(request, one.backend.zone);
+    return places_ == nullptr ? places::place_verdict::permitted : places_->judge(request, zone);
 }
 
-bool backend_pool::is_in_emptied(const entry& one) const {
-    return places_ != nullptr && places_->is_emptied(one.backend.zone);
+bool backend_pool::is_in_emptied(std::string_view zone) const {
+    return places_ != nullptr && places_->is_emptied(zone);
 }
 
 /// An emptied zone is named before a region: it passes by itself, and is what an operator looks
@@ -18,11 +17,15 @@
 places::place_verdict backend_pool::closed_by(std::string_view service,
                                               const places::place_request& request) const {
     places::place_verdict why = places::place_verdict::permitted;
-    for (const auto& [id, one] : entries_) {
-        if (!one.listed || one.backend.draining || one.backend.service != service) {
+    const auto found = services_.find(service);
+    if (found == services_.end()) {
+        return why;
+    }
+    for (const auto& [name, zone] : found->second.zones()) {
+        if (zone.usable == 0) {
             continue;
         }
-        const places::place_verdict verdict = judge(one, request);
+        const places::place_verdict verdict = judge(name, request);
         if (verdict == places::place_verdict::permitted) {
             return verdict;
         }
@@ -36,8 +39,8 @@
 
 std::uint32_t backend_pool::requests_in_emptied() const {
     std::uint32_t requests = 0;
-    for (const auto& [id, one] : entries_) {
-        requests += is_in_emptied(one) ? one.in_flight : 0;
+    for (const pool_entry* one : used_) {
+        requests += is_in_emptied(one->backend.zone) ? one->in_flight : 0;
     }
     return requests;
 }
--- a/src/pearbarrow/forward/prompt_work.cc
+++ b/src/pearbarrow/forward/prompt_work.cc
@@ -21,9 +21,10 @@
     return found == streams_.end() ? reading_pace::assumed_us : found->second.pace.us_per_token();
 }
 
-double backend_pool::recent_pace(const entry& one, base::instant now) const {
+double backend_pool::recent_pace(const weighed_entry& item, base::instant now) const {
+    const pool_entry& one = *item.one;
     const bool is_recent = one.mean_gap > 0 && now - one.last_event < options_.pace_lifetime;
-    const dispatch::backend_load others = elsewhere(one, now);
+    const dispatch::backend_load& others = item.others;
     const double own = is_recent ? one.mean_gap : 0;
     if (own == 0 || others.pace_us == 0) {
         return std::max<double>(own, others.pace_us);
@@ -33,23 +34,24 @@
            (own_weight + others.requests);
 }
 
-double backend_pool::event_time(const entry& one, double typical, base::instant now) const {
-    const double pace = recent_pace(one, now);
+double backend_pool::event_time(const weighed_entry& item, double typical,
+                                base::instant now) const {
+    const double pace = recent_pace(item, now);
     if (pace == 0) {
         return typical;
     }
-    const double requests = one.in_flight + elsewhere(one, now).requests;
+    const double requests = item.one->in_flight + item.others.requests;
     return typical + (pace - typical) * requests / (requests + typical_weight);
 }
 
-void backend_pool::add_work(std::vector<choice_candidate>& loaded, const std::vector<entry*>& fit,
+void backend_pool::add_work(std::vector<choice_candidate>& loaded, const weighed_entries& fit,
                             const choice_request& request, base::instant now) const {
     if (request.prompt_tokens == 0) {
         return;
     }
     std::vector<double> paces;
-    for (const entry* one : fit) {
-        if (const double pace = recent_pace(*one, now); pace > 0) {
+    for (const weighed_entry& item : fit) {
+        if (const double pace = recent_pace(item, now); pace > 0) {
             paces.push_back(pace);
         }
     }
@@ -59,14 +61,14 @@
     const auto streams = streams_.find(request.service);
     const double events = streams == streams_.end() ? 0 : streams->second.events_per_answer();
     for (std::size_t index = 0; index < fit.size(); ++index) {
-        const entry& one = *fit[index];
+        const pool_entry& one = *fit[index].one;
+        const dispatch::backend_load& others = fit[index].others;
         choice_candidate& item = loaded[index];
-        const dispatch::backend_load others = elsewhere(one, now);
         item.region = ways_.region_of(one.backend.zone);
         item.unread_tokens = one.unread_tokens + others.unread_tokens;
         item.ran_earlier = request.earlier != 0 && request.earlier == one.key;
         item.requests = one.in_flight + others.requests;
-        item.generating_us = events * event_time(one, typical, now);
+        item.generating_us = events * event_time(fit[index], typical, now);
         const double busy = one.in_flight + others.requests + 1.0;
         item.queue_us =
             std::max(0.0, busy - item.slots) / item.slots * (item.generating_us + one.mean_time);
@@ -109,7 +111,8 @@
     if (found == entries_.end()) {
         return;
     }
-    entry& one = found->second;
+    pool_entry& one = found->second;
+    used_.insert(&one);
     const auto time = static_cast<double>(gap.count());
     one.mean_gap =
         one.mean_gap == 0 ? time : one.mean_gap + newest_gap_weight * (time - one.mean_gap);
--- /dev/null
+++ b/src/pearbarrow/forward/service_backends.cc
@@ -0,0 +1,69 @@
+#include "pearbarrow/forward/service_backends.h"
+
+#include <algorithm>
+#include <iterator>
+#include <numeric>
+
+namespace pearbarrow::forward {
+
+void service_backends::add(pool_entry& one) {
+    this->by_order.emplace(one.backend.zone != this->own_zone, one.order, &one);
+    zone_backends& zone = this->by_zone[one.backend.zone];
+    zone.ring.emplace(one.point, &one);
+    if (one.is_usable()) {
+        ++zone.usable;
+        zone.slots += std::max(1U, one.backend.slots);
+    }
+    this->listed += one.listed ? 1 : 0;
+}
+
+void service_backends::remove(pool_entry& one) {
+    this->by_order.erase({one.backend.zone != this->own_zone, one.order, &one});
+    this->vanished.erase({one.vanished_at, &one});
+    this->listed -= one.listed ? 1 : 0;
+    const auto found = this->by_zone.find(one.backend.zone);
+    zone_backends& zone = found->second;
+    zone.ring.erase({one.point, &one});
+    if (one.is_usable()) {
+        --zone.usable;
+        zone.slots -= std::max(1U, one.backend.slots);
+    }
+    if (zone.ring.empty()) {
+        this->by_zone.erase(found);
+    }
+}
+
+std::vector<pool_entry*> service_backends::from_point(const zone_backends& zone,
+                                                      std::uint64_t point, std::size_t skip,
+                                                      std::size_t count) {
+    std::vector<pool_entry*> found;
+    if (skip >= zone.ring.size()) {
+        return found;
+    }
+    const std::size_t wanted = std::min(skip + count, zone.ring.size());
+    auto at = zone.ring.lower_bound({point, nullptr});
+    for (std::size_t index = 0; index < wanted; ++index, ++at) {
+        if (at == zone.ring.end()) {
+            at = zone.ring.begin();
+        }
+        if (index >= skip) {
+            found.push_back(at->second);
+        }
+    }
+    return found;
+}
+
+std::size_t service_backends::vanished_since(base::instant since) const {
+    while (!this->vanished.empty() && this->vanished.begin()->first <= since) {
+        this->vanished.erase(this->vanished.begin());
+    }
+    return this->vanished.size();
+}
+
+std::size_t service_backends::usable_count() const {
+    return std::accumulate(
+        this->by_zone.begin(), this->by_zone.end(), std::size_t{0},
+        [](std::size_t sum, const auto& zone) { return sum + zone.second.usable; });
+}
+
+}  // namespace pearbarrow::forward
