The directory: a change costs what changed, and a few nodes call the outside service

Ruled out: a whole-list digest kept by steps alone (two nodes with different histories never meet); tombstones (a list complete as of a revision needs none). Change: directory/backend_index changes one list in place, with digests of 256 parts; who has held the same contents is told steps, whoever else the parts that differ, in pieces of 256 entries (parts_fetch). Everything that follows the list takes the step. Storage members keep entries one by one (fleet/directory_copy). directory/service_watch, a pure state machine, decides who calls the store: a few watch, nodes take turns to look (a watch that does not wait, which also shows what watches were not told), a node that is turned away asks a peer to look in its place, at a start only the seeds read. Questions go to drawn peers once a node knows some. Answers and questions have further fields; nodes of the build before are told lists whole. Tests: seeded comparison of stepped and whole lists (it found that an exact step must name what came and went within it), two histories, pieces, cost of a step at 1,000 and 20,000 entries, a store of 1,000 and 2,000 nodes in virtual time with a third turned away. Replaced: the pacing tests of a pause that is gone (pause_when_told) by those of turns; the follower's by those of its new interface, all that they asked for still asked; one of steps that do not follow by the same through the state.

--- a/src/pearbarrow/directory/directory_exchange.cc
+++ b/src/pearbarrow/directory/directory_exchange.cc
@@ -1,6 +1,7 @@
 #include "pearbarrow/directory/directory_exchange.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "pearbarrow/wire/codec.h"
@@ -13,6 +14,9 @@
 /// Peers named in an answer; to a node that knows far fewer than the answering one, more.
 constexpr std::size_t peers_told = 4;
 constexpr std::size_t peers_told_to_new = 64;
+/// A node that knows fewer than this asks whomever it has. Small fleets have no more: there every
+/// node knows all.
+constexpr std::size_t few_peers = 16;
 constexpr base::milliseconds ask_back_timeout{1'000};
 /// Leaves the peers time to learn of a change by themselves.
 constexpr base::milliseconds ask_anew_delay{150};
@@ -26,7 +30,14 @@
       rpc_(rpc),
       random_(random),
       options_(std::move(options)),
-      on_change_(std::move(on_change)) {
+      on_change_(std::move(on_change)),
+      source_(rpc, options_.parts,
+              [this](const parts_question& question, std::size_t most) {
+                  const auto& held = state_.current().backends;
+                  return held.has_value() ? state_.index().parts_of(*held, question.parts, most)
+                                          : backend_parts();
+              }),
+      fetch_(loop, rpc, random, {}) {
     for (const net::endpoint& seed : options_.seeds) {
         learn_peer(seed);
     }
@@ -56,30 +67,68 @@
 
 void directory_exchange::ask_anew() {
     for (open_question& question : questions_) {
-        if (question.peer.port != 0) {
+        // One that is about to be put anew stays so: where changes never cease it would be put off
+        // for ever.
+        if (question.peer.port != 0 && question.retry == nullptr) {
             question.retry = loop_.after(ask_anew_delay, [this, &question] { ask(question); });
         }
     }
 }
 
+watch_question directory_exchange::own_question(bool is_first) const {
+    return {.known = state_.versions(),
+            .asker = options_.self,
+            .peers = static_cast<std::uint32_t>(peers_.size()),
+            .takes_parts = true,
+            .is_first = is_first};
+}
+
 void directory_exchange::ask_back(const watch_question& question) {
-    const watch_question message{.known = state_.versions(),
-                                 .asker = options_.self,
-                                 .peers = static_cast<std::uint32_t>(peers_.size())};
     ask_back_ = rpc_.call(
-        base::node_id(), question.asker, wire::directory_watch, wire::encode(message),
+        base::node_id(), question.asker, wire::directory_watch, wire::encode(own_question(true)),
         ask_back_timeout,
-        {.on_part = nullptr, .on_done = [this](const absl::StatusOr<std::string>& payload) {
-             if (!payload.ok()) {
-                 return;
-             }
-             auto reply = wire::decode<watch_answer>(*payload);
+        {.on_part = nullptr,
+         .on_done = [this, peer = question.asker](const absl::StatusOr<std::string>& payload) {
+             auto reply = payload.ok() ? wire::decode<watch_answer>(*payload)
+                                       : absl::StatusOr<watch_answer>(payload.status());
              if (reply.ok()) {
-                 publish(std::move(reply->update));
+                 take_update(peer, std::move(reply->update));
              }
          }});
 }
 
+void directory_exchange::take_update(const net::endpoint& peer, directory_update update) {
+    const std::vector<backend_digests> digests = std::move(update.digests);
+    publish(std::move(update));
+    if (!digests.empty()) {
+        fetch_parts(peer, digests.front());
+    }
+}
+
+void directory_exchange::fetch_parts(const net::endpoint& peer, const backend_digests& digests) {
+    if (fetch_.is_active()) {
+        return;
+    }
+    fetch_.start(peer, digests.revision, state_.index().differing(digests),
+                 [this, digests](std::optional<backend_parts> found) {
+                     if (!found.has_value()) {
+                         return;
+                     }
+                     // What was equal then must be so still: the peer's list is known by both.
+                     const std::vector<std::uint32_t> differing = state_.index().differing(digests);
+                     const std::set<std::uint32_t> fetched(found->parts.begin(),
+                                                           found->parts.end());
+                     if (!std::all_of(differing.begin(), differing.end(), [&](std::uint32_t part) {
+                             return fetched.count(part) > 0;
+                         })) {
+                         return;
+                     }
+                     directory_update update;
+                     update.parts = std::move(found);
+                     publish(std::move(update));
+                 });
+}
+
 void directory_exchange::take_question(std::string_view payload,
                                        std::shared_ptr<net::peer_responder> responder) {
     const auto question = wire::decode<watch_question>(payload);
@@ -91,7 +140,7 @@
     if (question->known.is_ahead_of(state_.versions())) {
         ask_back(*question);
     }
-    if (!state_.newer_than(question->known).is_empty()) {
+    if (question->is_first || state_.is_news_to(question->known)) {
         answer(responder, *question);
         return;
     }
@@ -112,8 +161,10 @@
 
 void directory_exchange::answer(const std::shared_ptr<net::peer_responder>& responder,
                                 const watch_question& question) {
-    watch_answer reply{.update = state_.newer_than(question.known), .peers = {}};
-    const std::size_t first = random_.below(peers_.size());
+    watch_answer reply{.update = state_.update_for(question.receiver()),
+                       .peers = {},
+                       .is_reading = reader_ != nullptr && reader_->is_reading()};
+    const std::size_t first = peers_.empty() ? 0 : random_.below(peers_.size());
     for (std::size_t index = 0; index < peers_to_tell(question); ++index) {
         reply.peers.push_back(peers_[(first + index) % peers_.size()]);
     }
@@ -122,7 +173,7 @@
 
 void directory_exchange::answer_waiting() {
     for (auto at = waiting_.begin(); at != waiting_.end();) {
-        if (state_.newer_than(at->question.known).is_empty()) {
+        if (!state_.is_news_to(at->question.known)) {
             ++at;
             continue;
         }
@@ -133,7 +184,13 @@
 
 void directory_exchange::ask(open_question& question) {
     question.retry.reset();
-    if (question.peer.port == 0) {
+    if (fetch_.is_active()) {
+        question.retry = loop_.after(options_.fetch_pause, [this, &question] { ask(question); });
+        return;
+    }
+    if (question.peer.port == 0 || (question.is_first_contact && !has_few_peers())) {
+        question.is_first_contact = has_few_peers();
+        question.is_first = true;
         question.peer =
             random_peer([this](const net::endpoint& peer) { return !is_watched(peer); });
     }
@@ -141,11 +198,8 @@
         question.retry = loop_.after(options_.retry, [this, &question] { ask(question); });
         return;
     }
-    const watch_question message{.known = state_.versions(),
-                                 .asker = options_.self,
-                                 .peers = static_cast<std::uint32_t>(peers_.size())};
     question.call = rpc_.call(
-        base::node_id(), question.peer, wire::directory_watch, wire::encode(message),
+        base::node_id(), question.peer, wire::directory_watch, wire::encode(own_question(question.is_first)),
         options_.hold + answer_slack,
         {.on_part = nullptr, .on_done = [this, &question](absl::StatusOr<std::string> payload) {
              take_answer(question, payload);
@@ -154,29 +208,38 @@
 
 void directory_exchange::take_answer(open_question& question,
                                      const absl::StatusOr<std::string>& payload) {
-    const auto reply = payload.ok() ? wire::decode<watch_answer>(*payload)
-                                    : absl::StatusOr<watch_answer>(payload.status());
+    auto reply = payload.ok() ? wire::decode<watch_answer>(*payload)
+                              : absl::StatusOr<watch_answer>(payload.status());
     question.was_answered = reply.ok();
     if (!reply.ok()) {
         question.peer = {};
         question.retry = loop_.after(options_.retry, [this, &question] { ask(question); });
         return;
     }
+    question.is_first = false;
     for (const net::endpoint& peer : reply->peers) {
         learn_peer(peer);
     }
-    publish(reply->update);
+    if (reply->is_reading && reader_ != nullptr) {
+        reader_->note_reading_peer();
+    }
+    take_update(question.peer, std::move(reply->update));
     // From the loop, so that the call that ended is not replaced inside its own callback.
     question.retry = loop_.after(base::milliseconds{1}, [this, &question] { ask(question); });
 }
 
+bool directory_exchange::has_few_peers() const {
+    return peers_.size() < few_peers;
+}
+
 void directory_exchange::learn_peer(const net::endpoint& peer) {
-    if (peer.port == 0 || peer == options_.self ||
-        std::find(peers_.begin(), peers_.end(), peer) != peers_.end()) {
+    if (peer.port == 0 || peer == options_.self || !known_peers_.insert(peer).second) {
         return;
     }
     if (peers_.size() >= options_.max_known_peers) {
-        peers_[random_.below(peers_.size())] = peer;
+        net::endpoint& replaced = peers_[random_.below(peers_.size())];
+        known_peers_.erase(replaced);
+        replaced = peer;
         return;
     }
     peers_.push_back(peer);
--- a/src/pearbarrow/directory/directory_exchange.h
+++ b/src/pearbarrow/directory/directory_exchange.h
@@ -14,12 +14,14 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "pearbarrow/base/clock.h"
 #include "pearbarrow/base/random.h"
 #include "pearbarrow/directory/directory_state.h"
+#include "pearbarrow/directory/parts_fetch.h"
 #include "pearbarrow/net/event_loop.h"
 #include "pearbarrow/net/peer_rpc.h"
 
@@ -32,16 +34,34 @@
     net::endpoint asker;
     /// Peers that the asking node knows.
     std::uint32_t peers = 0;
+    /// The asking node fetches parts of the list of back ends (`directory/parts_fetch.h`). Builds
+    /// that don't are told the list whole, and their digests are made in another way.
+    bool takes_parts = false;
+    /// Nothing was asked of this peer before: the answer comes at once, with what there is.
+    bool is_first = false;
 
-    MSGPACK_DEFINE(known, asker, peers);
+    update_receiver receiver() const {
+        return {.known = known, .tells_digest = takes_parts, .takes_parts = takes_parts};
+    }
+    MSGPACK_DEFINE(known, asker, peers, takes_parts, is_first);
 };
 
 struct watch_answer {
     directory_update update;
     /// Some peers that the answering node knows.
     std::vector<net::endpoint> peers;
+    /// The answering node reads the outside service just now, and will tell of it.
+    bool is_reading = false;
 
-    MSGPACK_DEFINE(update, peers);
+    MSGPACK_DEFINE(update, peers, is_reading);
+};
+
+/// What the exchange asks of, and tells to, whoever reads the outside service on this node.
+class service_reader {
+  public:
+    virtual ~service_reader() = default;
+    virtual bool is_reading() const = 0;
+    virtual void note_reading_peer() = 0;
 };
 
 struct exchange_options {
@@ -53,9 +73,13 @@
     base::milliseconds hold{8'000};
     /// After a question that failed, before the next peer is asked.
     base::milliseconds retry{300};
-    /// Enough to know every node of a fleet: who reads the outside service in turn with how many
-    /// others follows from it (`directory/watch_pacing.h`).
-    std::size_t max_known_peers = 1'024;
+    /// While a list of back ends is fetched, before a question is put again.
+    base::milliseconds fetch_pause{50};
+    /// Enough to know every node of a fleet twice the largest planned, 100 bytes each: how long a
+    /// node leaves the outside service to the others follows from their number
+    /// (`directory/watch_pacing.h`).
+    std::size_t max_known_peers = 4'096;
+    parts_source::limits parts;
 };
 
 class directory_exchange {
@@ -74,6 +98,8 @@
     /// Takes what the outside service told, and tells it to the peers that wait. Gives which parts
     /// say something new.
     directory_state::changes publish(directory_update update);
+    /// It outlives the exchange.
+    void set_reader(service_reader& reader) { reader_ = &reader; }
     /// Another node that may be asked.
     void learn_peer(const net::endpoint& peer);
     const directory_state& state() const { return state_; }
@@ -95,6 +121,11 @@
     /// A question that this node keeps open at a peer.
     struct open_question {
         net::endpoint peer;
+        /// The peer was one of the few that this node knew at first. All nodes begin with the same
+        /// few: whoever stays with them makes them work for the whole fleet (a seed of 301 nodes
+        /// sent 6 MB/s, the middle node 0.14).
+        bool is_first_contact = false;
+        bool is_first = true;
         bool was_answered = false;
         std::unique_ptr<net::peer_call_handle> call;
         std::unique_ptr<net::timer_handle> retry;
@@ -111,6 +142,12 @@
     void ask_anew();
     void ask(open_question& question);
     void take_answer(open_question& question, const absl::StatusOr<std::string>& payload);
+    /// Applies what a peer has told, and asks it for what else its list holds.
+    void take_update(const net::endpoint& peer, directory_update update);
+    void fetch_parts(const net::endpoint& peer, const backend_digests& digests);
+    /// The message that asks for what this node lacks.
+    watch_question own_question(bool is_first) const;
+    bool has_few_peers() const;
     bool is_watched(const net::endpoint& peer) const;
 
     net::event_loop& loop_;
@@ -120,9 +157,13 @@
     change_handler on_change_;
     directory_state state_;
     std::vector<net::endpoint> peers_;
+    std::set<net::endpoint> known_peers_;
     std::list<waiting_question> waiting_;
     std::list<open_question> questions_;
     std::unique_ptr<net::peer_call_handle> ask_back_;
+    parts_source source_;
+    parts_fetch fetch_;
+    service_reader* reader_ = nullptr;
 };
 
 }  // namespace pearbarrow::directory
--- a/src/pearbarrow/directory/directory_state.cc
+++ b/src/pearbarrow/directory/directory_state.cc
@@ -37,16 +37,16 @@
     }
 }
 
-/// A list that was read in pages is as old as its first page, and has entries that are newer than
-/// that: a list of a later revision may hold older ones. Without this a back end that has just
-/// started again would be taken for its earlier run for a moment, and all that is known of the
-/// present one be lost.
-void keep_newer_entries(const backend_list& held, backend_list& next) {
-    for (auto& [id, backend] : next.backends) {
-        const auto known = held.backends.find(id);
-        if (known != held.backends.end() && known->second.written_at > backend.written_at) {
-            backend = known->second;
-        }
+/// Up to so many back ends a list goes whole: it is hardly more than all digests.
+constexpr std::size_t most_sent_whole = 64;
+
+void append(backend_changes& all, backend_changes next) {
+    all.revision = std::max(all.revision, next.revision);
+    for (backend& one : next.present) {
+        all.present.push_back(std::move(one));
+    }
+    for (std::string& id : next.gone) {
+        all.gone.push_back(std::move(id));
     }
 }
 
@@ -60,48 +60,52 @@
 }
 
 bool directory_versions::is_ahead_of(const directory_versions& other) const {
-    return config > other.config || backends > other.backends || storage > other.storage ||
+    const bool has_other_backends =
+        backends > other.backends && backends_digest != other.backends_digest;
+    return config > other.config || has_other_backends || storage > other.storage ||
            retirements > other.retirements || emptied_zones > other.emptied_zones;
 }
 
 directory_state::changes directory_state::apply(directory_update update) {
+    const bool knew_backends = current_.backends.has_value();
+    backend_changes step = apply_backends(update);
+    const bool learned_backends = !knew_backends && current_.backends.has_value();
     return {.config = replace_if_newer(current_.config, update.config, &configuration::version),
-            .backends = apply_backends(update),
+            .backends = learned_backends || !step.is_empty(),
             .storage = replace_if_newer(current_.storage, update.storage, &storage_view::revision),
             .retirements = replace_if_changed(current_.retirements, update.retirements,
                                               &retirement_list::revision, &retirement_list::nodes),
             .emptied_zones =
                 replace_if_changed(current_.emptied_zones, update.emptied_zones,
-                                   &emptied_zone_list::revision, &emptied_zone_list::zones)};
+                                   &emptied_zone_list::revision, &emptied_zone_list::zones),
+            .step = std::move(step)};
 }
 
-bool directory_state::apply_backends(directory_update& update) {
-    bool changed = false;
-    if (!update.backends.empty()) {
-        changed = replace_backends(std::move(update.backends.front()));
+backend_changes directory_state::apply_backends(const directory_update& update) {
+    backend_changes all;
+    const bool has_list = !update.backends.empty() || update.reading || update.parts;
+    if (!current_.backends.has_value() && !has_list) {
+        // Changes of a list that is not known say nothing.
+        return all;
     }
-    if (!update.backend_steps.empty() && current_.backends.has_value()) {
-        backend_list next = *current_.backends;
-        if (backend_history::apply(update.backend_steps.front(), next)) {
-            changed = replace_backends(std::move(next)) || changed;
-        }
+    backend_list& held = current_.backends.has_value() ? *current_.backends
+                                                       : current_.backends.emplace();
+    for (const backend_list& next : update.backends) {
+        append(all, index_.take(held, next));
     }
-    return changed;
-}
-
-bool directory_state::replace_backends(backend_list next) {
-    if (current_.backends.has_value()) {
-        if (current_.backends->revision >= next.revision) {
-            return false;
-        }
-        keep_newer_entries(*current_.backends, next);
-        history_.note(*current_.backends, next);
+    if (update.reading) {
+        append(all, index_.take(held, *update.reading));
+    }
+    if (update.events) {
+        append(all, index_.take(held, *update.events));
     }
-    const std::uint64_t digest = backend_history::digest_of(next);
-    const bool changed = !current_.backends.has_value() || digest != backends_digest_;
-    current_.backends = std::move(next);
-    backends_digest_ = digest;
-    return changed;
+    if (update.parts) {
+        append(all, index_.take(held, *update.parts));
+    }
+    for (const backend_changes& next : update.backend_steps) {
+        append(all, index_.take(held, next));
+    }
+    return all;
 }
 
 directory_versions directory_state::versions() const {
@@ -109,17 +113,38 @@
             .backends = current_.backends ? current_.backends->revision : 0,
             .storage = current_.storage ? current_.storage->revision : 0,
             .retirements = current_.retirements ? current_.retirements->revision : 0,
-            .backends_digest = backends_digest_,
+            .backends_digest = current_.backends ? index_.digest() : 0,
             .emptied_zones = current_.emptied_zones ? current_.emptied_zones->revision : 0};
 }
 
+bool directory_state::has_other_backends(const directory_versions& known) const {
+    return current_.backends.has_value() && current_.backends->revision > known.backends &&
+           index_.digest() != known.backends_digest;
+}
+
+bool directory_state::is_news_to(const directory_versions& known) const {
+    const directory_versions own = versions();
+    return own.config > known.config || has_other_backends(known) || own.storage > known.storage ||
+           own.retirements > known.retirements || own.emptied_zones > known.emptied_zones;
+}
+
 directory_update directory_state::newer_than(const directory_versions& known) const {
+    return update_for({.known = known});
+}
+
+directory_update directory_state::update_for(const update_receiver& receiver) const {
+    const directory_versions& known = receiver.known;
     directory_update update;
     add_if_newer(current_.config, &configuration::version, known.config, update.config);
-    if (current_.backends.has_value() && current_.backends->revision > known.backends) {
-        if (auto steps = history_.since(known.backends, known.backends_digest, *current_.backends);
-            steps.has_value()) {
+    if (has_other_backends(known)) {
+        const std::uint64_t digest = receiver.tells_digest ? known.backends_digest : 0;
+        auto steps = known.backends == 0
+                         ? std::nullopt
+                         : index_.since(*current_.backends, known.backends, digest);
+        if (steps.has_value()) {
             update.backend_steps.push_back(*std::move(steps));
+        } else if (receiver.takes_parts && current_.backends->backends.size() > most_sent_whole) {
+            update.digests.push_back(index_.digests(*current_.backends));
         } else {
             update.backends.push_back(*current_.backends);
         }
--- a/src/pearbarrow/directory/directory_state.h
+++ b/src/pearbarrow/directory/directory_state.h
@@ -2,12 +2,11 @@
 #pragma once
 
 #include <cstdint>
-#include <functional>
 #include <msgpack.hpp>
-#include <string>
+#include <optional>
 #include <vector>
 
-#include "pearbarrow/directory/backend_history.h"
+#include "pearbarrow/directory/backend_index.h"
 #include "pearbarrow/directory/snapshot.h"
 
 namespace pearbarrow::directory {
@@ -18,7 +17,8 @@
     std::uint64_t backends = 0;
     std::uint64_t storage = 0;
     std::uint64_t retirements = 0;
-    /// Names the contents of the list of back ends, beside its revision.
+    /// Names the contents of the list of back ends, whatever its revision. Builds before
+    /// `watch_question::takes_parts` made it in another way.
     std::uint64_t backends_digest = 0;
     std::uint64_t emptied_zones = 0;
 
@@ -38,12 +38,30 @@
     /// In place of `backends`, where these are enough.
     std::vector<backend_changes> backend_steps;
     std::vector<emptied_zone_list> emptied_zones;
+    /// In place of `backends`, for one who asks for the parts that differ.
+    std::vector<backend_digests> digests;
+
+    // From the outside service alone, told to nobody in this form.
+    std::optional<backend_reading> reading;
+    std::optional<backend_events> events;
+    /// Parts that were asked for after `digests`.
+    std::optional<backend_parts> parts;
 
     bool is_empty() const {
         return config.empty() && backends.empty() && storage.empty() && retirements.empty() &&
-               backend_steps.empty() && emptied_zones.empty();
+               backend_steps.empty() && emptied_zones.empty() && digests.empty() &&
+               !reading.has_value() && !events.has_value() && !parts.has_value();
     }
-    MSGPACK_DEFINE(config, backends, storage, retirements, backend_steps, emptied_zones);
+    MSGPACK_DEFINE(config, backends, storage, retirements, backend_steps, emptied_zones, digests);
+};
+
+/// Who is told.
+struct update_receiver {
+    directory_versions known;
+    /// Its digests are made as this build's are.
+    bool tells_digest = true;
+    /// It asks for the parts of a list that differ from its own.
+    bool takes_parts = false;
 };
 
 /// Invariant: within the life of an object no part is ever replaced by an older one.
@@ -56,6 +74,8 @@
         bool storage = false;
         bool retirements = false;
         bool emptied_zones = false;
+        /// Of the back ends, where `backends` is set.
+        backend_changes step;
 
         bool any() const { return config || backends || storage || retirements || emptied_zones; }
     };
@@ -66,16 +86,21 @@
     changes apply(directory_update update);
     const snapshot& current() const { return current_; }
     directory_versions versions() const;
+    /// Whether someone who has `known` lacks something. The same back ends at a newer revision are
+    /// nothing to be told.
+    bool is_news_to(const directory_versions& known) const;
     /// The parts that someone who has `known` lacks.
     directory_update newer_than(const directory_versions& known) const;
+    /// The same, in the form that the receiver takes.
+    directory_update update_for(const update_receiver& receiver) const;
+    const backend_index& index() const { return index_; }
 
   private:
-    bool apply_backends(directory_update& update);
-    bool replace_backends(backend_list next);
+    backend_changes apply_backends(const directory_update& update);
+    bool has_other_backends(const directory_versions& known) const;
 
     snapshot current_;
-    backend_history history_;
-    std::uint64_t backends_digest_ = 0;
+    backend_index index_;
 };
 
 }  // namespace pearbarrow::directory
--- a/src/pearbarrow/directory/snapshot.h
+++ b/src/pearbarrow/directory/snapshot.h
@@ -179,8 +179,11 @@
     /// New, or changed since.
     std::vector<backend> present;
     std::vector<std::string> gone;
+    /// Of the list that they change (`backend_index::digest`); 0: not told.
+    std::uint64_t digest_before = 0;
 
-    MSGPACK_DEFINE(after, revision, present, gone);
+    bool is_empty() const { return present.empty() && gone.empty(); }
+    MSGPACK_DEFINE(after, revision, present, gone, digest_before);
 };
 
 /// Nodes that an operator wants to be emptied, as known at one revision of the outside service.
--- a/src/pearbarrow/directory/watch_pacing.h
+++ b/src/pearbarrow/directory/watch_pacing.h
@@ -1,6 +1,7 @@
-/// How often a node looks at the outside service itself, and when it leaves that to its peers.
+/// How long a node leaves the outside service to the others.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 
 #include "pearbarrow/base/clock.h"
@@ -9,18 +10,21 @@
 namespace pearbarrow::directory {
 
 struct pacing_options {
-    /// Between two checks by all nodes together.
+    /// Between two looks by all nodes together, where watches tell nothing. A quarter of the time
+    /// in which a change is to be in force, so that two nodes in turn may fail.
     base::milliseconds check_interval{600};
     /// Most time between a watch that told something new and the next one, for each other node.
     base::milliseconds pause_after_news{100};
     base::milliseconds most_pause_after_news{1'200};
-    /// The same after a watch that told only what peers had told before. So long that the calls of
-    /// all nodes together don't grow with their number: of 300 nodes 7 a second come back.
-    base::milliseconds pause_when_told{300};
-    base::milliseconds most_pause_when_told{90'000};
-    /// At its start a node waits up to so long whether its peers tell it everything: some round
-    /// trips, since after a loss of power nothing is served until somebody knows the routes.
-    base::milliseconds most_start_pause{150};
+    /// At its start a node waits so long whether its peers tell it everything, or that they read:
+    /// a connection and some round trips, since after a loss of power nothing is served until
+    /// somebody knows the routes.
+    base::milliseconds least_start_pause{100};
+    base::milliseconds most_start_pause{250};
+    /// The same for a node that all others ask first.
+    base::milliseconds contact_start_pause{20};
+    /// How often a node that rests makes sure that peers still answer it.
+    base::milliseconds company_check{500};
 };
 
 /// What a node knows of the others that look at the same service.
@@ -37,15 +41,18 @@
   public:
     watch_pacing(base::random_source& random, pacing_options options);
 
-    /// How long until this node's turn to read everything anew. `unix_time` in microseconds.
+    /// How long until this node's turn to look. `unix_time` in microseconds.
     base::milliseconds until_check(const watch_company& company, std::int64_t unix_time) const;
-    /// How long to leave the watching to others after a watch that has told of changes;
-    /// `was_news`: this node knew of them from nobody else.
-    base::milliseconds pause(const watch_company& company, bool was_news);
+    /// Whether it is this node's turn now, give or take half of the interval.
+    bool is_turn(const watch_company& company, std::int64_t unix_time) const;
+    /// How long to gather changes after a watch that has told of something new.
+    base::milliseconds pause_after_news(const watch_company& company);
     /// How long a node that has just started leaves it to its peers to tell it what there is.
     base::milliseconds start_pause();
 
   private:
+    base::milliseconds up_to(base::milliseconds most);
+
     base::random_source& random;
     pacing_options options;
 };
--- a/src/pearbarrow/fleet/edge_node.cc
+++ b/src/pearbarrow/fleet/edge_node.cc
@@ -166,8 +166,8 @@
         cold_.set_emptied_zones(*known.emptied_zones, parts_.clock().now());
     }
     if (changed.backends) {
-        cold_.set_backends(*known.backends, parts_.clock().now());
-        pool_.set_backends(*known.backends, parts_.clock().now());
+        cold_.apply(changed.step, parts_.clock().now());
+        pool_.apply(changed.step, parts_.clock().now());
     }
     if (changed.storage) {
         relay_.set_view(*known.storage);
--- a/src/pearbarrow/fleet/storage_node.cc
+++ b/src/pearbarrow/fleet/storage_node.cc
@@ -53,6 +53,7 @@
         return store.status();
     }
     store_ = *std::move(store);
+    copy_ = std::make_unique<directory_copy>(*store_);
     return absl::OkStatus();
 }
 
@@ -139,29 +140,26 @@
 }
 
 void storage_node::recall_directory() {
-    const std::string kept = store_->read_directory();
-    auto update = wire::decode<directory::directory_update>(kept);
-    if (kept.empty() || !update.ok()) {
+    directory::directory_update update = copy_->recall();
+    if (update.is_empty()) {
         return;
     }
     // Whether this member is to leave may have changed since: somebody has to read it anew.
-    update->retirements.clear();
-    base::log(base::log_level::info, "directory_recalled", {{"bytes", kept.size()}});
-    parts_.directory().publish(*std::move(update));
-}
-
-void storage_node::keep_directory() {
-    // After a loss of power while the outside service is down, this is all that anyone knows.
-    turns::store_change change;
-    change.directory = wire::encode(parts_.directory().state().newer_than({}));
-    store_->write(std::move(change), [](const absl::Status& /*status*/) {});
+    update.retirements.clear();
+    base::log(base::log_level::info, "directory_recalled",
+              {{"backends", update.backends.empty() ? 0 : update.backends.back().backends.size()}});
+    recalling_ = true;
+    parts_.directory().publish(std::move(update));
+    recalling_ = false;
 }
 
 void storage_node::take_changes(const directory::directory_state::changes& changed) {
     if (membership_ == nullptr) {
         return;
     }
-    keep_directory();
+    if (!recalling_) {
+        copy_->keep(changed, parts_.directory().state());
+    }
     if (changed.retirements) {
         // First: a member that is to leave must not join.
         const auto& nodes = parts_.directory().state().current().retirements->nodes;
@@ -209,9 +207,9 @@
         start_limits_.set_configuration(*known.config);
     }
     if (changed.backends) {
-        start_limits_.set_backends(*known.backends, now);
+        start_limits_.apply(changed.step, now);
     }
-    if (changed.config || changed.backends) {
+    if (changed.config || (changed.backends && start_limits_.is_needed())) {
         permits_->ledger().set_configuration(start_limits_.limits(), now);
     }
 }
--- a/src/pearbarrow/fleet/storage_node.h
+++ b/src/pearbarrow/fleet/storage_node.h
@@ -6,6 +6,7 @@
 
 #include <absl/status/status.h>
 
+#include "pearbarrow/fleet/directory_copy.h"
 #include "pearbarrow/fleet/node_parts.h"
 #include "pearbarrow/slowstart/start_limits.h"
 #include "pearbarrow/tenants/quota_service.h"
@@ -37,7 +38,6 @@
     void collect(base::metrics_registry& registry) const;
     /// Publishes what was known before the process ended.
     void recall_directory();
-    void keep_directory();
     void take_changes(const directory::directory_state::changes& changed);
     void take_start_limits(const directory::directory_state::changes& changed, base::instant now);
     /// Tells operators when a tolerated loss would take the majority of a group.
@@ -45,6 +45,9 @@
 
     node_parts parts_;
     std::unique_ptr<turns::turn_store> store_;
+    std::unique_ptr<directory_copy> copy_;
+    /// What is published now comes from the disk.
+    bool recalling_ = false;
     std::unique_ptr<turns::turn_replica> replica_;
     std::unique_ptr<turns::storage_membership> membership_;
     std::unique_ptr<turns::board_exchange> loads_;
--- a/src/pearbarrow/fleet/traffic_names.cc
+++ b/src/pearbarrow/fleet/traffic_names.cc
@@ -49,6 +49,8 @@
     static const std::map<wire::method_number, std::string_view> names = {
         {0, "link"},
         {wire::directory_watch, "directory_watch"},
+        {wire::directory_parts, "directory_parts"},
+        {wire::directory_look, "directory_look"},
         {wire::turn_reserve, "turn_reserve"},
         {wire::turn_read, "turn_read"},
         {wire::turn_finish, "turn_finish"},
--- a/src/pearbarrow/settings/fleet_settings.cc
+++ b/src/pearbarrow/settings/fleet_settings.cc
@@ -80,6 +80,8 @@
     reader.read_flag("first_start", settings.first_start);
     reader.read_milliseconds("stop_timeout_ms", base::milliseconds{100},
                              base::milliseconds{600'000}, settings.stop_timeout);
+    reader.read_milliseconds("change_bound_ms", base::milliseconds{500},
+                             base::milliseconds{600'000}, settings.change_bound);
     reader.read_milliseconds("leaving_notice_ms", base::milliseconds{0},
                              base::milliseconds{600'000}, settings.leaving_notice);
     if (settings.role == fleet_role::edge) {
--- a/src/pearbarrow/settings/fleet_settings.h
+++ b/src/pearbarrow/settings/fleet_settings.h
@@ -90,6 +90,9 @@
     base::milliseconds quota_window{0};
     /// Storage members only.
     slow_start_settings slow_start;
+    /// Within this time a change at the directory service is to be in force on every node. Sets how
+    /// often nodes look (`directory/service_watch.h`).
+    base::milliseconds change_bound{2'000};
     /// Longest time from the order to stop to the end of the process.
     base::milliseconds stop_timeout{8'000};
     /// How long a back end goes on serving after it has said that it leaves, at least.
--- a/src/pearbarrow/slowstart/cold_table.cc
+++ b/src/pearbarrow/slowstart/cold_table.cc
@@ -16,18 +16,42 @@
 }
 
 void cold_table::set_backends(const directory::backend_list& list, base::instant now) {
-    for (auto& [id, one] : this->states) {
+    directory::backend_changes step{.revision = list.revision};
+    for (const auto& [id, one] : this->states) {
         if (one.listed && list.backends.count(id) == 0) {
-            one.listed = false;
-            one.vanished_at = now;
+            step.gone.push_back(id);
         }
     }
     for (const auto& [id, backend] : list.backends) {
+        step.present.push_back(backend);
+    }
+    this->apply(step, now);
+}
+
+void cold_table::apply(const directory::backend_changes& step, base::instant now) {
+    for (const std::string& id : step.gone) {
+        const auto found = this->states.find(id);
+        if (found != this->states.end() && std::exchange(found->second.listed, false)) {
+            found->second.vanished_at = now;
+            this->departed.emplace_back(now, id);
+        }
+    }
+    for (const directory::backend& backend : step.present) {
         this->take(backend, now);
     }
-    std::erase_if(this->states, [&](const auto& item) {
-        return !item.second.listed && now - item.second.vanished_at > this->options.memory;
-    });
+    this->forget_departed(now);
+}
+
+void cold_table::forget_departed(base::instant now) {
+    while (!this->departed.empty() &&
+           now - this->departed.front().first > this->options.memory) {
+        const auto found = this->states.find(this->departed.front().second);
+        if (found != this->states.end() && !found->second.listed &&
+            now - found->second.vanished_at > this->options.memory) {
+            this->states.erase(found);
+        }
+        this->departed.pop_front();
+    }
 }
 
 /// A time left is counted from when it was heard, and what was said before is not taken back: news
--- a/src/pearbarrow/slowstart/cold_table.h
+++ b/src/pearbarrow/slowstart/cold_table.h
@@ -6,11 +6,13 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "pearbarrow/base/clock.h"
 #include "pearbarrow/directory/snapshot.h"
@@ -29,6 +31,9 @@
     explicit cold_table(cold_options options = {}) : options(options) {}
 
     void set_configuration(const directory::configuration& config);
+    /// Takes what has changed in the list of back ends.
+    void apply(const directory::backend_changes& step, base::instant now);
+    /// The same from a whole list.
     void set_backends(const directory::backend_list& list, base::instant now);
     void set_emptied_zones(const directory::emptied_zone_list& list, base::instant now);
     /// News come again after a time without any: whatever has started meanwhile may be cold.
@@ -68,6 +73,7 @@
     };
 
     void take(const directory::backend& backend, base::instant now);
+    void forget_departed(base::instant now);
     /// Null: the service's back ends are never cold.
     const service_bound* bound_of(const state& one) const;
     bool is_cold(const state& one, base::instant now) const;
@@ -76,6 +82,8 @@
     std::map<std::string, service_bound, std::less<>> bounds;
     std::map<std::string, state, std::less<>> states;
     std::set<std::string, std::less<>> emptied;
+    /// Ids that have left the list, by when.
+    std::deque<std::pair<base::instant, std::string>> departed;
 };
 
 }  // namespace pearbarrow::slowstart
--- a/src/pearbarrow/slowstart/start_limits.cc
+++ b/src/pearbarrow/slowstart/start_limits.cc
@@ -52,21 +52,44 @@
 }
 
 void start_limits::set_backends(const directory::backend_list& list, base::instant now) {
-    for (auto& [id, one] : this->backends) {
+    directory::backend_changes step{.revision = list.revision};
+    for (const auto& [id, one] : this->backends) {
         if (one.listed && list.backends.count(id) == 0) {
-            one.listed = false;
-            one.vanished_at = now;
+            step.gone.push_back(id);
         }
     }
     for (const auto& [id, backend] : list.backends) {
-        this->backends[id] = {.service = backend.service, .listed = true};
+        step.present.push_back(backend);
+    }
+    this->apply(step, now);
+}
+
+void start_limits::apply(const directory::backend_changes& step, base::instant now) {
+    for (const std::string& id : step.gone) {
+        const auto found = this->backends.find(id);
+        if (found != this->backends.end() && std::exchange(found->second.listed, false)) {
+            found->second.vanished_at = now;
+            this->departed.emplace_back(now, id);
+        }
     }
-    std::erase_if(this->backends, [now](const auto& item) {
-        return !item.second.listed && now - item.second.vanished_at > memory;
-    });
+    for (const directory::backend& backend : step.present) {
+        this->backends[backend.id] = {.service = backend.service, .listed = true};
+    }
+    this->forget_departed(now);
     ++this->version;
 }
 
+void start_limits::forget_departed(base::instant now) {
+    while (!this->departed.empty() && now - this->departed.front().first > memory) {
+        const auto found = this->backends.find(this->departed.front().second);
+        if (found != this->backends.end() && !found->second.listed &&
+            now - found->second.vanished_at > memory) {
+            this->backends.erase(found);
+        }
+        this->departed.pop_front();
+    }
+}
+
 /// Shares are made for all back ends, warm ones too: one that turns cold finds them filled.
 directory::configuration start_limits::limits() const {
     constexpr double extras = share_extra * tenants::quota_shares;
--- a/src/pearbarrow/slowstart/start_limits.h
+++ b/src/pearbarrow/slowstart/start_limits.h
@@ -5,9 +5,11 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "pearbarrow/base/clock.h"
 #include "pearbarrow/directory/snapshot.h"
@@ -36,7 +38,12 @@
     explicit start_limits(start_bound bound) : bound(bound) {}
 
     void set_configuration(const directory::configuration& config);
+    /// Takes what has changed in the list of back ends.
+    void apply(const directory::backend_changes& step, base::instant now);
+    /// The same from a whole list.
     void set_backends(const directory::backend_list& list, base::instant now);
+    /// Whether any service's back ends are ever cold.
+    bool is_needed() const { return !this->rates.empty(); }
     /// For `tenants::quota_ledger::set_configuration`.
     directory::configuration limits() const;
 
@@ -47,10 +54,14 @@
         base::instant vanished_at{};
     };
 
+    void forget_departed(base::instant now);
+
     start_bound bound;
     std::uint64_t version = 0;
     std::map<std::string, double, std::less<>> rates;
     std::map<std::string, known_backend, std::less<>> backends;
+    /// Ids that have left the list, by when.
+    std::deque<std::pair<base::instant, std::string>> departed;
 };
 
 }  // namespace pearbarrow::slowstart
--- a/src/pearbarrow/turns/rocksdb_turn_store.cc
+++ b/src/pearbarrow/turns/rocksdb_turn_store.cc
@@ -18,8 +18,9 @@
 namespace {
 
 // Keys: one letter, then the name. `i` identity of the disk, `c` its completeness, `t` a turn,
-// `r` a reservation (program, NUL, turn), `d` the directory, `p` the other members' positions, `n`
-// the largest number of a change that was dropped, or a larger one, `g` the replica group.
+// `r` a reservation (program, NUL, turn), `d` the directory, `e` an entry of it, `p` the other
+// members' positions, `n` the largest number of a change that was dropped, or a larger one, `g` the
+// replica group.
 constexpr char identity_key[] = "i";
 constexpr char complete_key[] = "c";
 constexpr char directory_key[] = "d";
@@ -27,6 +28,8 @@
 constexpr char last_number_key[] = "n";
 constexpr char group_key[] = "g";
 // Ranges of the keys above, each up to but without the second.
+constexpr char directory_entries_begin[] = "e";
+constexpr char directory_entries_end[] = "f";
 constexpr char reservations_begin[] = "r";
 constexpr char reservations_end[] = "s";
 constexpr char turns_begin[] = "t";
@@ -123,6 +126,7 @@
     void write(store_change change, std::function<void(absl::Status)> done) override;
     absl::StatusOr<turn_record> read(const turn_id& turn) const override;
     std::string read_directory() const override;
+    std::vector<directory_entry> read_directory_entries() const override;
 
   private:
     struct pending_write {
@@ -282,6 +286,24 @@
     return value;
 }
 
+std::vector<directory_entry> rocksdb_turn_store::read_directory_entries() const {
+    std::vector<directory_entry> entries;
+    const auto open = database();
+    if (open == nullptr) {
+        return entries;
+    }
+    const rocksdb::Slice end = directory_entries_end;
+    rocksdb::ReadOptions range;
+    range.iterate_upper_bound = &end;
+    const std::unique_ptr<rocksdb::Iterator> at(open->NewIterator(range));
+    constexpr std::size_t prefix_bytes = sizeof(directory_entries_begin) - 1;
+    for (at->Seek(directory_entries_begin); at->Valid(); at->Next()) {
+        entries.push_back({.key = std::string(view_of(at->key()).substr(prefix_bytes)),
+                           .value = std::string(view_of(at->value()))});
+    }
+    return entries;
+}
+
 void rocksdb_turn_store::add(rocksdb::WriteBatch& batch, const store_change& change) {
     if (change.emptied_for.has_value()) {
         batch.DeleteRange(reservations_begin, reservations_end);
@@ -312,6 +334,14 @@
     if (change.directory.has_value()) {
         batch.Put(directory_key, *change.directory);
     }
+    for (const directory_entry& entry : change.directory_entries) {
+        const std::string key = directory_entries_begin + entry.key;
+        if (entry.value.empty()) {
+            batch.Delete(key);
+        } else {
+            batch.Put(key, entry.value);
+        }
+    }
     if (change.positions.has_value()) {
         batch.Put(positions_key, wire::encode(*change.positions));
     }
--- a/src/pearbarrow/turns/turn_store.h
+++ b/src/pearbarrow/turns/turn_store.h
@@ -52,6 +52,13 @@
     disk_id disk;
 };
 
+/// An entry of the directory, under a key of its keeper's own.
+struct directory_entry {
+    std::string key;
+    /// Empty: the entry is taken out.
+    std::string value;
+};
+
 /// One atomic change of the store.
 struct store_change {
     /// Before everything else of the change.
@@ -65,8 +72,10 @@
     std::vector<reservation> dropped_reservations;
     /// Sets whether the member knows all that it has ever confirmed.
     std::optional<bool> complete;
-    /// Replaces what is kept of the directory.
+    /// Replaces what is kept of the directory but for its entries.
     std::optional<std::string> directory;
+    /// Entries of the directory that have changed.
+    std::vector<directory_entry> directory_entries;
     /// Replaces what is kept of the other members' positions.
     std::optional<std::vector<peer_position>> positions;
     /// The largest number given so far; told where changes are dropped, so that none is given anew.
@@ -96,6 +105,8 @@
     virtual void write(store_change change, std::function<void(absl::Status)> done) = 0;
     /// What is kept of the directory; empty when nothing is.
     virtual std::string read_directory() const = 0;
+    /// The entries that are kept of it, by key.
+    virtual std::vector<directory_entry> read_directory_entries() const { return {}; }
     /// The turn with its texts; kNotFound when it isn't there.
     virtual absl::StatusOr<turn_record> read(const turn_id& turn) const = 0;
 };
--- a/src/pearbarrow/wire/methods.h
+++ b/src/pearbarrow/wire/methods.h
@@ -48,6 +48,10 @@
 
 /// What a peer knows of routes, back ends and storage members that the asking node does not.
 inline constexpr method_number directory_watch = 80;
+/// Parts of the list of back ends, asked of a peer whose list differs.
+inline constexpr method_number directory_parts = 81;
+/// A look at the outside service, by a node that the service turns away asked of a peer.
+inline constexpr method_number directory_look = 82;
 
 /// Storage of turns, called by nodes that forward requests and by other storage members.
 inline constexpr method_number turn_reserve = 90;
