--- a/src/pearbarrow/base/metrics.cc
+++ b/src/pearbarrow/base/metrics.cc
@@ -64,6 +64,24 @@
     return result;
 }
 
+std::map<std::string, double> metrics_registry::counters() const {
+    std::map<std::string, double> values;
+    for (const prometheus::MetricFamily& family : state_->registry.Collect()) {
+        if (family.type != prometheus::MetricType::Counter) {
+            continue;
+        }
+        for (const prometheus::ClientMetric& metric : family.metric) {
+            std::string name = family.name;
+            for (const auto& label : metric.label) {
+                name += (name.size() == family.name.size() ? "{" : ",") + label.name + "=" +
+                        label.value;
+            }
+            values[name + (metric.label.empty() ? "" : "}")] = metric.counter.value;
+        }
+    }
+    return values;
+}
+
 std::string metrics_registry::text() const {
     return prometheus::TextSerializer().Serialize(state_->registry.Collect());
 }
--- a/src/pearbarrow/base/metrics.h
+++ b/src/pearbarrow/base/metrics.h
@@ -63,6 +63,8 @@
                             const metric_labels& labels = {},
                             std::vector<double> buckets = latency_buckets());
 
+    /// What each counter stands at, by name and labels: `name{label=value,...}`.
+    std::map<std::string, double> counters() const;
     /// All metrics in the Prometheus text exposition format.
     std::string text() const;
 
--- a/src/pearbarrow/fleet/node_parts.cc
+++ b/src/pearbarrow/fleet/node_parts.cc
@@ -65,8 +65,11 @@
           loop, *rpc_, random_, exchange_options(settings),
           [this, on_change = std::move(on_change)](const auto& changed) {
               gauges_.note_changes(changed);
+              count_changes(changed);
               on_change(changed);
-          })) {
+          })),
+      work_log_(loop, metrics_, *rpc_,
+                settings.role == settings::fleet_role::edge ? "edge" : "storage") {
     gauges_.add([this](auto&) {
         gauges_.collect_directory(*exchange_);
         gauges_.collect_traffic(*rpc_);
@@ -76,6 +79,28 @@
 
 node_parts::~node_parts() = default;
 
+void node_parts::count_changes(const directory::directory_state::changes& changed) {
+    const auto count = [this](const char* part, std::size_t entries) {
+        metrics_
+            .add_counter("pearbarrow_directory_changes_total",
+                         "Times that a part of the directory said something new", {{"part", part}})
+            .increment();
+        metrics_
+            .add_counter("pearbarrow_directory_entries_changed_total",
+                         "Entries of the directory that changed", {{"part", part}})
+            .increment(static_cast<double>(entries));
+    };
+    if (changed.backends) {
+        count("backends", changed.step.present.size() + changed.step.gone.size());
+    }
+    if (changed.config) {
+        count("configuration", 1);
+    }
+    if (changed.storage) {
+        count("storage", 1);
+    }
+}
+
 void node_parts::take_settings(const settings::fleet_settings& next) {
     settings_.seeds = next.seeds;
     settings_.directory_service = next.directory_service;
--- a/src/pearbarrow/fleet/node_parts.h
+++ b/src/pearbarrow/fleet/node_parts.h
@@ -11,6 +11,7 @@
 #include "pearbarrow/base/random.h"
 #include "pearbarrow/directory/directory_exchange.h"
 #include "pearbarrow/fleet/node_gauges.h"
+#include "pearbarrow/fleet/work_log.h"
 #include "pearbarrow/net/event_loop.h"
 #include "pearbarrow/net/held_bytes.h"
 #include "pearbarrow/net/http.h"
@@ -48,6 +49,8 @@
     const settings::fleet_settings& settings() const { return settings_; }
 
   private:
+    void count_changes(const directory::directory_state::changes& changed);
+
     net::event_loop& loop_;
     const base::clock& clock_;
     settings::fleet_settings settings_;
@@ -58,6 +61,7 @@
     std::unique_ptr<net::peer_rpc> rpc_;
     std::unique_ptr<directory::directory_exchange> exchange_;
     std::unique_ptr<net::http_server> metrics_server_;
+    work_log work_log_;
 };
 
 }  // namespace pearbarrow::fleet
--- a/src/pearbarrow/forward/forward_log.cc
+++ b/src/pearbarrow/forward/forward_log.cc
@@ -49,6 +49,25 @@
         .increment();
 }
 
+void forward_log::count_choice(std::string_view service, std::size_t weighed) {
+    const base::metric_labels labels = {{"service", std::string(service)}};
+    metrics_
+        .add_counter("pearbarrow_forward_choices_total", "Choices among a service's back ends",
+                     labels)
+        .increment();
+    metrics_
+        .add_counter("pearbarrow_forward_weighed_total", "Back ends weighed in choices", labels)
+        .increment(static_cast<double>(weighed));
+}
+
+void forward_log::count_connection(std::string_view service) {
+    metrics_
+        .add_counter("pearbarrow_forward_connections_total",
+                     "Connections opened to a service's back ends",
+                     {{"service", std::string(service)}})
+        .increment();
+}
+
 void forward_log::count_held_back() {
     metrics_
         .add_counter("pearbarrow_forward_held_back_total",
--- a/src/pearbarrow/forward/forward_log.h
+++ b/src/pearbarrow/forward/forward_log.h
@@ -37,6 +37,10 @@
     void count_answer(std::string_view kind, int status, std::string_view reason,
                       base::microseconds took);
     void count_attempt(std::string_view result);
+    /// Counts a choice among the service's back ends, and how many it weighed.
+    void count_choice(std::string_view service, std::size_t weighed);
+    /// Counts a connection that was opened to one of the service's back ends.
+    void count_connection(std::string_view service);
     /// Counts an answer that is read no further until its caller has taken more.
     void count_held_back();
     /// Counts what came of a question about a tenant's limit. Only so many tenants are told apart.
--- a/src/pearbarrow/forward/forwarded_attempt.cc
+++ b/src/pearbarrow/forward/forwarded_attempt.cc
@@ -88,6 +88,7 @@
         return;
     }
     target_ = placed_->target;
+    context_.log.count_choice(service_, placed_->candidates);
     if (placed_->cold.has_value() && context_.permits != nullptr) {
         place_cold();
         return;
@@ -122,6 +123,7 @@
          .on_done = [this](const absl::Status& status) { on_call_done(status); },
          .on_connected =
              [this](base::microseconds took) {
+                 context_.log.count_connection(target_.service);
                  context_.pool.note_connection(target_.run(), took, context_.clock.now());
              }});
     watch_silence();
--- a/tests/process/test_what_binds.py
+++ b/tests/process/test_what_binds.py
@@ -49,6 +49,16 @@
             "no json", "{broken", json.dumps(["a list"]))
         self.assertFalse(counts)
 
+    def test_work_is_added_up_by_role_and_cause(self):
+        def work(node, role, **counts):
+            return json.dumps({"time": "2026-01-01T00:00:00.000Z", "event": "node_work", "node": node, "role": role,
+                               "counts": counts})
+        lines = [work("e1", "edge", calls=2), work("e1", "edge", calls=3), work("e2", "edge", calls=1),
+                 work("s1", "storage", calls=7), "no line of ours"]
+        table = self.script.work_of(self.script.entries_of(lines))
+        self.assertEqual(table["edge"], {"calls": (6, 5, 2)})
+        self.assertEqual(table["storage"], {"calls": (7, 7, 1)})
+
 
 if __name__ == "__main__":
     unittest.main()
