Looks at the store are drawn for each interval: turns in the order of nodes broke down as the company grew

Ruled out: counting the turn anew with each new peer (random gaps of 4 s once in 20). Change: directory_exchange::is_drawn, a rendezvous draw by hashes of addresses and the interval's number; who knows fewer nodes is drawn more often, never less. The work log's lines stay below 4 KB. Tests: a company that grows (its first form passed on the faulty code, since nobody heard: it now asks that all know in the end), the draw; the tests of turns by place are replaced by those of intervals and of the draw.

--- a/src/pearbarrow/directory/directory_exchange.cc
+++ b/src/pearbarrow/directory/directory_exchange.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <utility>
 
+#include "pearbarrow/base/hash.h"
 #include "pearbarrow/wire/codec.h"
 
 namespace pearbarrow::directory {
@@ -21,6 +22,19 @@
 /// Leaves the peers time to learn of a change by themselves.
 constexpr base::milliseconds ask_anew_delay{150};
 
+std::uint64_t lot_of(const net::endpoint& node) {
+    return base::stable_hash(net::to_string(node));
+}
+
+/// Mixes a node's lot with the number of a draw (the finalizer of splitmix64): 2,000 of them take
+/// some microseconds.
+std::uint64_t drawn(std::uint64_t lot, std::uint64_t number) {
+    std::uint64_t mixed = lot + number * 0x9e37'79b9'7f4a'7c15;
+    mixed = (mixed ^ (mixed >> 30U)) * 0xbf58'476d'1ce4'e5b9;
+    mixed = (mixed ^ (mixed >> 27U)) * 0x94d0'49bb'1331'11eb;
+    return mixed ^ (mixed >> 31U);
+}
+
 }  // namespace
 
 directory_exchange::directory_exchange(net::event_loop& loop, net::peer_rpc& rpc,
@@ -38,6 +52,7 @@
                                           : backend_parts();
               }),
       fetch_(loop, rpc, random, {}) {
+    own_lot_ = lot_of(options_.self);
     for (const net::endpoint& seed : options_.seeds) {
         learn_peer(seed);
     }
@@ -213,9 +228,11 @@
     question.was_answered = reply.ok();
     if (!reply.ok()) {
         question.peer = {};
-        question.retry = loop_.after(options_.retry, [this, &question] { ask(question); });
+        const base::milliseconds pause = was_ever_answered_ ? options_.retry : options_.first_retry;
+        question.retry = loop_.after(pause, [this, &question] { ask(question); });
         return;
     }
+    was_ever_answered_ = true;
     question.is_first = false;
     for (const net::endpoint& peer : reply->peers) {
         learn_peer(peer);
@@ -239,16 +256,18 @@
     if (peers_.size() >= options_.max_known_peers) {
         net::endpoint& replaced = peers_[random_.below(peers_.size())];
         known_peers_.erase(replaced);
+        lots_[static_cast<std::size_t>(&replaced - peers_.data())] = lot_of(peer);
         replaced = peer;
         return;
     }
     peers_.push_back(peer);
+    lots_.push_back(lot_of(peer));
 }
 
-std::size_t directory_exchange::rank() const {
-    return static_cast<std::size_t>(
-        std::count_if(peers_.begin(), peers_.end(),
-                      [this](const net::endpoint& peer) { return peer < options_.self; }));
+bool directory_exchange::is_drawn(std::uint64_t number) const {
+    const std::uint64_t own = drawn(own_lot_, number);
+    return std::none_of(lots_.begin(), lots_.end(),
+                        [&](std::uint64_t lot) { return drawn(lot, number) < own; });
 }
 
 bool directory_exchange::is_connected() const {
--- a/src/pearbarrow/directory/directory_exchange.h
+++ b/src/pearbarrow/directory/directory_exchange.h
@@ -73,6 +73,9 @@
     base::milliseconds hold{8'000};
     /// After a question that failed, before the next peer is asked.
     base::milliseconds retry{300};
+    /// The same while no question was ever answered: at a common start the first contacts may begin
+    /// a little later, and who is not told waits or calls the outside service itself.
+    base::milliseconds first_retry{50};
     /// While a list of back ends is fetched, before a question is put again.
     base::milliseconds fetch_pause{50};
     /// Enough to know every node of a fleet twice the largest planned, 100 bytes each: how long a
@@ -104,8 +107,9 @@
     void learn_peer(const net::endpoint& peer);
     const directory_state& state() const { return state_; }
     std::size_t peer_count() const { return peers_.size(); }
-    /// How many of the peers have a lower address than this node.
-    std::size_t rank() const;
+    /// Whether this node is drawn among itself and its peers; `number` names the draw. All that
+    /// know the same nodes draw the same one.
+    bool is_drawn(std::uint64_t number) const;
     /// One of the peers that `is_fit` takes; port 0: there is none.
     net::endpoint random_peer(const std::function<bool(const net::endpoint&)>& is_fit);
     /// Whether a peer has answered a question and has not failed one since.
@@ -158,9 +162,13 @@
     directory_state state_;
     std::vector<net::endpoint> peers_;
     std::set<net::endpoint> known_peers_;
+    /// Lots of the peers, in the same order, and of this node.
+    std::vector<std::uint64_t> lots_;
+    std::uint64_t own_lot_ = 0;
     std::list<waiting_question> waiting_;
     std::list<open_question> questions_;
     std::unique_ptr<net::peer_call_handle> ask_back_;
+    bool was_ever_answered_ = false;
     parts_source source_;
     parts_fetch fetch_;
     service_reader* reader_ = nullptr;
--- a/src/pearbarrow/directory/service_watch.cc
+++ b/src/pearbarrow/directory/service_watch.cc
@@ -20,10 +20,8 @@
 }
 
 base::instant service_watch::next() const {
-    const bool is_due = this->state == stage::starting || this->state == stage::pausing ||
-                        this->state == stage::resting;
-    const base::instant never = base::instant::max();
-    return std::min(is_due ? this->due : never, this->turn.value_or(never));
+    const bool is_due = this->state == stage::starting || this->state == stage::pausing;
+    return is_due ? std::min(this->due, this->turn) : this->turn;
 }
 
 std::vector<service_watch::action> service_watch::read() {
@@ -56,7 +54,7 @@
 /// A node that no peer answers keeps watching: nobody else would tell it anything.
 void service_watch::rest(const knowledge& known, base::instant now) {
     if (known.company.connected) {
-        this->pause(this->options.pacing.company_check, stage::resting, now);
+        this->state = stage::resting;
     } else {
         this->pause(this->retry_time(), stage::pausing, now);
     }
@@ -69,9 +67,6 @@
 
 std::vector<service_watch::action> service_watch::advance(const knowledge& known,
                                                           base::instant now) {
-    if (!this->turn.has_value()) {
-        this->turn = now + this->pacing.until_check(known.company, known.unix_time);
-    }
     if (this->state == stage::starting && now >= this->due) {
         if (known.is_level) {
             this->rest(known, now);
@@ -82,23 +77,34 @@
         }
     }
     std::vector<action> actions;
-    if (this->state == stage::resting && now >= this->due) {
+    if (this->state == stage::resting) {
         this->rest(known, now);
     }
     if (this->state == stage::pausing && now >= this->due) {
         actions = this->watch(now);
     }
-    if (now >= *this->turn) {
-        // The company may have grown since the turn was foreseen.
-        const bool is_turn = this->pacing.is_turn(known.company, known.unix_time);
-        this->turn = now + this->pacing.until_check(known.company, known.unix_time);
-        if (is_turn && this->state != stage::reading && this->state != stage::starting) {
+    if (now >= this->turn) {
+        this->turn = now + this->pacing.until_next(known.unix_time);
+        if (this->is_turn(known)) {
             actions.push_back({.what = call::look});
         }
     }
     return actions;
 }
 
+// The service's watches may miss changes without a word, all of them at once and for seconds, and
+// those that watch may die, so somebody has to look now and then. The draw goes by hashes of
+// addresses and the interval: turns in the order of the nodes would shift whenever a node hears of
+// another one, and a whole zone would come one after the other.
+bool service_watch::is_turn(const knowledge& known) {
+    const std::uint64_t interval = this->pacing.interval_at(known.unix_time);
+    if (std::exchange(this->judged, interval) == interval || this->state == stage::reading ||
+        this->state == stage::starting) {
+        return false;
+    }
+    return !known.company.connected || known.is_drawn(interval);
+}
+
 std::vector<service_watch::action> service_watch::ended(call what, outcome how,
                                                         std::uint32_t passes,
                                                         const knowledge& known,
--- a/src/pearbarrow/directory/service_watch.h
+++ b/src/pearbarrow/directory/service_watch.h
@@ -1,14 +1,15 @@
 /// Decides when a node calls the outside directory service itself, beside all others that do.
 ///
 /// A pure state machine: time, random numbers and what the node knows of its company are given. The
-/// calls of a fleet are bounded whatever its size: a few nodes keep a watch open, and nodes take
-/// turns to look, one of them each `turn_interval`. A look is a watch that does not wait: it brings
+/// calls of a fleet are bounded whatever its size: a few nodes keep a watch open, and in each
+/// interval of the time of day one node looks, which all draw alike without a message. A look is a watch that does not wait: it brings
 /// what is new, and a service that has moved on without telling anything has forgotten something,
 /// so that the whole is read. A node that the service turns away asks a peer to look in its place.
 /// What one node learns the others hear from it (`directory/directory_exchange.h`).
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <vector>
 
@@ -59,6 +60,9 @@
     /// What the node knows.
     struct knowledge {
         watch_company company;
+        /// Whether this node is the one to look in an interval. A node that knows few others is
+        /// drawn more often than it should be, never less.
+        std::function<bool(std::uint64_t interval)> is_drawn;
         /// Routes and back ends, from whomever.
         bool is_level = false;
         /// Unix time, in microseconds.
@@ -100,6 +104,7 @@
         resting,
     };
 
+    bool is_turn(const knowledge& known);
     void rest(const knowledge& known, base::instant now);
     void pause(base::milliseconds time, stage next, base::instant now);
     base::milliseconds retry_time();
@@ -119,7 +124,9 @@
     bool is_contact = false;
     base::instant due{};
     base::instant watch_began{};
-    std::optional<base::instant> turn;
+    /// When the next interval begins, and the last one that was judged.
+    base::instant turn{};
+    std::uint64_t judged = 0;
     std::optional<base::instant> reader_until;
 };
 
--- a/src/pearbarrow/directory/watch_pacing.cc
+++ b/src/pearbarrow/directory/watch_pacing.cc
@@ -7,33 +7,16 @@
 watch_pacing::watch_pacing(base::random_source& random, pacing_options options)
     : random(random), options(options) {}
 
-// The service's watches may miss changes without a word, all of them at once and for seconds, so
-// somebody has to look now and then. Nodes take turns by the time of day, in the order of their
-// addresses: no message is needed, and where clocks or lists of peers differ turns only shift.
-base::milliseconds watch_pacing::until_check(const watch_company& company,
-                                             std::int64_t unix_time) const {
-    const base::milliseconds interval = this->options.check_interval;
-    if (!company.connected || company.peers == 0) {
-        return interval;
-    }
-    const base::milliseconds round = interval * static_cast<std::int64_t>(company.peers + 1);
-    const base::milliseconds turn = interval * static_cast<std::int64_t>(company.rank);
-    const base::milliseconds now{unix_time / 1'000};
-    const base::milliseconds wait = (turn - now % round + round) % round;
-    // A timer that ran a little early has had this turn.
-    return wait < interval / 2 ? wait + round : wait;
+// A timer that runs a little early belongs to the interval that it was set for.
+std::uint64_t watch_pacing::interval_at(std::int64_t unix_time) const {
+    constexpr std::int64_t early_ms = 20;
+    const std::int64_t now_ms = unix_time / 1'000 + early_ms;
+    return static_cast<std::uint64_t>(now_ms / this->options.check_interval.count());
 }
 
-bool watch_pacing::is_turn(const watch_company& company, std::int64_t unix_time) const {
+base::milliseconds watch_pacing::until_next(std::int64_t unix_time) const {
     const base::milliseconds interval = this->options.check_interval;
-    if (!company.connected || company.peers == 0) {
-        return true;
-    }
-    const base::milliseconds round = interval * static_cast<std::int64_t>(company.peers + 1);
-    const base::milliseconds turn = interval * static_cast<std::int64_t>(company.rank);
-    const base::milliseconds now{unix_time / 1'000};
-    const base::milliseconds past = (now % round - turn + round) % round;
-    return past <= interval / 2 || past >= round - interval / 2;
+    return interval - base::milliseconds{unix_time / 1'000} % interval;
 }
 
 base::milliseconds watch_pacing::up_to(base::milliseconds most) {
--- a/src/pearbarrow/fleet/work_log.cc
+++ b/src/pearbarrow/fleet/work_log.cc
@@ -8,6 +8,12 @@
 #include "pearbarrow/fleet/traffic_names.h"
 
 namespace pearbarrow::fleet {
+namespace {
+
+/// A line of the log has 4 KB at most; a name with its labels up to 120 bytes.
+constexpr std::size_t most_in_line = 25;
+
+}  // namespace
 
 work_log::work_log(net::event_loop& loop, const base::metrics_registry& registry,
                    const net::peer_rpc& rpc, std::string role)
@@ -38,10 +44,19 @@
         if (since > 0) {
             grown[name] = since;
         }
+        if (grown.size() == most_in_line) {
+            this->write_line(std::exchange(grown, nlohmann::json::object()));
+        }
     }
     this->before = std::move(now);
+    if (!grown.empty()) {
+        this->write_line(std::move(grown));
+    }
+}
+
+void work_log::write_line(nlohmann::json counts) const {
     base::log(base::log_level::info, "node_work",
-              {{"role", this->role}, {"seconds", interval.count()}, {"counts", std::move(grown)}});
+              {{"role", this->role}, {"seconds", interval.count()}, {"counts", std::move(counts)}});
 }
 
 }  // namespace pearbarrow::fleet
--- a/src/pearbarrow/fleet/work_log.h
+++ b/src/pearbarrow/fleet/work_log.h
@@ -8,6 +8,8 @@
 #include <memory>
 #include <string>
 
+#include <nlohmann/json.hpp>
+
 #include "pearbarrow/base/clock.h"
 #include "pearbarrow/base/metrics.h"
 #include "pearbarrow/net/event_loop.h"
@@ -29,6 +31,7 @@
   private:
     /// All counters and the bytes of each call between nodes, by name.
     std::map<std::string, double> counts() const;
+    void write_line(nlohmann::json counts) const;
 
     const base::metrics_registry& registry;
     const net::peer_rpc& rpc;
--- a/tests/unit/directory/directory_exchange_test.cc
+++ b/tests/unit/directory/directory_exchange_test.cc
@@ -1,5 +1,7 @@
 #include "pearbarrow/directory/directory_exchange.h"
 
+#include <algorithm>
+
 #include "../net/net_fixture.h"
 
 #include <criterion/criterion.h>
@@ -84,3 +86,38 @@
     source.exchange->publish(config_update(3));
     cr_assert(run_until(loop, [&] { return asker.exchange->peer_count() > 60; }));
 }
+
+// Nodes that know all others draw one of them for each number, each as often as another.
+Test(directory_exchange, nodes_draw_the_same_one_without_a_message) {
+    net::event_loop loop;
+    std::vector<std::unique_ptr<exchange_node>> nodes;
+    for (int index = 0; index < 8; ++index) {
+        nodes.push_back(std::make_unique<exchange_node>(
+            loop, "n" + std::to_string(index), std::vector<net::endpoint>(), 0));
+    }
+    const auto introduce_all = [&](std::size_t known) {
+        for (std::size_t one = 0; one < nodes.size(); ++one) {
+            for (std::size_t other = 0; other < known; ++other) {
+                nodes[one]->exchange->learn_peer(nodes[(one + other) % 8]->rpc->local_endpoint());
+            }
+        }
+    };
+    const auto drawn_in = [&](std::uint64_t number) {
+        return std::count_if(nodes.begin(), nodes.end(), [number](const auto& node) {
+            return node->exchange->is_drawn(number);
+        });
+    };
+    introduce_all(4);
+    for (std::uint64_t number = 0; number < 200; ++number) {
+        cr_assert(drawn_in(number) >= 1, "who knows fewer is drawn more often, not less");
+    }
+    introduce_all(8);
+    std::vector<int> turns(nodes.size());
+    for (std::uint64_t number = 0; number < 800; ++number) {
+        cr_assert(drawn_in(number) == 1);
+        for (std::size_t one = 0; one < nodes.size(); ++one) {
+            turns[one] += nodes[one]->exchange->is_drawn(number) ? 1 : 0;
+        }
+    }
+    cr_assert(*std::min_element(turns.begin(), turns.end()) >= 60, "100 each in the mean");
+}
--- a/tests/unit/directory/service_watch_test.cc
+++ b/tests/unit/directory/service_watch_test.cc
@@ -46,6 +46,11 @@
             this->later(milliseconds{4}, [this, index] { this->end_watch(index); });
         }
     }
+    bool everybody_knows() const { return this->all_know == this->revision; }
+    void kill_watchers() {
+        const std::set<std::size_t> killed = std::exchange(this->waiting, {});
+        this->dead.insert(killed.begin(), killed.end());
+    }
     void run_until(base::instant end) {
         while (!this->events.empty() && this->events.begin()->first <= end) {
             const auto next = this->events.begin();
@@ -65,6 +70,8 @@
     std::set<std::size_t> refused;
     std::set<std::size_t> dead;
     bool is_deaf = false;
+    /// Each node has heard of so many, itself included.
+    std::size_t known_nodes = SIZE_MAX;
     std::uint64_t revision = 1;
     std::vector<base::instant> changed_at;
     std::map<call, std::uint64_t> calls;
@@ -84,10 +91,18 @@
     static constexpr milliseconds told_after{300};
 
     service_watch::knowledge knowledge_of(std::size_t index) const {
-        return {.company = {.peers = this->nodes.size() - 1, .rank = index, .connected = true},
+        const std::size_t size = std::min(this->nodes.size(), this->known_nodes);
+        return {.company = {.peers = size - 1, .connected = true},
+                .is_drawn = [this, index, size](std::uint64_t interval) {
+                    return this->draw(interval, size) == index % size;
+                },
                 .is_level = this->nodes[index]->known > 0,
                 .unix_time = this->now.time_since_epoch().count()};
     }
+    /// Of the nodes that share what they know of others: one in `size`.
+    std::size_t draw(std::uint64_t interval, std::size_t size) const {
+        return base::random_source(interval).below(size);
+    }
     void wake(std::size_t index) {
         node& one = *this->nodes[index];
         const base::instant next = one.plan.next();
@@ -214,6 +229,25 @@
     cr_assert(all_calls(service) <= 60, "%lu calls in 10 s", all_calls(service));
 }
 
+// At a start nodes know a few others, some seconds later all: whoever's turn it is then must know.
+Test(service_watch, turns_are_taken_by_those_whose_turn_it_is_as_the_company_grows) {
+    watched_service service(1'000, 8);
+    service.known_nodes = 4;
+    service.run_until(service.now + base::seconds{2});
+    service.known_nodes = 300;
+    service.run_until(service.now + base::seconds{2});
+    service.known_nodes = 1'000;
+    service.slowest = milliseconds{0};
+    for (int times = 0; times < 6; ++times) {
+        service.kill_watchers();
+        change_every(service, milliseconds{5'000}, 1);
+    }
+    service.run_until(service.now + base::seconds{5});
+    cr_assert(service.everybody_knows());
+    cr_assert(service.slowest <= milliseconds{2'000}, "%lld ms",
+              static_cast<long long>(service.slowest.count()));
+}
+
 // Ten changes a second for 49 s, a third of the nodes turned away for 9 s of them.
 Test(service_watch, a_thousand_nodes_make_as_few_calls_as_thirty) {
     std::map<std::size_t, std::uint64_t> calls;
@@ -250,6 +284,7 @@
     service.slowest = milliseconds{0};
     change_every(service, milliseconds{500}, 40);
     service.run_until(service.now + base::seconds{5});
+    cr_assert(service.everybody_knows());
     cr_assert(service.slowest <= milliseconds{5'000}, "%lld ms",
               static_cast<long long>(service.slowest.count()));
 }
@@ -262,6 +297,7 @@
     service.slowest = milliseconds{0};
     change_every(service, milliseconds{700}, 20);
     service.run_until(service.now + base::seconds{2});
+    cr_assert(service.everybody_knows());
     cr_assert(service.slowest <= milliseconds{2'000}, "%lld ms",
               static_cast<long long>(service.slowest.count()));
 }
@@ -271,7 +307,8 @@
     service_watch plan(random, {});
     const base::instant start{base::seconds{50}};
     plan.begin(start, false);
-    const service_watch::knowledge alone{.company = {}, .is_level = true, .unix_time = 0};
+    const service_watch::knowledge alone{
+        .company = {}, .is_drawn = nullptr, .is_level = true, .unix_time = 0};
     base::instant now = start;
     int watches = 0;
     for (int step = 0; step < 200 && watches == 0; ++step) {
@@ -291,7 +328,10 @@
     base::instant now{base::seconds{50}};
     plan.begin(now, false);
     const service_watch::knowledge told{
-        .company = {.peers = 500, .rank = 400, .connected = true}, .is_level = true, .unix_time = 0};
+        .company = {.peers = 500, .connected = true},
+        .is_drawn = [](std::uint64_t /*interval*/) { return false; },
+        .is_level = true,
+        .unix_time = 0};
     for (int step = 0; step < 100; ++step) {
         now = plan.next();
         cr_assert(plan.advance(told, now).empty());
@@ -302,7 +342,10 @@
     base::random_source random(7);
     service_watch plan(random, {});
     const service_watch::knowledge known{
-        .company = {.peers = 5, .rank = 1, .connected = true}, .is_level = true, .unix_time = 0};
+        .company = {.peers = 5, .connected = true},
+        .is_drawn = [](std::uint64_t /*interval*/) { return false; },
+        .is_level = true,
+        .unix_time = 0};
     const base::instant now{base::seconds{50}};
     plan.begin(now, false);
     plan.advance(known, now + base::seconds{1});
