--- a/src/pearbarrow/directory/backend_index.cc
+++ b/src/pearbarrow/directory/backend_index.cc
@@ -12,8 +12,8 @@
 /// Not the seed of other hashes of an id.
 constexpr std::uint64_t part_seed = 0x6469'6765'7374'7331;
 
-/// Changes that are remembered. A third of 20,000 back ends may leave together; who missed more than
-/// this is told the parts that differ, which then is most of them anyway.
+/// Changes that are remembered. A third of 20,000 back ends may leave together; who missed more
+/// than this is told the parts that differ, which then is most of them anyway.
 constexpr std::size_t most_noted = 8'192;
 /// Steps that are remembered: nodes are behind by a second or two, at ten changes a second.
 constexpr std::size_t most_steps = 256;
@@ -208,9 +208,8 @@
 }
 
 backend_changes backend_index::take(backend_list& held, const backend_changes& changes) {
-    const bool is_based =
-        changes.after == held.revision &&
-        (changes.digest_before == 0 || changes.digest_before == this->whole);
+    const bool is_based = changes.after == held.revision &&
+                          (changes.digest_before == 0 || changes.digest_before == this->whole);
     if (!is_based || changes.revision <= held.revision) {
         return {.after = held.revision, .revision = held.revision, .present = {}, .gone = {}};
     }
--- a/src/pearbarrow/directory/backend_index.h
+++ b/src/pearbarrow/directory/backend_index.h
@@ -2,8 +2,8 @@
 ///
 /// A pure state machine beside the list. A change costs what has changed, not the list: 10,000 back
 /// ends of which some tens change every second would else be copied, packed and compared on every
-/// node each time. Every entry is as of the revision of the outside service at which it was written,
-/// and a list is complete as of its own revision; entries may be newer than that.
+/// node each time. Every entry is as of the revision of the outside service at which it was
+/// written, and a list is complete as of its own revision; entries may be newer than that.
 ///
 /// Two lists are compared by digests: of the whole, and of the parts that the hash of an id divides
 /// it into (`digest_parts`). Who has held a list of the same contents is told the changes since;
--- a/src/pearbarrow/directory/directory_exchange.cc
+++ b/src/pearbarrow/directory/directory_exchange.cc
@@ -70,7 +70,7 @@
 }
 
 directory_state::changes directory_exchange::publish(directory_update update) {
-    const directory_state::changes changed = state_.apply(std::move(update));
+    directory_state::changes changed = state_.apply(std::move(update));
     if (!changed.any()) {
         return changed;
     }
@@ -124,24 +124,23 @@
     if (fetch_.is_active()) {
         return;
     }
-    fetch_.start(peer, digests.revision, state_.index().differing(digests),
-                 [this, digests](std::optional<backend_parts> found) {
-                     if (!found.has_value()) {
-                         return;
-                     }
-                     // What was equal then must be so still: the peer's list is known by both.
-                     const std::vector<std::uint32_t> differing = state_.index().differing(digests);
-                     const std::set<std::uint32_t> fetched(found->parts.begin(),
-                                                           found->parts.end());
-                     if (!std::all_of(differing.begin(), differing.end(), [&](std::uint32_t part) {
-                             return fetched.count(part) > 0;
-                         })) {
-                         return;
-                     }
-                     directory_update update;
-                     update.parts = std::move(found);
-                     publish(std::move(update));
-                 });
+    fetch_.start(
+        peer, digests.revision, state_.index().differing(digests),
+        [this, digests](std::optional<backend_parts> found) {
+            if (!found.has_value()) {
+                return;
+            }
+            // What was equal then must be so still: the peer's list is known by both.
+            const std::vector<std::uint32_t> differing = state_.index().differing(digests);
+            const std::set<std::uint32_t> fetched(found->parts.begin(), found->parts.end());
+            if (!std::all_of(differing.begin(), differing.end(),
+                             [&](std::uint32_t part) { return fetched.count(part) > 0; })) {
+                return;
+            }
+            directory_update update;
+            update.parts = std::move(found);
+            publish(std::move(update));
+        });
 }
 
 void directory_exchange::take_question(std::string_view payload,
@@ -214,8 +213,8 @@
         return;
     }
     question.call = rpc_.call(
-        base::node_id(), question.peer, wire::directory_watch, wire::encode(own_question(question.is_first)),
-        options_.hold + answer_slack,
+        base::node_id(), question.peer, wire::directory_watch,
+        wire::encode(own_question(question.is_first)), options_.hold + answer_slack,
         {.on_part = nullptr, .on_done = [this, &question](absl::StatusOr<std::string> payload) {
              take_answer(question, payload);
          }});
--- a/src/pearbarrow/directory/directory_state.cc
+++ b/src/pearbarrow/directory/directory_state.cc
@@ -88,8 +88,8 @@
         // Changes of a list that is not known say nothing.
         return all;
     }
-    backend_list& held = current_.backends.has_value() ? *current_.backends
-                                                       : current_.backends.emplace();
+    backend_list& held =
+        current_.backends.has_value() ? *current_.backends : current_.backends.emplace();
     for (const backend_list& next : update.backends) {
         append(all, index_.take(held, next));
     }
@@ -138,9 +138,8 @@
     add_if_newer(current_.config, &configuration::version, known.config, update.config);
     if (has_other_backends(known)) {
         const std::uint64_t digest = receiver.tells_digest ? known.backends_digest : 0;
-        auto steps = known.backends == 0
-                         ? std::nullopt
-                         : index_.since(*current_.backends, known.backends, digest);
+        auto steps = known.backends == 0 ? std::nullopt
+                                         : index_.since(*current_.backends, known.backends, digest);
         if (steps.has_value()) {
             update.backend_steps.push_back(*std::move(steps));
         } else if (receiver.takes_parts && current_.backends->backends.size() > most_sent_whole) {
--- a/src/pearbarrow/directory/parts_fetch.cc
+++ b/src/pearbarrow/directory/parts_fetch.cc
@@ -41,13 +41,11 @@
         this->finish(std::move(this->gathered));
         return;
     }
-    this->call = this->rpc.call(base::node_id(), this->peer, wire::directory_parts,
-                                wire::encode(parts_question{.parts = this->lacking}),
-                                this->options.call_timeout,
-                                {.on_part = nullptr,
-                                 .on_done = [this](const absl::StatusOr<std::string>& payload) {
-                                     this->take(payload);
-                                 }});
+    this->call = this->rpc.call(
+        base::node_id(), this->peer, wire::directory_parts,
+        wire::encode(parts_question{.parts = this->lacking}), this->options.call_timeout,
+        {.on_part = nullptr,
+         .on_done = [this](const absl::StatusOr<std::string>& payload) { this->take(payload); }});
 }
 
 void parts_fetch::take(const absl::StatusOr<std::string>& payload) {
@@ -124,9 +122,11 @@
         return;
     }
     if (!this->takes_one_more(now())) {
-        responder.fail(base::make_error(
-            absl::StatusCode::kResourceExhausted, "too many parts are asked for",
-            {.step = "directory_parts", .reason = busy_reason, .was_executed = base::executed::no}));
+        responder.fail(base::make_error(absl::StatusCode::kResourceExhausted,
+                                        "too many parts are asked for",
+                                        {.step = "directory_parts",
+                                         .reason = busy_reason,
+                                         .was_executed = base::executed::no}));
         return;
     }
     responder.finish(wire::encode(this->read(*question, this->bounds.most_in_message)));
--- a/src/pearbarrow/directory/service_watch.cc
+++ b/src/pearbarrow/directory/service_watch.cc
@@ -11,8 +11,8 @@
 void service_watch::begin(base::instant now, bool is_contact) {
     this->state = stage::starting;
     this->is_contact = is_contact;
-    this->due = now + (is_contact ? this->options.pacing.contact_start_pause
-                                  : this->pacing.start_pause());
+    this->due =
+        now + (is_contact ? this->options.pacing.contact_start_pause : this->pacing.start_pause());
 }
 
 void service_watch::note_reader(base::instant now) {
@@ -107,8 +107,7 @@
 
 std::vector<service_watch::action> service_watch::ended(call what, outcome how,
                                                         std::uint32_t passes,
-                                                        const knowledge& known,
-                                                        base::instant now) {
+                                                        const knowledge& known, base::instant now) {
     switch (what) {
         case call::read:
             return this->take_reading(how, known, now);
--- a/src/pearbarrow/directory/service_watch.h
+++ b/src/pearbarrow/directory/service_watch.h
@@ -2,10 +2,11 @@
 ///
 /// A pure state machine: time, random numbers and what the node knows of its company are given. The
 /// calls of a fleet are bounded whatever its size: a few nodes keep a watch open, and in each
-/// interval of the time of day one node looks, which all draw alike without a message. A look is a watch that does not wait: it brings
-/// what is new, and a service that has moved on without telling anything has forgotten something,
-/// so that the whole is read. A node that the service turns away asks a peer to look in its place.
-/// What one node learns the others hear from it (`directory/directory_exchange.h`).
+/// interval of the time of day one node looks, which all draw alike without a message. A look is a
+/// watch that does not wait: it brings what is new, and a service that has moved on without telling
+/// anything has forgotten something, so that the whole is read. A node that the service turns away
+/// asks a peer to look in its place. What one node learns the others hear from it
+/// (`directory/directory_exchange.h`).
 #pragma once
 
 #include <cstdint>
@@ -25,10 +26,10 @@
     base::milliseconds wait_for_reader{1'500};
     /// After a reading that failed: between this and ten times as much.
     base::milliseconds least_retry{100};
-    /// A watch that tells of news sooner than this finds a service that changes all the time: one in
-    /// so many nodes then stops watching, since each that looks finds news as well and begins to.
-    /// With 2, as many watch as look in the time of a pause: two. Without, all did (2,207 calls in
-    /// 49 s of 30 nodes, simulated with ten changes a second).
+    /// A watch that tells of news sooner than this finds a service that changes all the time: one
+    /// in so many nodes then stops watching, since each that looks finds news as well and begins
+    /// to. With 2, as many watch as look in the time of a pause: two. Without, all did (2,207 calls
+    /// in 49 s of 30 nodes, simulated with ten changes a second).
     base::milliseconds short_watch{1'000};
     std::uint32_t stops_one_in = 2;
     /// A look in place of another node's is passed on as often. With a third of the nodes turned
@@ -77,13 +78,14 @@
     void note_reader(base::instant now);
     /// Whether this node is reading, or is about to.
     bool is_reading() const {
-        return this->state == stage::reading || (this->is_contact && this->state == stage::starting);
+        return this->state == stage::reading ||
+               (this->is_contact && this->state == stage::starting);
     }
 
     // Each gives what is to be done next.
     std::vector<action> advance(const knowledge& known, base::instant now);
-    std::vector<action> ended(call what, outcome how, std::uint32_t passes,
-                              const knowledge& known, base::instant now);
+    std::vector<action> ended(call what, outcome how, std::uint32_t passes, const knowledge& known,
+                              base::instant now);
     /// A look has no answer yet: somebody else may be quicker.
     std::vector<action> look_is_slow(std::uint32_t passes, const knowledge& known) const;
     /// A peer that the service turns away asks this node to look.
--- a/src/pearbarrow/directory/watch_pacing.cc
+++ b/src/pearbarrow/directory/watch_pacing.cc
@@ -39,9 +39,9 @@
     if (!company.connected) {
         return base::milliseconds{0};
     }
-    return this->up_to(std::min(
-        this->options.pause_after_news * static_cast<std::int64_t>(company.peers),
-        this->options.most_pause_after_news));
+    return this->up_to(
+        std::min(this->options.pause_after_news * static_cast<std::int64_t>(company.peers),
+                 this->options.most_pause_after_news));
 }
 
 }  // namespace pearbarrow::directory
--- a/src/pearbarrow/fleet/directory_copy.h
+++ b/src/pearbarrow/fleet/directory_copy.h
@@ -1,5 +1,5 @@
-/// What a storage member keeps of the directory on its disk: after a loss of power while the outside
-/// service is down, this is all that anyone knows.
+/// What a storage member keeps of the directory on its disk: after a loss of power while the
+/// outside service is down, this is all that anyone knows.
 ///
 /// Back ends are kept one by one, so that a change writes what has changed: of 10,000 back ends a
 /// list is 1 MB, and tens of them change every second while a service is released.
--- a/src/pearbarrow/fleet/work_log.cc
+++ b/src/pearbarrow/fleet/work_log.cc
@@ -25,10 +25,9 @@
 std::map<std::string, double> work_log::counts() const {
     std::map<std::string, double> counts = this->registry.counters();
     for (const net::traffic_row& row : this->rpc.traffic()) {
-        const std::string call = fmt::format("{{call={},part={},distance={}}}",
-                                             name_of_call(row.method),
-                                             row.is_answer ? "answer" : "request",
-                                             name_of(row.distance));
+        const std::string call =
+            fmt::format("{{call={},part={},distance={}}}", name_of_call(row.method),
+                        row.is_answer ? "answer" : "request", name_of(row.distance));
         counts["pearbarrow_peer_call_bytes_sent_total" + call] = static_cast<double>(row.bytes);
         counts["pearbarrow_peer_call_frames_sent_total" + call] = static_cast<double>(row.frames);
     }
--- a/src/pearbarrow/forward/forward_log.cc
+++ b/src/pearbarrow/forward/forward_log.cc
@@ -55,8 +55,7 @@
         .add_counter("pearbarrow_forward_choices_total", "Choices among a service's back ends",
                      labels)
         .increment();
-    metrics_
-        .add_counter("pearbarrow_forward_weighed_total", "Back ends weighed in choices", labels)
+    metrics_.add_counter("pearbarrow_forward_weighed_total", "Back ends weighed in choices", labels)
         .increment(static_cast<double>(weighed));
 }
 
--- a/src/pearbarrow/forward/pool_candidates.cc
+++ b/src/pearbarrow/forward/pool_candidates.cc
@@ -137,8 +137,7 @@
 /// A program's first request may go to one to which a connection is free: its further ones find the
 /// engine by what storage members tell. One of them, drawn, so that requests that are chosen
 /// together don't all meet at the one that was idle a moment ago.
-void backend_pool::look_at_connected(const choice_request& request,
-                                     const service_backends& service,
+void backend_pool::look_at_connected(const choice_request& request, const service_backends& service,
                                      candidate_sieve& sieve) const {
     if (!request.begins || !has_many(service)) {
         return;
--- a/src/pearbarrow/forward/service_backends.h
+++ b/src/pearbarrow/forward/service_backends.h
@@ -1,9 +1,9 @@
 /// The back ends of one service, in the orders in which a choice looks at them.
 ///
-/// A choice looks at a bounded number of back ends, whatever their number is: 6,666 engines of which
-/// each request goes to one of a handful. Two orders: a node's own, so that it comes back to the
-/// same few and their connections are used again; and one that is the same on all nodes, a ring of
-/// hash points for each zone, so that every node finds a program's engine without asking. From a
+/// A choice looks at a bounded number of back ends, whatever their number is: 6,666 engines of
+/// which each request goes to one of a handful. Two orders: a node's own, so that it comes back to
+/// the same few and their connections are used again; and one that is the same on all nodes, a ring
+/// of hash points for each zone, so that every node finds a program's engine without asking. From a
 /// program's point on, the first `ring_window` back ends of a zone's ring are weighed. A back end
 /// that leaves or comes changes the windows that it stands in and no others; of two zones or racks
 /// no window lies in one, since the points are hashes.
--- a/src/pearbarrow/forward/service_load.cc
+++ b/src/pearbarrow/forward/service_load.cc
@@ -113,9 +113,8 @@
         }
     }
     const double typical = typical_pace(fit);
-    const auto cold = std::count_if(fit.begin(), fit.end(), [&](const weighed_entry& item) {
-        return is_cold(*item.one, now);
-    });
+    const auto cold = std::count_if(
+        fit.begin(), fit.end(), [&](const weighed_entry& item) { return is_cold(*item.one, now); });
     const bool most_are_cold = 2 * static_cast<std::size_t>(cold) > fit.size();
     for (const weighed_entry& item : fit) {
         load.places += places_of(item, typical, most_are_cold, now);
--- a/src/pearbarrow/slowstart/cold_table.cc
+++ b/src/pearbarrow/slowstart/cold_table.cc
@@ -43,8 +43,7 @@
 }
 
 void cold_table::forget_departed(base::instant now) {
-    while (!this->departed.empty() &&
-           now - this->departed.front().first > this->options.memory) {
+    while (!this->departed.empty() && now - this->departed.front().first > this->options.memory) {
         const auto found = this->states.find(this->departed.front().second);
         if (found != this->states.end() && !found->second.listed &&
             now - found->second.vanished_at > this->options.memory) {
--- a/tests/unit/directory/backend_index_test.cc
+++ b/tests/unit/directory/backend_index_test.cc
@@ -214,8 +214,7 @@
 /// What `teller` tells a receiver that fetches parts, which then has all that the teller has; gives
 /// the back ends that were sent.
 std::size_t meet(const directory_state& teller, directory_state& receiver) {
-    directory_update told =
-        teller.update_for({.known = receiver.versions(), .takes_parts = true});
+    directory_update told = teller.update_for({.known = receiver.versions(), .takes_parts = true});
     std::size_t sent = 0;
     for (const backend_changes& step : told.backend_steps) {
         sent += step.present.size();
@@ -336,11 +335,11 @@
                 const std::uint64_t after = service.list.revision;
                 service.put("b" + std::to_string(step * 7 % size));
                 directory_update update;
-                update.events = backend_events{.after = after,
-                                               .revision = service.list.revision,
-                                               .present = {service.list.backends.at(
-                                                   "b" + std::to_string(step * 7 % size))},
-                                               .gone = {}};
+                update.events = backend_events{
+                    .after = after,
+                    .revision = service.list.revision,
+                    .present = {service.list.backends.at("b" + std::to_string(step * 7 % size))},
+                    .gone = {}};
                 const auto began = std::chrono::steady_clock::now();
                 state.apply(std::move(update));
                 spent += std::chrono::steady_clock::now() - began;
--- a/tests/unit/directory/directory_exchange_test.cc
+++ b/tests/unit/directory/directory_exchange_test.cc
@@ -92,8 +92,8 @@
     net::event_loop loop;
     std::vector<std::unique_ptr<exchange_node>> nodes;
     for (int index = 0; index < 8; ++index) {
-        nodes.push_back(std::make_unique<exchange_node>(
-            loop, "n" + std::to_string(index), std::vector<net::endpoint>(), 0));
+        nodes.push_back(std::make_unique<exchange_node>(loop, "n" + std::to_string(index),
+                                                        std::vector<net::endpoint>(), 0));
     }
     const auto introduce_all = [&](std::size_t known) {
         for (std::size_t one = 0; one < nodes.size(); ++one) {
--- a/tests/unit/directory/service_watch_test.cc
+++ b/tests/unit/directory/service_watch_test.cc
@@ -93,9 +93,10 @@
     service_watch::knowledge knowledge_of(std::size_t index) const {
         const std::size_t size = std::min(this->nodes.size(), this->known_nodes);
         return {.company = {.peers = size - 1, .connected = true},
-                .is_drawn = [this, index, size](std::uint64_t interval) {
-                    return this->draw(interval, size) == index % size;
-                },
+                .is_drawn =
+                    [this, index, size](std::uint64_t interval) {
+                        return this->draw(interval, size) == index % size;
+                    },
                 .is_level = this->nodes[index]->known > 0,
                 .unix_time = this->now.time_since_epoch().count()};
     }
@@ -112,8 +113,8 @@
         const std::uint64_t number = ++one.wake_number;
         this->events.emplace(std::max(next, this->now), [this, index, number] {
             if (this->nodes[index]->wake_number == number) {
-                this->run(index, this->nodes[index]->plan.advance(this->knowledge_of(index),
-                                                                  this->now));
+                this->run(index,
+                          this->nodes[index]->plan.advance(this->knowledge_of(index), this->now));
             }
         });
     }
@@ -136,13 +137,11 @@
         }
         ++this->calls[next.what];
         if (this->refused.count(index) > 0) {
-            this->later(milliseconds{4}, [this, index, next] {
-                this->end(index, next, outcome::failed);
-            });
+            this->later(milliseconds{4},
+                        [this, index, next] { this->end(index, next, outcome::failed); });
         } else if (next.what == call::read) {
-            this->later(milliseconds{250}, [this, index, next] {
-                this->end(index, next, this->learn(index));
-            });
+            this->later(milliseconds{250},
+                        [this, index, next] { this->end(index, next, this->learn(index)); });
         } else if (next.what == call::watch &&
                    (this->is_deaf || this->nodes[index]->known == this->revision)) {
             this->waiting.insert(index);
@@ -168,8 +167,7 @@
     void end(std::size_t index, const service_watch::action& ended, outcome how) {
         if (this->dead.count(index) == 0) {
             this->run(index, this->nodes[index]->plan.ended(ended.what, how, ended.passes,
-                                                            this->knowledge_of(index),
-                                                            this->now));
+                                                            this->knowledge_of(index), this->now));
         }
     }
     /// Everything of now, told to all others in a while.
@@ -187,9 +185,8 @@
             return;
         }
         for (auto number = this->all_know; number < told && number > 0; ++number) {
-            this->slowest = std::max(this->slowest,
-                                     std::chrono::duration_cast<milliseconds>(
-                                         this->now - this->changed_at[number - 1]));
+            this->slowest = std::max(this->slowest, std::chrono::duration_cast<milliseconds>(
+                                                        this->now - this->changed_at[number - 1]));
         }
         this->all_know = told;
         for (const auto& one : this->nodes) {
--- a/tests/unit/emulator/capacity_figures.cc
+++ b/tests/unit/emulator/capacity_figures.cc
@@ -1,6 +1,7 @@
-/// Prints slopes of the pure cores that docs/CAPACITY.md multiplies by the planned size: processor
-/// time of this thread (not of the wall) and bytes of heap, each beside the size it was measured
-/// at. Not a test. Usage: capacity_figures [rendezvous|configuration|programs|placement]...
+/// Prints slopes of the pure cores that docs/capacity-embedded.md multiplies by the planned size:
+/// processor time of this thread (not of the wall) and bytes of heap, each beside the size it was
+/// measured at. Not a test. Usage: capacity_figures
+/// [rendezvous|configuration|programs|placement]...
 #include <malloc.h>
 
 #include <algorithm>
--- a/tests/unit/fleet/forwarding_test.cc
+++ b/tests/unit/fleet/forwarding_test.cc
@@ -130,9 +130,10 @@
         run_for(fleet.loop, base::milliseconds{20});
         fleet.configure(version + 1);
         fleet.configure(version + 2);
-        cr_assert(run_until(fleet.loop, [&] { return known_by_all(version + 2); },
-                            base::milliseconds{3'000}),
-                  "version %lu", version + 2);
+        cr_assert(
+            run_until(
+                fleet.loop, [&] { return known_by_all(version + 2); }, base::milliseconds{3'000}),
+            "version %lu", version + 2);
     }
 }
 
--- a/tests/unit/fleet/store_follower_test.cc
+++ b/tests/unit/fleet/store_follower_test.cc
@@ -104,9 +104,8 @@
     cr_assert(run_until(fixture.loop, [&] { return fixture.value("a") == "1"; }));
     fixture.store.put("a", "2");
     fixture.store.remove("b");
-    cr_assert(run_until(fixture.loop, [&] {
-        return fixture.value("a") == "2" && fixture.told.count("b") == 0;
-    }));
+    cr_assert(run_until(fixture.loop,
+                        [&] { return fixture.value("a") == "2" && fixture.told.count("b") == 0; }));
     cr_assert(fixture.readings == 1);
 }
 
@@ -133,8 +132,8 @@
     cr_assert(run_until(fixture.loop, [&] { return fixture.value("a") == "1"; }));
     fixture.store.set_trouble(emulator::metadata_store::trouble::deaf_watches);
     fixture.store.put("a", "2");
-    cr_assert(run_until(fixture.loop, [&] { return fixture.value("a") == "2"; },
-                        base::milliseconds{1'000}));
+    cr_assert(run_until(
+        fixture.loop, [&] { return fixture.value("a") == "2"; }, base::milliseconds{1'000}));
     cr_assert(fixture.readings == 2);
 }
 
@@ -171,8 +170,8 @@
     fixture.company = {.peers = 1, .connected = true};
     fixture.store.set_trouble(emulator::metadata_store::trouble::silent);
     fixture.start(base::milliseconds{2'000});
-    cr_assert(run_until(fixture.loop, [&] { return !fixture.passed_on.empty(); },
-                        base::milliseconds{6'000}));
+    cr_assert(run_until(
+        fixture.loop, [&] { return !fixture.passed_on.empty(); }, base::milliseconds{6'000}));
     run_for(fixture.loop, base::milliseconds{400});
     cr_assert(fixture.passed_on.size() == 1);
 }
--- a/tests/unit/forward/service_backends_test.cc
+++ b/tests/unit/forward/service_backends_test.cc
@@ -214,13 +214,12 @@
         for (int trial = 0; trial < 5; ++trial) {
             const auto began = std::chrono::steady_clock::now();
             for (int request = 0; request < 40; ++request) {
-                const choice made =
-                    is_keyed ? node.choose_for("program-" + std::to_string(request))
-                             : node.choose({.service = "model"});
+                const choice made = is_keyed ? node.choose_for("program-" + std::to_string(request))
+                                             : node.choose({.service = "model"});
                 cr_assert(made.candidates <= 6 * ring_window);
             }
-            shortest = std::min<std::chrono::nanoseconds>(
-                shortest, std::chrono::steady_clock::now() - began);
+            shortest = std::min<std::chrono::nanoseconds>(shortest,
+                                                          std::chrono::steady_clock::now() - began);
         }
         return static_cast<double>(shortest.count());
     };
--- a/tests/unit/forward/slow_reader_test.cc
+++ b/tests/unit/forward/slow_reader_test.cc
@@ -57,12 +57,12 @@
             this->loop, [this](const std::shared_ptr<net::http_exchange>& exchange) {
                 ++this->runs;
                 const bool is_large = exchange->request().target == "/large";
-                exchange->respond({.status = 200,
-                                   .headers = {{"Signature", "s"},
-                                               {"Request-Id", exchange->request()
-                                                                  .headers.find("Request-Id")
-                                                                  .value_or("")}},
-                                   .body = std::string(is_large ? large_answer : 800, 'x')});
+                exchange->respond(
+                    {.status = 200,
+                     .headers = {{"Signature", "s"},
+                                 {"Request-Id",
+                                  exchange->request().headers.find("Request-Id").value_or("")}},
+                     .body = std::string(is_large ? large_answer : 800, 'x')});
             });
         net::http_server_options options;
         options.held = this->held;
@@ -89,8 +89,7 @@
     }
 
     raw_client& ask(std::list<raw_client>& clients, const char* target, int receive_buffer) {
-        raw_client& client =
-            clients.emplace_back(this->callers->local_endpoint(), receive_buffer);
+        raw_client& client = clients.emplace_back(this->callers->local_endpoint(), receive_buffer);
         client.send("GET " + std::string(target) +
                     " HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: r" +
                     std::to_string(++this->asked) + "\r\n\r\n");
@@ -101,7 +100,8 @@
         std::list<raw_client> clients;
         const auto began = std::chrono::steady_clock::now();
         raw_client& client = this->ask(clients, "/small", 0);
-        cr_assert(run_until(this->loop, [&] { return client.received.size() > 800 || client.has("200 OK"); }));
+        cr_assert(run_until(this->loop,
+                            [&] { return client.received.size() > 800 || client.has("200 OK"); }));
         return std::chrono::duration_cast<base::milliseconds>(std::chrono::steady_clock::now() -
                                                               began);
     }
@@ -112,8 +112,7 @@
     base::metrics_registry metrics;
     forward_log log{clock, metrics, {}};
     std::shared_ptr<net::held_bytes> held;
-    std::unique_ptr<net::http_client> client =
-        net::make_http_client(loop, {.held = this->held});
+    std::unique_ptr<net::http_client> client = net::make_http_client(loop, {.held = this->held});
     backend_pool pool{{}, random};
     turns::testing::counting_caller members;
     turns::turn_client turns{loop, clock, members, {}};
@@ -223,9 +222,9 @@
     const std::string body(12 * megabyte, 'b');
     for (int index = 0; index < 3; ++index) {
         raw_client& client = clients.emplace_back(node.callers->local_endpoint());
-        std::string request = "POST /deaf HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: d" +
-                              std::to_string(index) + "\r\nContent-Length: " +
-                              std::to_string(body.size()) + "\r\n\r\n" + body;
+        std::string request =
+            "POST /deaf HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: d" + std::to_string(index) +
+            "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
         std::size_t sent = 0;
         run_until(
             node.loop,
@@ -242,8 +241,8 @@
     cr_assert(refused > 0, "no room for all of them");
 }
 
-// An answer that is longer than what is gathered is passed on as it comes, and an end that comes too
-// early never looks like one.
+// An answer that is longer than what is gathered is passed on as it comes, and an end that comes
+// too early never looks like one.
 Test(slow_reader, a_long_answer_that_breaks_off_does_not_look_whole) {
     slow_reader_fixture node(node_bound);
     net::testing::raw_server broken;
@@ -258,8 +257,9 @@
     std::list<raw_client> clients;
     raw_client& client = node.ask(clients, "/large", 0);
     cr_assert(run_until(node.loop, [&] { return broken.has("\r\n\r\n"); }));
-    broken.send("HTTP/1.1 200 OK\r\nSignature: s\r\nRequest-Id: r1\r\nContent-Length: 500000\r\n\r\n" +
-                std::string(200'000, 'x'));
+    broken.send(
+        "HTTP/1.1 200 OK\r\nSignature: s\r\nRequest-Id: r1\r\nContent-Length: 500000\r\n\r\n" +
+        std::string(200'000, 'x'));
     cr_assert(run_until(node.loop, [&] {
         client.receive();
         return client.received.size() > 190'000;
--- a/tests/unit/net/held_bytes_test.cc
+++ b/tests/unit/net/held_bytes_test.cc
@@ -100,7 +100,8 @@
     const auto server = serve(
         loop,
         [](const std::shared_ptr<http_exchange>& exchange) {
-            exchange->respond({.status = 200, .headers = {}, .body = std::string(8 * megabyte, 'x')});
+            exchange->respond(
+                {.status = 200, .headers = {}, .body = std::string(8 * megabyte, 'x')});
         },
         options);
     raw_client client(server->local_endpoint(), 4'096);
@@ -131,8 +132,9 @@
                 return;
             }
             exchange->start_stream(200, {});
-            exchange->on_closed(
-                [&, weak = std::weak_ptr(exchange)] { reasons.push_back(weak.lock()->lost_reason()); });
+            exchange->on_closed([&, weak = std::weak_ptr(exchange)] {
+                reasons.push_back(weak.lock()->lost_reason());
+            });
             exchange->write(std::string(8 * megabyte, 'x'));
             answered.push_back(exchange);
         },
@@ -188,13 +190,14 @@
     bool done = false;
     http_call call = net::testing::get(server->local_endpoint());
     call.idle_timeout = base::milliseconds{200};
-    const auto handle = client->start(
-        call, {.on_head = nullptr,
-               .on_chunk = [&](std::string_view chunk) { received += chunk.size(); },
-               .on_done = [&](const absl::Status& status) {
-                   cr_assert(status.ok(), "%s", status.ToString().c_str());
-                   done = true;
-               }});
+    const auto handle =
+        client->start(call, {.on_head = nullptr,
+                             .on_chunk = [&](std::string_view chunk) { received += chunk.size(); },
+                             .on_done =
+                                 [&](const absl::Status& status) {
+                                     cr_assert(status.ok(), "%s", status.ToString().c_str());
+                                     done = true;
+                                 }});
     cr_assert(run_until(loop, [&] { return received > 0; }));
     handle->pause();
     run_for(loop, base::milliseconds{50});
