--- a/tests/process/scale.py
+++ b/tests/process/scale.py
@@ -3,7 +3,7 @@
 
 At each size a fleet of its own: three pearbarrowd with disks, the platform's stand-in, two engines
 and a tool service that serve programs, hollow engines that are only watched, and hollow nodes, many
-in a process, as the other members (docs/CAPACITY.md says what a hollow node is). The phases are
+in a process, as the other members (docs/capacity-embedded.md says what a hollow node is). The phases are
 
   quiet    no programs, no changes: what control costs a node
   load     programs run through the real nodes
