A stale edge is never confirmed by a disjoint majority: requests name the voters that they count on

Cause, as read in the code: an edge that is two changes of a group's voters behind wrote to a majority that has no member in common with one of the new voters', and nobody refused it. Change: four rules in turns/view_stamps (pure): outdated requests are refused and told the newer voters (the edge goes on among these at once: followed_preparation, majority_write); a voter leaves only once the present ones are settled; who was no voter is incomplete, on the disk before it asks to come back; who joins copies from members that know it. A member keeps the newest voters on its disk before it tells them. Older nodes tell no view and are taken as before. Not covered: a disk lost between its confirmation and the write's others.

--- a/src/pearbarrow/forward/forwarded_place.cc
+++ b/src/pearbarrow/forward/forwarded_place.cc
@@ -5,7 +5,6 @@
 
 #include "pearbarrow/forward/forwarded_request.h"
 #include "pearbarrow/places/storage_places.h"
-#include "pearbarrow/turns/replica_groups.h"
 
 namespace pearbarrow::forward {
 namespace {
@@ -66,7 +65,7 @@
         return false;
     }
     const directory::storage_view members =
-        turns::members_of(context_.turns.view(), context_.turns.group_of(reserved().program));
+        context_.turns.views().of(context_.turns.group_of(reserved().program));
     return places::judge_storage(*context_.places, bounds, members.members) !=
            places::place_verdict::permitted;
 }
@@ -77,7 +76,7 @@
                                           {"tenant", facts_.tenant},
                                           {"reason", "no_permitted_storage"},
                                           {"config", context_.active->config.version},
-                                          {"storage_view", context_.turns.view().revision},
+                                          {"storage_view", context_.turns.views().whole().revision},
                                           {"group", context_.turns.group_of(reserved().program)}});
     answer_problem(503, "no_permitted_storage",
                    "a storage member of the program's group is outside the permitted regions",
--- a/src/pearbarrow/turns/rocksdb_turn_store.cc
+++ b/src/pearbarrow/turns/rocksdb_turn_store.cc
@@ -20,13 +20,14 @@
 // Keys: one letter, then the name. `i` identity of the disk, `c` its completeness, `t` a turn,
 // `r` a reservation (program, NUL, turn), `d` the directory, `e` an entry of it, `p` the other
 // members' positions, `n` the largest number of a change that was dropped, or a larger one, `g` the
-// replica group.
+// replica group, `v` the newest voters of it.
 constexpr char identity_key[] = "i";
 constexpr char complete_key[] = "c";
 constexpr char directory_key[] = "d";
 constexpr char positions_key[] = "p";
 constexpr char last_number_key[] = "n";
 constexpr char group_key[] = "g";
+constexpr char view_key[] = "v";
 // Ranges of the keys above, each up to but without the second.
 constexpr char directory_entries_begin[] = "e";
 constexpr char directory_entries_end[] = "f";
@@ -164,6 +165,9 @@
         std::function<void(absl::Status)> done;
     };
 
+    /// None: the key is not there.
+    template <typename Value>
+    absl::StatusOr<std::optional<Value>> read_value(const char* key) const;
     absl::Status read_identity(store_contents& contents);
     absl::Status read_progress(store_contents& contents) const;
     absl::Status read_all(store_contents& contents) const;
@@ -190,6 +194,23 @@
     return database_;
 }
 
+template <typename Value>
+absl::StatusOr<std::optional<Value>> rocksdb_turn_store::read_value(const char* key) const {
+    std::string text;
+    const auto status = database_->Get({}, key, &text);
+    if (status.IsNotFound()) {
+        return std::optional<Value>();
+    }
+    if (!status.ok()) {
+        return to_status(status);
+    }
+    auto value = wire::decode<Value>(text);
+    if (!value.ok()) {
+        return value.status();
+    }
+    return std::optional<Value>(*std::move(value));
+}
+
 absl::Status rocksdb_turn_store::read_identity(store_contents& contents) {
     std::string identity;
     std::string complete;
@@ -211,39 +232,22 @@
     return write_batch(batch);
 }
 
-/// Either may be absent: nothing has been listed or dropped yet.
+/// Each may be absent: nothing has been listed or dropped, or no group entered yet.
 absl::Status rocksdb_turn_store::read_progress(store_contents& contents) const {
-    std::string text;
-    auto status = database_->Get({}, positions_key, &text);
-    if (status.ok()) {
-        auto positions = wire::decode<std::vector<peer_position>>(text);
-        if (!positions.ok()) {
-            return positions.status();
+    auto positions = read_value<std::vector<peer_position>>(positions_key);
+    auto last_number = read_value<change_number>(last_number_key);
+    auto group = read_value<std::uint32_t>(group_key);
+    auto view = read_value<view_stamp>(view_key);
+    for (const absl::Status& status :
+         {positions.status(), last_number.status(), group.status(), view.status()}) {
+        if (!status.ok()) {
+            return status;
         }
-        contents.positions = *std::move(positions);
-    } else if (!status.IsNotFound()) {
-        return to_status(status);
-    }
-    status = database_->Get({}, last_number_key, &text);
-    if (status.ok()) {
-        const auto number = wire::decode<change_number>(text);
-        if (!number.ok()) {
-            return number.status();
-        }
-        contents.last_number = *number;
-    } else if (!status.IsNotFound()) {
-        return to_status(status);
-    }
-    status = database_->Get({}, group_key, &text);
-    if (status.ok()) {
-        const auto group = wire::decode<std::uint32_t>(text);
-        if (!group.ok()) {
-            return group.status();
-        }
-        contents.group = *group;
-    } else if (!status.IsNotFound()) {
-        return to_status(status);
     }
+    contents.positions = std::move(*positions).value_or(std::vector<peer_position>());
+    contents.last_number = last_number->value_or(change_number());
+    contents.group = *group;
+    contents.view = view->value_or(view_stamp());
     return absl::OkStatus();
 }
 
@@ -337,6 +341,7 @@
         batch.DeleteRange(reservations_begin, reservations_end);
         batch.DeleteRange(turns_begin, turns_end);
         batch.Delete(positions_key);
+        batch.Delete(view_key);
         batch.Put(identity_key, change.emptied_for->disk.value());
         batch.Put(complete_key, "0");
         batch.Put(group_key, wire::encode(change.emptied_for->group));
@@ -359,6 +364,9 @@
     if (change.complete.has_value()) {
         batch.Put(complete_key, *change.complete ? "1" : "0");
     }
+    if (change.view.has_value()) {
+        batch.Put(view_key, wire::encode(*change.view));
+    }
     if (change.directory.has_value()) {
         batch.Put(directory_key, *change.directory);
     }
--- a/src/pearbarrow/turns/storage_membership.cc
+++ b/src/pearbarrow/turns/storage_membership.cc
@@ -114,6 +114,10 @@
 
 std::optional<directory::storage_view> storage_membership::wanted_view() {
     const auto* self = view_->find(options_.self.node);
+    const bool would_be_voter = self == nullptr || self->retiring;
+    if (would_be_voter && !replica_.has_kept_view()) {
+        return std::nullopt;
+    }
     if (self == nullptr) {
         directory::storage_view next = *view_;
         directory::storage_member entry = options_.self;
@@ -169,7 +173,7 @@
             ++level;
         }
     }
-    if (level < group.majority()) {
+    if (level < group.majority() || !may_lose_a_voter()) {
         return std::nullopt;
     }
     directory::storage_view next = *view_;
@@ -182,6 +186,16 @@
     return next;
 }
 
+/// Two voters that leave one after the other may take with them the majority that an edge, which
+/// has heard of neither, writes to.
+bool storage_membership::may_lose_a_voter() const {
+    if (!replica_.is_settled()) {
+        replica_.hurry_settling();
+        return false;
+    }
+    return true;
+}
+
 directory::storage_view storage_membership::own_group() const {
     const auto* self = view_->find(options_.self.node);
     return self == nullptr ? directory::storage_view() : members_of(*view_, self->group);
@@ -219,6 +233,9 @@
     }
     directory::storage_view next = *view_;
     if (!self->retiring) {
+        if (!may_lose_a_voter()) {
+            return;
+        }
         for (auto& member : next.members) {
             member.retiring = member.retiring || member.node == options_.self.node;
         }
--- a/src/pearbarrow/turns/storage_membership.h
+++ b/src/pearbarrow/turns/storage_membership.h
@@ -77,6 +77,8 @@
     /// Says once that the member waits, or that it waits no longer.
     void note_waiting(bool waits);
     std::optional<directory::storage_view> without_dead() const;
+    /// Whether the voters of this member's group are settled; hurries them otherwise.
+    bool may_lose_a_voter() const;
     /// The members of this one's group; none when the view does not name it.
     directory::storage_view own_group() const;
     bool is_dead(const base::node_id& node) const;
--- a/src/pearbarrow/turns/turn_catch_up.cc
+++ b/src/pearbarrow/turns/turn_catch_up.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "pearbarrow/base/log.h"
+#include "pearbarrow/turns/loss_check.h"
 #include "pearbarrow/turns/turn_replica.h"
 #include "pearbarrow/wire/codec.h"
 
@@ -96,7 +97,12 @@
     other.taken = std::max(other.taken, listing.through);
     other.was_complete = listing.is_complete;
     other.level = !listing.more;
+    other.view = listing.view;
+    settlement_.note_listed(
+        node,
+        {.view = listing.view, .is_complete = listing.is_complete, .is_level = !listing.more});
     check_complete();
+    advance_settlement();
     keep_positions();
     if (listing.more) {
         ask_later(other, base::milliseconds{0});
@@ -134,7 +140,7 @@
 }
 
 base::milliseconds turn_replica::pause_before_listing(const other_member& other) const {
-    const bool is_awaited = !complete_ || other.member.retiring;
+    const bool is_awaited = !complete_ || other.member.retiring || hurries_;
     return is_awaited ? options_.catch_up_interval : options_.listing_interval;
 }
 
@@ -142,16 +148,19 @@
     other.next = loop_.after(delay, [this, node = other.member.node] { ask_listing(node); });
 }
 
+/// Who doesn't know yet that this member is a voter may still confirm, to somebody who doesn't
+/// either, what this one would then lack.
 void turn_replica::check_complete() {
-    if (complete_ || view_.members.empty()) {
+    if (complete_ || voter_since_ == 0) {
         return;
     }
-    const auto read = static_cast<std::size_t>(std::count_if(
-        others_.begin(), others_.end(),
-        [](const auto& entry) { return entry.second.level && entry.second.was_complete; }));
-    // A confirmed write is on a majority; one copy may have been on this member's lost disk.
-    const std::size_t needed = view_.members.size() - view_.majority() + 1;
-    if (read < needed) {
+    const auto read = static_cast<std::size_t>(
+        std::count_if(others_.begin(), others_.end(), [this](const auto& entry) {
+            const other_member& other = entry.second;
+            return other.level && other.was_complete && !other.member.retiring &&
+                   knows_since(other.view, voter_since_);
+        }));
+    if (read < sources_needed(voter_count(view_))) {
         return;
     }
     complete_ = true;
--- a/src/pearbarrow/turns/turn_client.cc
+++ b/src/pearbarrow/turns/turn_client.cc
@@ -4,9 +4,8 @@
 #include <utility>
 
 #include "pearbarrow/base/status.h"
+#include "pearbarrow/turns/followed_preparation.h"
 #include "pearbarrow/turns/majority_write.h"
-#include "pearbarrow/turns/replica_groups.h"
-#include "pearbarrow/turns/turn_preparation.h"
 
 namespace pearbarrow::turns {
 namespace {
@@ -62,11 +61,11 @@
 turn_client::~turn_client() = default;
 
 void turn_client::set_view(const directory::storage_view& view) {
-    view_ = view;
+    views_.set_view(view);
 }
 
 std::uint32_t turn_client::group_of(const base::program_id& program) const {
-    return turns::group_of(view_, program);
+    return views_.group_of(program);
 }
 
 turn_admission& turn_client::line_of(const base::program_id& program) {
@@ -76,8 +75,8 @@
         return found->second;
     }
     const auto begin = [this](turn_request request, auto done) -> std::unique_ptr<turn_operation> {
-        auto step = std::make_unique<turn_preparation>(loop_, caller_, options_, view_,
-                                                       std::move(request), std::move(done));
+        auto step = std::make_unique<followed_preparation>(loop_, clock_, caller_, options_, views_,
+                                                           std::move(request), std::move(done));
         step->start();
         return step;
     };
@@ -108,9 +107,9 @@
                                                    base::milliseconds timeout,
                                                    std::function<void(absl::Status)> done) {
     const std::uint64_t number = ++last_write_;
-    const directory::storage_view group = members_of(view_, group_of(program_of(request)));
+    const std::uint32_t group = group_of(program_of(request));
     auto write = std::make_shared<majority_write>(
-        loop_, caller_, options_, group, std::move(request), timeout,
+        loop_, caller_, options_, views_, group, std::move(request), timeout,
         majority_write::callbacks{.done = std::move(done), .over = [this, number] {
                                       // Freed later: this callback is a part of it.
                                       auto node = writes_.extract(number);
--- a/src/pearbarrow/turns/turn_client.h
+++ b/src/pearbarrow/turns/turn_client.h
@@ -17,6 +17,7 @@
 #include "pearbarrow/directory/snapshot.h"
 #include "pearbarrow/net/ended_objects.h"
 #include "pearbarrow/net/event_loop.h"
+#include "pearbarrow/turns/group_views.h"
 #include "pearbarrow/turns/majority_write.h"
 #include "pearbarrow/turns/turn_admission.h"
 #include "pearbarrow/turns/turn_operation.h"
@@ -40,7 +41,7 @@
     turn_client& operator=(const turn_client&) = delete;
 
     void set_view(const directory::storage_view& view);
-    const directory::storage_view& view() const { return view_; }
+    const group_views& views() const { return views_; }
 
     /// Reserves and reads, once the members have room for it. `done` runs once.
     [[nodiscard]] std::unique_ptr<turn_operation> prepare(turn_request request,
@@ -67,7 +68,7 @@
     const base::clock& clock_;
     member_caller& caller_;
     client_options options_;
-    directory::storage_view view_;
+    group_views views_;
     /// Writes that have not reached every member yet.
     std::map<std::uint64_t, std::shared_ptr<majority_write>> writes_;
     net::ended_objects<std::shared_ptr<majority_write>> ended_;
--- a/src/pearbarrow/turns/turn_preparation.cc
+++ b/src/pearbarrow/turns/turn_preparation.cc
@@ -1,56 +1,63 @@
 #include "pearbarrow/turns/turn_preparation.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "pearbarrow/base/hash.h"
-#include "pearbarrow/turns/replica_groups.h"
+#include "pearbarrow/turns/view_stamps.h"
 #include "pearbarrow/wire/codec.h"
 
 namespace pearbarrow::turns {
 
 turn_preparation::turn_preparation(net::event_loop& loop, member_caller& caller,
-                                   const client_options& options,
-                                   const directory::storage_view& view, turn_request request,
-                                   std::function<void(prepared_turn)> done)
+                                   const client_options& options, group_views& views,
+                                   turn_request request, callbacks callbacks)
     : loop_(loop),
       caller_(caller),
       options_(options),
+      views_(views),
       request_(std::move(request)),
-      done_(std::move(done)),
-      view_revision_(view.revision),
-      group_(group_of(view, request_.wanted.program)) {
-    for (const directory::storage_member& member : voters_of(view)) {
-        const bool is_elsewhere = member.group != group_;
-        member_state& state = (is_elsewhere ? elsewhere_ : members_).emplace_back();
-        state.member = member;
-        state.is_elsewhere = is_elsewhere;
-    }
+      callbacks_(std::move(callbacks)),
+      group_(views.group_of(request_.wanted.program)) {
+    const directory::storage_view group = views.of(group_);
+    view_revision_ = group.revision;
+    members_ = states_of(group);
     majority_ = members_.size() / 2 + 1;
 }
 
+std::list<turn_preparation::member_state> turn_preparation::states_of(
+    const directory::storage_view& group) {
+    const view_stamp stamp = stamp_of(group);
+    std::list<member_state> states;
+    for (directory::storage_member& member : voters_of(group)) {
+        member_state& state = states.emplace_back();
+        state.member = std::move(member);
+        state.view = stamp;
+    }
+    return states;
+}
+
 void turn_preparation::start() {
     limit_ = loop_.after(options_.reserve_timeout, [this] { end(turn_outcome::unavailable); });
     if (members_.empty()) {
         limit_ = loop_.after(base::milliseconds{0}, [this] { end(turn_outcome::unavailable); });
         return;
     }
-    const std::size_t chain_from = nearest();
-    for (std::size_t index = 0; index < members_.size(); ++index) {
-        send_reserve(members_[index], wants_chain() && index == chain_from);
+    const member_state* chain_from = nearest();
+    for (member_state& member : members_) {
+        send_reserve(member, wants_chain() && &member == chain_from);
     }
     if (wants_chain()) {
         patience_ = loop_.after(options_.chain_patience, [this] { read_from_all(); });
     }
 }
 
-std::size_t turn_preparation::nearest() const {
-    for (std::size_t index = 0; index < members_.size(); ++index) {
-        if (members_[index].member.zone == options_.zone) {
-            return index;
-        }
-    }
-    return 0;
+const turn_preparation::member_state* turn_preparation::nearest() const {
+    const auto found = std::find_if(
+        members_.begin(), members_.end(),
+        [this](const member_state& member) { return member.member.zone == options_.zone; });
+    return found == members_.end() ? &members_.front() : &*found;
 }
 
 /// The totals come from two members, so that one that is away or new leaves them to another.
@@ -58,14 +65,17 @@
     if (options_.loads == nullptr) {
         return {};
     }
-    const std::size_t drawn = base::stable_hash(request_.wanted.turn.value()) % members_.size();
-    const bool wants_totals = &member == &members_[nearest()] || &member == &members_[drawn];
+    const auto drawn = std::next(
+        members_.begin(), static_cast<std::ptrdiff_t>(
+                              base::stable_hash(request_.wanted.turn.value()) % members_.size()));
+    const bool wants_totals = &member == nearest() || &member == &*drawn;
     return options_.loads->report(wants_totals);
 }
 
 void turn_preparation::send_reserve(member_state& member, bool with_chain) {
     member.reserve_retry.reset();
-    const reserve_request message{request_.wanted, request_.previous, with_chain, own_load(member)};
+    const reserve_request message{request_.wanted, request_.previous, with_chain, own_load(member),
+                                  member.view};
     member.reserve_call = caller_.call(
         member.member, wire::turn_reserve, wire::encode(message), options_.call_timeout,
         [this, &member, with_chain](const absl::StatusOr<std::string>& payload) {
@@ -86,6 +96,9 @@
         }
         return;
     }
+    if (ends_outdated(member, reply->newer)) {
+        return;
+    }
     member.confirmed = true;
     member.confirmed_complete = reply->is_complete;
     known_.add(reply->reservations);
@@ -104,7 +117,7 @@
 }
 
 void turn_preparation::read_from_all() {
-    if (asked_all_ || chain_.has_value() || done_ == nullptr) {
+    if (asked_all_ || chain_.has_value() || callbacks_.done == nullptr) {
         return;
     }
     asked_all_ = true;
@@ -118,18 +131,27 @@
 /// Few turns go on from another program's, so no record says which group has them: asking everybody
 /// costs some messages then, and nothing otherwise.
 void turn_preparation::read_elsewhere() {
-    if (asked_elsewhere_ || chain_.has_value() || done_ == nullptr) {
+    if (asked_elsewhere_ || chain_.has_value() || callbacks_.done == nullptr) {
         return;
     }
     asked_elsewhere_ = true;
+    for (std::uint32_t group = 0; group < views_.groups(); ++group) {
+        if (group != group_) {
+            elsewhere_.splice(elsewhere_.end(), states_of(views_.of(group)));
+        }
+    }
+    // A fleet of one group has nobody else to ask.
+    chain_is_absent_ = all_say_absent();
     for (member_state& member : elsewhere_) {
+        member.is_elsewhere = true;
         send_read(member);
     }
 }
 
 void turn_preparation::send_read(member_state& member) {
     member.read_retry.reset();
-    const read_request question{.turn = request_.previous, .wants_records = member.is_elsewhere};
+    const read_request question{
+        .turn = request_.previous, .wants_records = member.is_elsewhere, .view = member.view};
     member.read_call =
         caller_.call(member.member, wire::turn_read, wire::encode(question), options_.call_timeout,
                      [this, &member](const absl::StatusOr<std::string>& payload) {
@@ -153,6 +175,9 @@
             loop_.after(options_.retry_interval, [this, &member] { send_read(member); });
         return;
     }
+    if (reply->chain != chain_result::found && ends_outdated(member, reply->newer)) {
+        return;
+    }
     if (member.is_elsewhere && !chain_.has_value() && reply->chain == chain_result::found) {
         for (const turn_record& record : reply->records) {
             reply->chain_text += record.input;
@@ -192,7 +217,7 @@
 
 bool turn_preparation::all_say_absent() const {
     const auto says_absent = [](const member_state& member) { return member.says_absent; };
-    return std::all_of(members_.begin(), members_.end(), says_absent) &&
+    return asked_elsewhere_ && std::all_of(members_.begin(), members_.end(), says_absent) &&
            std::all_of(elsewhere_.begin(), elsewhere_.end(), says_absent);
 }
 
@@ -225,8 +250,9 @@
 void turn_preparation::send_usage(member_state& member) {
     member.reserve_retry.reset();
     member.reserve_call = caller_.call(
-        member.member, wire::turn_usage, wire::encode(usage_request{request_.wanted.program}),
-        options_.call_timeout, [this, &member](const absl::StatusOr<std::string>& payload) {
+        member.member, wire::turn_usage,
+        wire::encode(usage_request{request_.wanted.program, member.view}), options_.call_timeout,
+        [this, &member](const absl::StatusOr<std::string>& payload) {
             take_usage(member, payload);
         });
 }
@@ -240,6 +266,9 @@
             loop_.after(options_.retry_interval, [this, &member] { send_usage(member); });
         return;
     }
+    if (ends_outdated(member, reply->newer)) {
+        return;
+    }
     known_.add(reply->reservations);
     member.looked_again = reply->is_complete;
     if (budget_fits_ || count(&member_state::looked_again) < majority_) {
@@ -263,8 +292,23 @@
     }
 }
 
+bool turn_preparation::ends_outdated(const member_state& member,
+                                     const std::optional<directory::storage_view>& newer) {
+    if (!newer.has_value()) {
+        return false;
+    }
+    const auto outdated = std::exchange(callbacks_, {}).outdated;
+    if (!outdated) {
+        return true;
+    }
+    limit_.reset();
+    patience_.reset();
+    outdated(views_.note_newer(member.member.group, *newer));
+    return true;
+}
+
 void turn_preparation::end(turn_outcome outcome) {
-    const auto done = std::exchange(done_, nullptr);
+    const auto done = std::exchange(callbacks_, {}).done;
     if (!done) {
         return;
     }
--- a/src/pearbarrow/turns/turn_preparation.h
+++ b/src/pearbarrow/turns/turn_preparation.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -11,6 +12,7 @@
 
 #include "pearbarrow/net/event_loop.h"
 #include "pearbarrow/turns/budget_check.h"
+#include "pearbarrow/turns/group_views.h"
 #include "pearbarrow/turns/member_caller.h"
 #include "pearbarrow/turns/turn_operation.h"
 
@@ -20,12 +22,19 @@
 /// is asked for the chain with it. When that one lacks the chain, or is slow, all others are asked;
 /// a chain found anywhere is the truth. A turn may go on from one of another program: once most of
 /// the group lack the chain, the members of all other groups are asked too. It is absent for
-/// certain only when every member of every group, each complete, says so.
+/// certain only when every member of every group, each complete, says so. A member that knows newer
+/// voters than the ones asked here ends the preparation, which is then to begin anew.
 class turn_preparation final : public turn_operation {
   public:
+    /// One of the two runs, once.
+    struct callbacks {
+        std::function<void(prepared_turn)> done;
+        /// What the member has told stands in the views. True: it names the newer voters.
+        std::function<void(bool is_told)> outdated;
+    };
+
     turn_preparation(net::event_loop& loop, member_caller& caller, const client_options& options,
-                     const directory::storage_view& view, turn_request request,
-                     std::function<void(prepared_turn)> done);
+                     group_views& views, turn_request request, callbacks callbacks);
 
     void start();
 
@@ -33,6 +42,8 @@
     /// What one member has said so far.
     struct member_state {
         directory::storage_member member;
+        /// The voters that it is asked as one of.
+        view_stamp view;
         std::unique_ptr<net::peer_call_handle> reserve_call;
         std::unique_ptr<net::peer_call_handle> read_call;
         std::unique_ptr<net::timer_handle> reserve_retry;
@@ -46,7 +57,7 @@
     };
 
     bool wants_chain() const { return !request_.previous.value().empty(); }
-    std::size_t nearest() const;
+    const member_state* nearest() const;
     dispatch::load_report own_load(const member_state& member) const;
     void send_reserve(member_state& member, bool with_chain);
     void take_reserve(member_state& member, bool with_chain,
@@ -64,17 +75,23 @@
     void take_usage(member_state& member, const absl::StatusOr<std::string>& payload);
     void go_on();
     void end(turn_outcome outcome);
+    /// True: the member's answer has ended the preparation.
+    bool ends_outdated(const member_state& member,
+                       const std::optional<directory::storage_view>& newer);
+    static std::list<member_state> states_of(const directory::storage_view& group);
     std::size_t count(bool member_state::*flag) const;
     bool all_say_absent() const;
 
     net::event_loop& loop_;
     member_caller& caller_;
     client_options options_;
+    group_views& views_;
     turn_request request_;
-    std::function<void(prepared_turn)> done_;
+    callbacks callbacks_;
     /// Of the program's group.
-    std::vector<member_state> members_;
-    std::vector<member_state> elsewhere_;
+    std::list<member_state> members_;
+    /// Of the others, once they are asked: a turn costs its own group only.
+    std::list<member_state> elsewhere_;
     std::size_t majority_ = 0;
     reservation_union known_;
     std::optional<std::string> chain_;
--- a/src/pearbarrow/turns/turn_replica.cc
+++ b/src/pearbarrow/turns/turn_replica.cc
@@ -89,6 +89,8 @@
     disk_ = contents->disk;
     complete_ = contents->complete;
     group_ = contents->group;
+    known_view_ = contents->view;
+    kept_view_ = contents->view;
     index_.load(*contents, clock_.now(), clock_.unix_microseconds());
     for (peer_position& position : contents->positions) {
         kept_positions_[position.node] = std::move(position);
@@ -145,6 +147,7 @@
             ask_listing(member.node);
         }
     }
+    note_voters(self != nullptr && !self->retiring);
     check_complete();
 }
 
@@ -167,6 +170,10 @@
         listed_by_.clear();
         kept_positions_.clear();
         written_positions_.clear();
+        known_view_ = {};
+        kept_view_ = {};
+        voter_since_ = 0;
+        settlement_.forget();
         change.emptied_for = group_entry{.group = group, .disk = disk_};
     }
     group_ = group;
@@ -198,6 +205,10 @@
 
 void turn_replica::reserve(const reserve_request& request, responder answer) {
     board_.take(request.load, clock_.now());
+    if (refuses(request.view)) {
+        answer->finish(wire::encode(reserve_reply{.newer = newer_view()}));
+        return;
+    }
     if (!takes_writes()) {
         answer->fail(refused(refusing_ ? "member_retiring" : "member_entering_group"));
         return;
@@ -250,16 +261,27 @@
     } else {
         reply.chain_text = text_of(chain);
     }
+    if (reply.chain != chain_result::found && refuses(request.view)) {
+        reply.newer = newer_view();
+    }
     answer->finish(wire::encode(reply));
 }
 
 void turn_replica::usage(const usage_request& request, const responder& answer) {
+    if (refuses(request.view)) {
+        answer->finish(wire::encode(usage_reply{.newer = newer_view()}));
+        return;
+    }
     answer->finish(wire::encode(usage_reply{.is_complete = complete_,
                                             .reservations = index_.reservations(request.program)}));
 }
 
 void turn_replica::finish(finish_request request, responder answer) {
     board_.take(request.load, clock_.now());
+    if (refuses(request.view)) {
+        answer->finish(wire::encode(finish_reply{.newer = newer_view()}));
+        return;
+    }
     if (!takes_writes()) {
         answer->fail(refused(refusing_ ? "member_retiring" : "member_entering_group"));
         return;
@@ -352,13 +374,16 @@
 void turn_replica::list(const list_request& request, const responder& answer) {
     const change_number after = request.disk == disk_ ? request.after : change_number();
     listed_by_[request.asker] = {request.disk, after};
+    settlement_.note_held(request.asker, after);
+    advance_settlement();
     index_listing listing = index_.list(after, options_.listed_changes);
     answer->finish(wire::encode(list_reply{.disk = disk_,
                                            .is_complete = complete_,
                                            .turns = std::move(listing.turns),
                                            .reservations = std::move(listing.reservations),
                                            .through = listing.through,
-                                           .more = listing.more}));
+                                           .more = listing.more,
+                                           .view = told_view()}));
     if (on_listed_) {
         on_listed_();
     }
--- a/src/pearbarrow/turns/turn_replica.h
+++ b/src/pearbarrow/turns/turn_replica.h
@@ -5,9 +5,11 @@
 /// confirmations themselves, so a member never speaks for another. Members of a group list each
 /// other's changes from time to time and fetch what they lack; a member whose disk is new is
 /// complete once it has read from as many complete members as hold, between them, every confirmed
-/// write (`storage_view`). A member that enters another group begins there as with a new disk.
+/// write (`storage_view`). A member that enters another group begins there as with a new disk; one
+/// that has been no voter for a while keeps what it has and is not complete.
 ///
-/// Invariant: what a member has confirmed would survive a loss of power.
+/// Invariants: what a member has confirmed would survive a loss of power; it confirms nothing to
+/// whoever counts on voters of its group that it knows to be replaced (`view_stamps.h`).
 #pragma once
 
 #include <functional>
@@ -23,6 +25,7 @@
 #include "pearbarrow/net/event_loop.h"
 #include "pearbarrow/net/peer_rpc.h"
 #include "pearbarrow/turns/turn_index.h"
+#include "pearbarrow/turns/view_stamps.h"
 
 namespace pearbarrow::turns {
 
@@ -79,6 +82,15 @@
     std::size_t reporting_nodes() const { return board_.node_count(); }
     /// Other members that this one is not level with.
     std::size_t behind_count() const;
+    /// Whether a voter of the group may leave (`view_settlement`).
+    bool is_settled() const { return settlement_.is_settled(); }
+    /// Lists the others often until it is.
+    void hurry_settling();
+    /// Whether the disk knows the newest voters that the member does. Before, it would forget by a
+    /// restart that it is no voter, and come back as one that has missed nothing.
+    bool has_kept_view() const { return kept_view_.voters == known_view_.voters; }
+    /// Requests refused since they count on voters that have been replaced.
+    std::uint64_t outdated_requests() const { return outdated_requests_; }
     /// Whether the member takes nothing new, neither from edges nor from other members: it is to be
     /// taken away, and the others can only be level with one that stands still.
     void refuse_writes(bool refuse) { refusing_ = refuse; }
@@ -94,6 +106,8 @@
         change_number taken;
         bool was_complete = false;
         bool level = false;
+        /// Newest voters that it knew when it was listed last.
+        view_stamp view;
         base::instant heard;
         std::unique_ptr<net::peer_call_handle> call;
         std::unique_ptr<net::timer_handle> next;
@@ -108,6 +122,15 @@
     /// Belongs to the group from here on; data of another one goes.
     void enter_group(std::uint32_t group);
     void write_entry(store_change change);
+    /// Takes note of who the group's voters are, and whether this member is one.
+    void note_voters(bool is_voter);
+    void keep_view();
+    /// True: the request counts on replaced voters, and nothing is done for it.
+    bool refuses(const view_stamp& asked);
+    directory::storage_view newer_view() const;
+    /// The newest voters that a restart would not forget.
+    view_stamp told_view() const;
+    void advance_settlement();
     bool takes_writes() const { return !refusing_ && !entering_; }
     void reserve(const reserve_request& request, responder answer);
     void answer_reserve(const reserve_request& request, const responder& answer);
@@ -133,6 +156,8 @@
                       const list_reply& listing);
     void finish_listing(const base::node_id& node, const list_reply& listing);
     void ask_later(other_member& other, base::milliseconds delay);
+    /// Asks all that wait for their next listing.
+    void list_now();
     base::milliseconds pause_before_listing(const other_member& other) const;
     void check_complete();
     void keep_positions();
@@ -153,6 +178,15 @@
     /// The disk has not confirmed yet that it belongs to the group.
     bool entering_ = false;
     std::unique_ptr<net::timer_handle> entry_retry_;
+    /// The newest voters of the group, as known and as the disk knows.
+    view_stamp known_view_;
+    view_stamp kept_view_;
+    std::unique_ptr<net::timer_handle> view_retry_;
+    /// Since which revision the member is a voter, as it knows; 0: it is none.
+    std::uint64_t voter_since_ = 0;
+    view_settlement settlement_;
+    bool hurries_ = false;
+    std::uint64_t outdated_requests_ = 0;
     /// Grows when the data go: writes that began before have no effect after.
     std::uint64_t generation_ = 0;
     std::map<base::node_id, other_member> others_;
--- a/src/pearbarrow/turns/turn_store.h
+++ b/src/pearbarrow/turns/turn_store.h
@@ -72,6 +72,8 @@
     std::vector<reservation> dropped_reservations;
     /// Sets whether the member knows all that it has ever confirmed.
     std::optional<bool> complete;
+    /// Replaces the newest voters of the group that the member knows.
+    std::optional<view_stamp> view;
     /// Replaces what is kept of the directory but for its entries.
     std::optional<std::string> directory;
     /// Entries of the directory that have changed.
@@ -93,6 +95,8 @@
     std::vector<stored_reservation> reservations;
     std::vector<peer_position> positions;
     change_number last_number;
+    /// The newest voters of the group that the member knew.
+    view_stamp view;
 };
 
 class turn_store {
--- a/src/pearbarrow/turns/turn_types.h
+++ b/src/pearbarrow/turns/turn_types.h
@@ -7,10 +7,12 @@
 
 #include <cstdint>
 #include <msgpack.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "pearbarrow/base/ids.h"
+#include "pearbarrow/directory/snapshot.h"
 #include "pearbarrow/dispatch/load_report.h"
 
 namespace pearbarrow::turns {
@@ -22,6 +24,17 @@
 /// Drawn when a member's disk is first written; a lost disk comes back with another.
 using disk_id = base::strong_id<struct disk_tag, std::string>;
 
+/// Which voters of a replica group somebody counts on (`view_stamps.h`).
+struct view_stamp {
+    /// Revision of the storage view; 0: not told, as by older nodes.
+    std::uint64_t revision = 0;
+    /// Digest of the voters' names.
+    std::uint64_t voters = 0;
+
+    bool operator==(const view_stamp&) const = default;
+    MSGPACK_DEFINE(revision, voters);
+};
+
 /// What was said in one turn.
 struct turn_record {
     turn_id turn;
@@ -67,8 +80,9 @@
     bool wants_chain = false;
     /// What the asking node has under way at the back ends.
     dispatch::load_report load;
+    view_stamp view;
 
-    MSGPACK_DEFINE(wanted, previous, wants_chain, load);
+    MSGPACK_DEFINE(wanted, previous, wants_chain, load, view);
 };
 
 struct reserve_reply {
@@ -79,16 +93,20 @@
     chain_result chain = chain_result::not_asked;
     std::string chain_text;
     dispatch::load_totals load;
+    /// Nothing was done: the asker counts on voters of an older view. The group as the member knows
+    /// it; without members where it knows only that there is a newer one.
+    std::optional<directory::storage_view> newer;
 
-    MSGPACK_DEFINE(is_complete, reservations, chain, chain_text, load);
+    MSGPACK_DEFINE(is_complete, reservations, chain, chain_text, load, newer);
 };
 
 struct read_request {
     turn_id turn;
     /// Asks for the turns of the chain in place of their text.
     bool wants_records = false;
+    view_stamp view;
 
-    MSGPACK_DEFINE(turn, wants_records);
+    MSGPACK_DEFINE(turn, wants_records, view);
 };
 
 struct read_reply {
@@ -97,22 +115,27 @@
     std::string chain_text;
     /// The chain, oldest first, where the question asked for it.
     std::vector<turn_record> records;
+    /// As in `reserve_reply`; a chain that is here is given all the same.
+    std::optional<directory::storage_view> newer;
 
-    MSGPACK_DEFINE(is_complete, chain, chain_text, records);
+    MSGPACK_DEFINE(is_complete, chain, chain_text, records, newer);
 };
 
 /// Reads a program's reservations without adding one.
 struct usage_request {
     base::program_id program;
+    view_stamp view;
 
-    MSGPACK_DEFINE(program);
+    MSGPACK_DEFINE(program, view);
 };
 
 struct usage_reply {
     bool is_complete = false;
     std::vector<reservation> reservations;
+    /// As in `reserve_reply`.
+    std::optional<directory::storage_view> newer;
 
-    MSGPACK_DEFINE(is_complete, reservations);
+    MSGPACK_DEFINE(is_complete, reservations, newer);
 };
 
 /// Settles a turn's reservation and stores the turn, if it has one to store.
@@ -121,14 +144,17 @@
     std::vector<turn_record> records;
     /// Asks for no totals: the answer has none.
     dispatch::load_report load;
+    view_stamp view;
 
-    MSGPACK_DEFINE(settled, records, load);
+    MSGPACK_DEFINE(settled, records, load, view);
 };
 
 struct finish_reply {
     bool is_complete = false;
+    /// As in `reserve_reply`.
+    std::optional<directory::storage_view> newer;
 
-    MSGPACK_DEFINE(is_complete);
+    MSGPACK_DEFINE(is_complete, newer);
 };
 
 /// Asks another member for what it has stored after a point.
@@ -149,8 +175,11 @@
     /// Ask again from here.
     change_number through;
     bool more = false;
+    /// The newest voters that the answering member knows and has on its disk: from here on it
+    /// confirms nothing to whoever counts on older ones.
+    view_stamp view;
 
-    MSGPACK_DEFINE(disk, is_complete, turns, reservations, through, more);
+    MSGPACK_DEFINE(disk, is_complete, turns, reservations, through, more, view);
 };
 
 struct fetch_request {
--- a/tests/unit/turns/turn_client_test.cc
+++ b/tests/unit/turns/turn_client_test.cc
@@ -220,3 +220,78 @@
     cr_assert(prepared.outcome == turn_outcome::may_run);
     cr_assert(prepared.chain_text == "asked;said;");
 }
+
+namespace {
+
+/// Five members, of which the client knows the first three. The first two know all five and newer
+/// voters: the last three.
+struct group_that_has_changed : member_group {
+    group_that_has_changed() : member_group({{}, {}, {}, {}, {}}) {
+        directory::storage_view newer = this->view;
+        newer.revision = 2;
+        newer.members.erase(newer.members.begin(), newer.members.begin() + 2);
+        directory::storage_view known = this->view;
+        known.members.resize(3);
+        this->client->set_view(known);
+        for (scripted_member& member : this->members) {
+            member.script.newer = newer;
+        }
+    }
+    scripted_member& at(std::ptrdiff_t index) { return *std::next(this->members.begin(), index); }
+};
+
+}  // namespace
+
+// The newer voters come with the refusal: nothing waits for the directory.
+Test(turn_client, a_turn_goes_on_among_the_voters_that_a_member_tells_of) {
+    group_that_has_changed group;
+    const auto prepared = group.prepare(request_of(10, 100));
+    cr_assert(prepared.outcome == turn_outcome::may_run && prepared.view_revision == 2);
+    cr_assert(group.at(0).reservations == 0 && group.at(1).reservations == 0);
+    cr_assert(run_until(group.loop, [&] {
+        return group.at(2).reservations == 1 && group.at(3).reservations == 1 &&
+               group.at(4).reservations == 1;
+    }));
+    cr_assert(group.client->views().of(0).revision == 2);
+    // The directory is behind what the member has told, then catches up.
+    group.client->set_view(group.view);
+    cr_assert(group.client->views().of(0).revision == 2);
+    directory::storage_view next = group.view;
+    next.revision = 3;
+    group.client->set_view(next);
+    cr_assert(group.client->views().of(0).members.size() == 5);
+}
+
+Test(turn_client, a_write_goes_on_among_the_voters_that_a_member_tells_of) {
+    group_that_has_changed group;
+    finish_request request;
+    request.settled.push_back(
+        {.program = base::program_id("program"), .turn = turn_id("t1"), .tokens = 5});
+    std::optional<absl::Status> stored;
+    const auto step = group.client->store(request, milliseconds{5'000},
+                                          [&](const absl::Status& status) { stored = status; });
+    cr_assert(run_until(group.loop, [&] { return stored.has_value(); }));
+    cr_assert(stored->ok());
+    cr_assert(run_until(group.loop, [&] {
+        return group.at(2).finished.size() == 1 && group.at(3).finished.size() == 1 &&
+               group.at(4).finished.size() == 1;
+    }));
+    cr_assert(group.at(0).finished.empty() && group.at(1).finished.empty());
+}
+
+// A restarted member knows from its disk that there are newer voters, and not yet who they are.
+Test(turn_client, a_turn_waits_for_voters_that_nobody_can_name) {
+    group_that_has_changed group;
+    const directory::storage_view newer = *group.at(0).script.newer;
+    for (scripted_member& member : group.members) {
+        member.script.newer->members.clear();
+    }
+    std::optional<prepared_turn> prepared;
+    const auto step = group.client->prepare(
+        request_of(10, 100), [&](prepared_turn result) { prepared = std::move(result); });
+    net::testing::run_for(group.loop, milliseconds{400});
+    cr_assert(!prepared.has_value());
+    group.client->set_view(newer);
+    cr_assert(run_until(group.loop, [&] { return prepared.has_value(); }));
+    cr_assert(prepared->outcome == turn_outcome::may_run);
+}
