A back end left in silence, or that isn't there any more, is passed over by other nodes at once

Each edge knew nothing: two failures within a second make a back end failing, and among 6,666 engines none gets two requests a second; a caller that leaves and a 421 counted for nothing. Change: both are told as several failures (one second, two seconds by the half-life); the node itself rests a back end after a 421 for 4 s, longer than the ended process is listed.

--- a/src/pearbarrow/forward/backend_pool.cc
+++ b/src/pearbarrow/forward/backend_pool.cc
@@ -18,7 +18,13 @@
 
 bool counts_against(attempt_result result) {
     return result == attempt_result::refused || result == attempt_result::unreachable ||
-           result == attempt_result::broken;
+           result == attempt_result::broken || result == attempt_result::silent ||
+           result == attempt_result::not_there;
+}
+
+bool shows_life(attempt_result result) {
+    return result != attempt_result::abandoned && result != attempt_result::silent &&
+           result != attempt_result::not_there;
 }
 
 std::unique_ptr<choice_policy> make_policy(const pool_options& options,
@@ -55,6 +61,10 @@
             return "failed";
         case attempt_result::abandoned:
             return "abandoned";
+        case attempt_result::silent:
+            return "silent";
+        case attempt_result::not_there:
+            return "not_there";
     }
     return "unknown";
 }
@@ -212,10 +222,20 @@
     if (one.unanswered.empty() || is_cold(one, now)) {
         return false;
     }
+    return now - *one.unanswered.begin() > longest_silence(one);
+}
+
+base::microseconds backend_pool::longest_silence(const pool_entry& one) const {
     const auto by_mean =
         base::microseconds(static_cast<std::int64_t>(options_.silence_factor * one.mean_time));
-    return now - *one.unanswered.begin() >
-           std::max<base::microseconds>(options_.least_silence, by_mean);
+    return std::max<base::microseconds>(options_.least_silence, by_mean);
+}
+
+bool backend_pool::is_long_silence(const directory::backend_run& run,
+                                   base::microseconds silence) const {
+    const auto found = entries_.find(run.id);
+    return found != entries_.end() && found->second.backend.run() == run &&
+           silence > longest_silence(found->second);
 }
 
 backend_pool::weighed_entry backend_pool::with_others(const pool_entry& one,
@@ -348,18 +368,15 @@
     --one.in_flight;
     if (cold_ != nullptr && result == attempt_result::unreachable) {
         cold_->note_unreachable(run.id);
-    } else if (cold_ != nullptr && result != attempt_result::abandoned) {
+    } else if (cold_ != nullptr && shows_life(result)) {
         cold_->note_reached(run.id, now);
     }
     if (result == attempt_result::served) {
         one.last_connected = now;
     }
-    if (result != attempt_result::abandoned && result != attempt_result::refused) {
-        one.results.add(result != attempt_result::served, now);
-    }
+    note_result(one, result, now);
     if (counts_against(result)) {
-        const auto doubled = options_.least_rest * (1 << std::min(one.failures_in_row, 5U));
-        one.rests_until = now + std::min<base::milliseconds>(doubled, options_.most_rest);
+        one.rests_until = now + rest_after(one, result);
         ++one.failures_in_row;
     } else if (result == attempt_result::served) {
         one.failures_in_row = 0;
@@ -372,6 +389,33 @@
     }
 }
 
+void backend_pool::note_result(pool_entry& one, attempt_result result, base::instant now) const {
+    switch (result) {
+        case attempt_result::abandoned:
+        case attempt_result::refused:
+            return;
+        case attempt_result::silent:
+            one.results.add(true, now, options_.silence_weight);
+            return;
+        case attempt_result::not_there:
+            one.results.add(true, now, options_.not_there_weight);
+            return;
+        case attempt_result::served:
+        case attempt_result::unreachable:
+        case attempt_result::broken:
+        case attempt_result::failed:
+            one.results.add(result != attempt_result::served, now);
+    }
+}
+
+base::milliseconds backend_pool::rest_after(const pool_entry& one, attempt_result result) const {
+    if (result == attempt_result::not_there) {
+        return options_.rest_when_not_there;
+    }
+    const auto doubled = options_.least_rest * (1 << std::min(one.failures_in_row, 5U));
+    return std::min<base::milliseconds>(doubled, options_.most_rest);
+}
+
 base::microseconds backend_pool::patience(const directory::backend_run& run,
                                           base::microseconds objective) const {
     const auto found = entries_.find(run.id);
--- a/src/pearbarrow/forward/backend_pool.h
+++ b/src/pearbarrow/forward/backend_pool.h
@@ -47,6 +47,10 @@
     failed,
     /// Nobody waits for the answer any longer.
     abandoned,
+    /// The same, after it had been silent for so long that it would be passed over.
+    silent,
+    /// Another process answers at its address.
+    not_there,
 };
 
 std::string_view to_string(attempt_result result);
@@ -92,6 +96,16 @@
     /// row up to the most.
     base::milliseconds least_rest{100};
     base::milliseconds most_rest{2'000};
+    /// The same after another process has answered at its address: longer than the outside service
+    /// lists a process that has ended (three heartbeats of 1.2 s).
+    base::milliseconds rest_when_not_there{4'000};
+    /// As how many failures a silence, and another process's answer, are told to other nodes. Among
+    /// thousands of back ends each gets less than a request a second, and nobody would see a second
+    /// failure in time: the tries of one program went to the engine that had died with its first
+    /// turn six times, by five nodes (985 nodes, 6,666 engines). By `least_failures` and their
+    /// half-life they count for one second and for two.
+    double silence_weight = 4;
+    double not_there_weight = 8;
     /// Requests of this node at the preferred back end above which another one is taken, while the
     /// load of other nodes is not known.
     std::uint32_t affinity_bound = 4;
@@ -194,6 +208,9 @@
     void withdraw(choice& chosen, base::instant began, base::instant now);
     /// The head of an answer has come for an attempt that began at `began`.
     void answered(const directory::backend_run& run, base::instant began);
+    /// Whether an attempt without the head of an answer for so long makes the back end one to be
+    /// passed over.
+    bool is_long_silence(const directory::backend_run& run, base::microseconds silence) const;
     /// An attempt at the back end has ended; call `answered` before. `took` counts for answers
     /// only.
     void ended(const directory::backend_run& run, attempt_result result, base::microseconds took,
@@ -256,6 +273,10 @@
 
     /// The entry of this run of a back end; end when there is none, or it is that of another run.
     entry_map::iterator find(const directory::backend_run& run);
+    base::microseconds longest_silence(const pool_entry& one) const;
+    /// Notes a result for this node and, by its reports, for the others.
+    void note_result(pool_entry& one, attempt_result result, base::instant now) const;
+    base::milliseconds rest_after(const pool_entry& one, attempt_result result) const;
     void take_present(const directory::backend& backend);
     void take_gone(const std::string& id, base::instant now);
     void erase(entry_map::iterator at);
--- a/src/pearbarrow/forward/forwarded_attempt.cc
+++ b/src/pearbarrow/forward/forwarded_attempt.cc
@@ -225,7 +225,10 @@
 
 void forwarded_request::end_attempt(attempt_result result) {
     attempt_open_ = false;
-    if (result != attempt_result::refused && result != attempt_result::unreachable) {
+    const bool has_not_run = result == attempt_result::refused ||
+                             result == attempt_result::unreachable ||
+                             result == attempt_result::not_there;
+    if (!has_not_run) {
         may_have_run_ = true;
         granted_at_.reset();
     }
@@ -245,6 +248,13 @@
     context_.log.count_attempt(to_string(result));
 }
 
+attempt_result forwarded_request::result_when_left() const {
+    const base::microseconds silence = context_.clock.now() - attempt_began_;
+    return !head_seen_ && context_.pool.is_long_silence(target_.run(), silence)
+               ? attempt_result::silent
+               : attempt_result::abandoned;
+}
+
 bool forwarded_request::may_try_again(bool ran) const {
     const std::uint32_t allowed = std::max(1U, route_.attempts);
     return (!ran || is_repeatable()) && stage_ == answer_stage::none && attempts_ < allowed &&
@@ -266,7 +276,7 @@
 }
 
 void forwarded_request::take_refusal() {
-    end_attempt(attempt_result::refused);
+    end_attempt(status_ == 421 ? attempt_result::not_there : attempt_result::refused);
     context_.log.notable("attempt_refused", {{"request", facts_.request_id},
                                              {"backend", target_.id},
                                              {"status", status_},
--- a/src/pearbarrow/forward/forwarded_request.cc
+++ b/src/pearbarrow/forward/forwarded_request.cc
@@ -171,7 +171,7 @@
     permit_pause_.reset();
     leave_place();
     if (attempt_open_) {
-        end_attempt(attempt_result::abandoned);
+        end_attempt(result_when_left());
     }
     if (facts_.turn.has_value()) {
         settle(spent_tokens());
--- a/src/pearbarrow/forward/forwarded_request.h
+++ b/src/pearbarrow/forward/forwarded_request.h
@@ -114,6 +114,8 @@
     void take_refusal();
     void take_failure(const absl::Status& status);
     void end_attempt(attempt_result result);
+    /// What it says of the back end that the caller leaves now.
+    attempt_result result_when_left() const;
     /// Gives up an attempt that is silent for too long, when another one may be made.
     void watch_silence();
     void on_silence();
--- a/src/pearbarrow/forward/recent_results.h
+++ b/src/pearbarrow/forward/recent_results.h
@@ -13,9 +13,10 @@
     /// seconds.
     static constexpr base::milliseconds half_life{1'000};
 
-    void add(bool has_failed, base::instant now) {
+    /// `weight`: of how many results this one is worth.
+    void add(bool has_failed, base::instant now, double weight = 1) {
         this->fade(now);
-        (has_failed ? this->failures : this->successes) += 1;
+        (has_failed ? this->failures : this->successes) += weight;
     }
     double served(base::instant now) const { return this->successes * this->remaining(now); }
     double failed(base::instant now) const { return this->failures * this->remaining(now); }
--- a/tests/unit/forward/backend_pool_test.cc
+++ b/tests/unit/forward/backend_pool_test.cc
@@ -196,6 +196,81 @@
     cr_assert(fixture.pool.failing_count(fixture.now) == 1);
 }
 
+namespace {
+
+/// What a node whose attempt has ended so tells the others.
+dispatch::load_totals told_after(attempt_result result, milliseconds silence) {
+    pool_fixture node({backend_of("dead"), backend_of("good")});
+    const auto chosen = node.pool.choose(
+        {.service = "service", .affinity_key = {}, .excluded = {"good"}}, node.now);
+    cr_assert(chosen.has_value());
+    const base::instant began = node.now;
+    node.now += silence;
+    cr_assert(node.pool.is_long_silence(chosen->target.run(), silence) ==
+              (result != attempt_result::abandoned));
+    node.pool.answered(chosen->target.run(), began);
+    node.pool.ended(chosen->target.run(), result, silence, node.now);
+    return {.is_given = true, .gathered_ms = 1'000, .loads = node.pool.own_loads(node.now)};
+}
+
+/// Of 100 requests of a program whose turn before ran at that back end, as many as it gets.
+int requests_at_dead(const dispatch::load_totals& told) {
+    pool_fixture node({backend_of("dead"), backend_of("good")});
+    dispatch::shared_load others({});
+    node.pool.set_shared_load(others);
+    others.take(told, node.now);
+    int count = 0;
+    for (int index = 0; index < 100; ++index) {
+        auto chosen = node.pool.choose({.service = "service",
+                                        .affinity_key = "program",
+                                        .excluded = {},
+                                        .place = {},
+                                        .without_permit = {},
+                                        .prompt_tokens = 500,
+                                        .begins = false,
+                                        .earlier = dispatch::key_of("dead")},
+                                       node.now);
+        count += chosen->target.id == "dead" ? 1 : 0;
+        node.pool.withdraw(*chosen, node.now, node.now);
+    }
+    return count;
+}
+
+}  // namespace
+
+// A program's tries come by other nodes, which all know where its turn before ran.
+Test(backend_pool, who_was_left_in_silence_is_passed_over_by_other_nodes) {
+    cr_assert(requests_at_dead(told_after(attempt_result::silent, milliseconds{2'000})) < 20);
+}
+
+Test(backend_pool, who_is_not_there_any_more_is_passed_over_by_other_nodes) {
+    cr_assert(requests_at_dead(told_after(attempt_result::not_there, milliseconds{800})) < 20);
+}
+
+// Callers that change their mind say nothing of the back end.
+Test(backend_pool, who_was_left_early_is_no_worse_for_it) {
+    const auto told = told_after(attempt_result::abandoned, milliseconds{300});
+    cr_assert(told.loads.empty());
+}
+
+Test(backend_pool, who_is_not_there_rests_until_the_list_has_caught_up) {
+    pool_fixture fixture({backend_of("dead"), backend_of("good")});
+    const auto chosen = fixture.pool.choose(
+        {.service = "service", .affinity_key = {}, .excluded = {"good"}}, fixture.now);
+    fixture.pool.answered(chosen->target.run(), fixture.now);
+    fixture.pool.ended(chosen->target.run(), attempt_result::not_there, milliseconds{1},
+                       fixture.now);
+    fixture.now += milliseconds{3'600};
+    for (int index = 0; index < 12; ++index) {
+        cr_assert(fixture.choose() == "good");
+    }
+    // Listed anew, as another run of the process: nothing is held against it.
+    directory::backend again = backend_of("dead");
+    again.started_at = 7;
+    fixture.pool.set_backends({.revision = 9, .backends = {{"dead", again}}}, fixture.now);
+    cr_assert(fixture.choose() == "dead");
+}
+
 Test(backend_pool, the_load_of_other_nodes_counts) {
     pool_fixture fixture({backend_of("busy"), backend_of("idle")});
     dispatch::shared_load others({});
