A member keeps reservations for as long as their programs may come back

Nobody can ask for a program that has rested longer than its route keeps turns and its last turn took. Change: the longest such time of the configuration and 30 s; 600 s where a stream's route doesn't say. Metrics of settled voters and refused requests.

--- a/src/pearbarrow/fleet/storage_node.cc
+++ b/src/pearbarrow/fleet/storage_node.cc
@@ -1,7 +1,9 @@
 #include "pearbarrow/fleet/storage_node.h"
 
 #include <algorithm>
+#include <cmath>
 #include <filesystem>
+#include <optional>
 #include <utility>
 
 #include "pearbarrow/base/log.h"
@@ -24,6 +26,26 @@
     return options;
 }
 
+/// How long a program may rest and come back: as long as its turns are kept, and some more for the
+/// turn that is under way when it rests last (a turn's time-out is some seconds). None where a
+/// route of streams doesn't say. With 600 s for all, members kept 330,000 reservations at 550 turns
+/// a second, 100 MB of their 120; with the 60 s of the measured routes a seventh of that.
+std::optional<base::seconds> rest_of_programs(const directory::configuration& config) {
+    constexpr base::seconds longest_turn{30};
+    double longest = 0;
+    for (const directory::route& route : config.routes) {
+        const bool is_stream = route.kind == directory::request_kind::stream;
+        if (is_stream && route.retention_seconds <= 0) {
+            return std::nullopt;
+        }
+        longest = std::max(longest, is_stream ? route.retention_seconds : 0);
+    }
+    if (longest <= 0) {
+        return std::nullopt;
+    }
+    return base::seconds{static_cast<std::int64_t>(std::ceil(longest))} + longest_turn;
+}
+
 }  // namespace
 
 storage_node::storage_node(net::event_loop& loop, const base::clock& clock,
@@ -102,6 +124,12 @@
     };
     set("pearbarrow_turn_replica_complete",
         "1 once the member knows all that it has ever confirmed", replica_->is_complete() ? 1 : 0);
+    set("pearbarrow_turn_replica_settled",
+        "1 while all that earlier voters confirmed is on a majority of the present ones",
+        replica_->is_settled() ? 1 : 0);
+    set("pearbarrow_turn_replica_outdated_total",
+        "Requests refused since they count on voters that have been replaced",
+        replica_->outdated_requests());
     set("pearbarrow_turn_replica_turns", "Turns kept", replica_->turn_count());
     set("pearbarrow_turn_replica_programs", "Programs with reservations",
         replica_->program_count());
@@ -174,8 +202,11 @@
     // their limit in the 0.75 s after (61 nodes, one play).
     const base::instant counts_since = recalling_ ? began_ : now;
     if (changed.config) {
-        quotas_->ledger().set_configuration(*parts_.directory().state().current().config,
-                                            counts_since);
+        const directory::configuration& config = *parts_.directory().state().current().config;
+        quotas_->ledger().set_configuration(config, counts_since);
+        if (const auto rest = rest_of_programs(config); rest.has_value()) {
+            replica_->keep_reservations_for(*rest);
+        }
     }
     take_start_limits(changed, now);
     if (!changed.storage) {
--- a/src/pearbarrow/turns/turn_index.h
+++ b/src/pearbarrow/turns/turn_index.h
@@ -21,7 +21,8 @@
 struct index_options {
     /// Added to each turn's own retention, so that no bound is met too early.
     base::seconds retention_slack{15};
-    /// A program's reservations are kept this long after its last change.
+    /// A program's reservations are kept this long after its last change, until it is told how long
+    /// programs may come back (`keep_reservations_for`).
     base::seconds reservation_retention{600};
 };
 
@@ -59,6 +60,9 @@
     std::optional<std::vector<turn_id>> chain(const turn_id& last) const;
     index_listing list(change_number after, std::size_t most) const;
 
+    /// Programs that rested for longer are not asked for any more. Those that are kept already are
+    /// kept as long as was said before.
+    void keep_reservations_for(base::seconds time) { options_.reservation_retention = time; }
     /// Takes out what has expired, and names it for the store.
     store_change expire(base::instant now);
     std::size_t turn_count() const { return turns_.size(); }
--- a/src/pearbarrow/turns/turn_replica.h
+++ b/src/pearbarrow/turns/turn_replica.h
@@ -65,6 +65,11 @@
     std::optional<std::uint32_t> group() const { return group_; }
     /// What forwarding nodes have told of their load.
     dispatch::load_board& board() { return board_; }
+    /// How long a program that rests may be asked for.
+    void keep_reservations_for(base::seconds time) {
+        options_.index.reservation_retention = time;
+        index_.keep_reservations_for(time);
+    }
     /// Runs when the member becomes complete.
     void on_complete(std::function<void()> callback) { on_complete_ = std::move(callback); }
     /// Runs when another member has shown what it holds.
--- a/tests/unit/turns/turn_index_test.cc
+++ b/tests/unit/turns/turn_index_test.cc
@@ -1,5 +1,9 @@
 #include "pearbarrow/turns/turn_index.h"
 
+#include <malloc.h>
+
+#include <cstdlib>
+
 #include <criterion/criterion.h>
 
 using namespace pearbarrow;
@@ -94,3 +98,80 @@
     again.load({.disk = disk_id("disk"), .last_number = *dropped.last_number}, now, 0);
     cr_assert(again.next_number() == change_number(2));
 }
+
+Test(turn_index, reservations_are_kept_for_as_long_as_programs_may_come_back) {
+    turn_index index({});
+    index.keep_reservations_for(seconds{75});
+    index.add(reservation_of(index, "a", 50, false), {});
+    index.add(reservation_of(index, "b", 50, false), base::instant{seconds{70}});
+    index.expire(base::instant{seconds{144}});
+    cr_assert(index.reservations(base::program_id("p")).size() == 2, "the program went on");
+    index.expire(base::instant{seconds{146}});
+    cr_assert(index.program_count() == 0);
+}
+
+namespace {
+
+/// Turns of 16-digit ids, four a program, each reserved, stored and settled; 500 a second, what a
+/// member gets at the planned 3,000 a second over six groups.
+class busy_member {
+  public:
+    void run_until(seconds end) {
+        for (; this->at < end; ++this->at) {
+            const base::instant now{this->at};
+            for (int turn = 0; turn < 500; ++turn) {
+                this->add_turn(now);
+            }
+            if (this->at.count() % 5 == 0) {
+                this->index.expire(now);
+            }
+        }
+    }
+    const turn_index& kept() const { return this->index; }
+    turn_index index{{}};
+
+  private:
+    void add_turn(base::instant now) {
+        char name[17];
+        std::snprintf(name, sizeof(name), "%016llx", static_cast<unsigned long long>(++this->last));
+        const turn_id turn{std::string(name)};
+        std::snprintf(name, sizeof(name), "%014llx",
+                      static_cast<unsigned long long>(this->last / 4));
+        const base::program_id program{std::string(name)};
+        this->index.add(
+            stored_reservation{this->index.next_number(), 0, {program, turn, 288, false}}, now);
+        this->index.add(stored_turn{this->index.next_number(),
+                                    0,
+                                    {.turn = turn, .program = program, .retention_seconds = 60}},
+                        now);
+        this->index.add(stored_reservation{this->index.next_number(), 0, {program, turn, 36, true}},
+                        now);
+    }
+
+    seconds at{0};
+    std::uint64_t last = 0;
+};
+
+double megabytes_in_use() {
+    return static_cast<double>(mallinfo2().uordblks) / 1e6;
+}
+
+}  // namespace
+
+// The smallest members have 120 MB. INDEX_SECONDS=3600 plays an hour.
+Test(turn_index, memory_is_flat_at_the_planned_rate) {
+    const char* wanted = std::getenv("INDEX_SECONDS");
+    const seconds length{wanted == nullptr ? 400 : std::atoi(wanted)};
+    const double before = megabytes_in_use();
+    busy_member member;
+    member.index.keep_reservations_for(seconds{90});
+    member.run_until(seconds{200});
+    const double filled = megabytes_in_use() - before;
+    member.run_until(length);
+    const double last = megabytes_in_use() - before;
+    std::printf("%.1f MB after 200 s, %.1f after %lld s: %zu turns, %zu programs\n", filled, last,
+                static_cast<long long>(length.count()), member.kept().turn_count(),
+                member.kept().program_count());
+    cr_assert(last <= 1.05 * filled, "%.1f MB, then %.1f", filled, last);
+    cr_assert(last < 60, "%.1f MB of a machine's 120", last);
+}
