--- a/tests/unit/fleet/forwarding_test.cc
+++ b/tests/unit/fleet/forwarding_test.cc
@@ -29,6 +29,24 @@
     cr_assert(answer.headers.find("Retry-After").has_value());
 }
 
+// It could only refuse what it is asked.
+Test(forwarding, an_edge_without_the_list_of_back_ends_is_not_ready) {
+    fleet_fixture fleet(0, 1, false);
+    fleet.edges.resize(1);
+    fleet.store.set_trouble(emulator::metadata_store::trouble::refusing);
+    fleet.start_edge(0);
+    directory::directory_exchange& exchange = fleet.edges[0]->node.parts().directory();
+    directory::directory_update told;
+    told.config.push_back({.version = 3});
+    told.emptied_zones.push_back({.revision = 3});
+    exchange.publish(std::move(told));
+    cr_assert(!fleet.edges[0]->node.is_ready());
+    directory::directory_update list;
+    list.backends.push_back({.revision = 3});
+    exchange.publish(std::move(list));
+    cr_assert(fleet.edges[0]->node.is_ready(), "it may be empty");
+}
+
 Test(forwarding, an_unknown_path_is_404) {
     fleet_fixture fleet(0, 1);
     fleet.make_ready();
--- a/tests/unit/slowstart/cold_simulation_test.cc
+++ b/tests/unit/slowstart/cold_simulation_test.cc
@@ -6,11 +6,10 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <queue>
 #include <set>
-#include <tuple>
 #include <vector>
 
+#include "../event_schedule.h"
 #include "pearbarrow/base/hash.h"
 #include "pearbarrow/base/random.h"
 #include "pearbarrow/slowstart/cold_table.h"
@@ -96,7 +95,7 @@
     std::vector<std::size_t> peers;
 };
 
-class simulation {
+class simulation : private testing::event_schedule {
   public:
     simulation(std::uint64_t seed, safeguards kept) : random(seed), kept(kept) {
         this->config.version = 1;
@@ -140,32 +139,13 @@
             this->schedule(2'000'000 + this->random.below(length_us - 3'000'000),
                            [this] { this->make_trouble(); });
         }
-        while (!this->events.empty() && this->events.top().time < length_us) {
-            const event next = this->events.top();
-            this->events.pop();
-            this->now = next.time;
-            next.act();
-        }
+        this->run_events(length_us);
         this->count_worst();
     }
 
     totals counted;
 
   private:
-    struct event {
-        std::int64_t time;
-        std::uint64_t number;
-        std::function<void()> act;
-        bool operator<(const event& other) const {
-            return std::tie(other.time, other.number) < std::tie(this->time, this->number);
-        }
-    };
-
-    void schedule(std::uint64_t delay_us, std::function<void()> act) {
-        this->events.push(
-            {this->now + static_cast<std::int64_t>(delay_us), ++this->last_event, std::move(act)});
-    }
-
     directory::backend_list list() const {
         directory::backend_list made{.revision = this->list_revision};
         for (const simulated_backend& one : this->backends) {
@@ -571,9 +551,6 @@
 
     base::random_source random;
     safeguards kept;
-    std::int64_t now = 0;
-    std::uint64_t last_event = 0;
-    std::priority_queue<event> events;
     directory::configuration config;
     directory::storage_view view;
     std::vector<simulated_backend> backends;
--- a/tests/unit/tenants/quota_simulation_test.cc
+++ b/tests/unit/tenants/quota_simulation_test.cc
@@ -2,12 +2,10 @@
 // heard. A checker counts what runs in every sliding window.
 #include <algorithm>
 #include <cstdlib>
-#include <functional>
 #include <map>
-#include <queue>
-#include <tuple>
 #include <vector>
 
+#include "../event_schedule.h"
 #include "pearbarrow/base/random.h"
 #include "pearbarrow/tenants/quota_client.h"
 #include "pearbarrow/tenants/quota_ledger.h"
@@ -45,7 +43,7 @@
     return base::instant(base::microseconds(microseconds));
 }
 
-class simulation {
+class simulation : private testing::event_schedule {
   public:
     simulation(std::uint64_t seed, safeguards kept) : random(seed), kept(kept) {
         this->rate = 2 + static_cast<double>(this->random.below(200));
@@ -70,12 +68,7 @@
             this->schedule(3'000'000 + this->random.below(length_us - 4'000'000),
                            [this] { this->make_trouble(); });
         }
-        while (!this->events.empty() && this->events.top().time < length_us) {
-            const event next = this->events.top();
-            this->events.pop();
-            this->now = next.time;
-            next.act();
-        }
+        this->run_events(length_us);
     }
 
     /// Requests beyond what the rule allows, in the worst window.
@@ -105,20 +98,6 @@
     std::size_t run_count() const { return this->runs.size(); }
 
   private:
-    struct event {
-        std::int64_t time;
-        std::uint64_t number;
-        std::function<void()> act;
-        bool operator<(const event& other) const {
-            return std::tie(other.time, other.number) < std::tie(this->time, this->number);
-        }
-    };
-
-    void schedule(std::uint64_t delay_us, std::function<void()> act) {
-        this->events.push(
-            {this->now + static_cast<std::int64_t>(delay_us), ++this->last_event, std::move(act)});
-    }
-
     directory::configuration configuration() const {
         directory::configuration config;
         config.version = 1;
@@ -280,9 +259,6 @@
     safeguards kept;
     double rate = 0;
     double burst = 0;
-    std::int64_t now = 0;
-    std::uint64_t last_event = 0;
-    std::priority_queue<event> events;
     directory::storage_view view;
     std::vector<directory::storage_view> edge_views;
     std::vector<std::int64_t> paused_until;
