Logs and metrics show how a back end's response was framed and how it ended

Successful responses without a length or chunks have a log budget of their own (50 lines a second), since their claim to be whole rests on the connection alone. The event parser can tell whether it is inside an event. An event that is too long is dropped up to its empty line; its later lines are no longer taken for an event of their own.

No decision about a response has changed: the verdict is logged and not yet asked.

--- a/src/pearbarrow/forward/forward_log.cc
+++ b/src/pearbarrow/forward/forward_log.cc
@@ -7,18 +7,27 @@
 namespace pearbarrow::forward {
 
 void forward_log::routine(std::string_view event, nlohmann::json fields) {
+    write_within(routine_, options_.routine_lines_per_second, event, std::move(fields));
+}
+
+void forward_log::unannounced(std::string_view event, nlohmann::json fields) {
+    write_within(unannounced_, options_.unannounced_lines_per_second, event, std::move(fields));
+}
+
+void forward_log::write_within(line_budget& budget, std::uint32_t lines_per_second,
+                               std::string_view event, nlohmann::json fields) {
     const base::instant now = clock_.now();
-    if (now - second_started_at_ >= base::seconds{1}) {
-        second_started_at_ = now;
-        lines_ = 0;
+    if (now - budget.second_started_at >= base::seconds{1}) {
+        budget.second_started_at = now;
+        budget.lines = 0;
     }
-    if (lines_ >= options_.routine_lines_per_second) {
-        ++suppressed_lines_;
+    if (budget.lines >= lines_per_second) {
+        ++budget.suppressed_lines;
         return;
     }
-    ++lines_;
-    if (suppressed_lines_ > 0) {
-        fields["left_out"] = std::exchange(suppressed_lines_, 0);
+    ++budget.lines;
+    if (budget.suppressed_lines > 0) {
+        fields["left_out"] = std::exchange(budget.suppressed_lines, 0);
     }
     base::log(base::log_level::info, event, std::move(fields));
 }
@@ -49,6 +58,16 @@
         .increment();
 }
 
+void forward_log::count_response_end(const net::response_end& end) {
+    metrics_
+        .add_counter("pearbarrow_forward_response_ends_total",
+                     "Responses of back ends, by how they ended",
+                     {{"framing", std::string(net::to_string(end.framing))},
+                      {"connection", std::string(net::to_string(end.connection))},
+                      {"verdict", std::string(net::to_string(net::verdict_of(end)))}})
+        .increment();
+}
+
 void forward_log::count_choice(std::string_view service, std::size_t compared) {
     const base::metric_labels labels = {{"service", std::string(service)}};
     metrics_
--- a/src/pearbarrow/forward/forward_log.h
+++ b/src/pearbarrow/forward/forward_log.h
@@ -14,12 +14,16 @@
 
 #include "pearbarrow/base/clock.h"
 #include "pearbarrow/base/metrics.h"
+#include "pearbarrow/net/response_end.h"
 
 namespace pearbarrow::forward {
 
 struct log_options {
     /// Maximum log lines per second for successful requests.
     std::uint32_t routine_lines_per_second = 5;
+    /// Maximum log lines per second for successful requests whose response had neither a length nor
+    /// chunks.
+    std::uint32_t unannounced_lines_per_second = 50;
     /// Number of tenants with metrics of their own. All others share the name "other". Each tenant
     /// adds three series.
     std::size_t counted_tenants = 100;
@@ -32,6 +36,9 @@
 
     /// Writes a line about a successful request, subject to the budget.
     void routine(std::string_view event, nlohmann::json fields);
+    /// Writes a line about a successful request whose response announced no end, subject to a
+    /// budget of its own.
+    void unannounced(std::string_view event, nlohmann::json fields);
     /// Writes a line unconditionally.
     void notable(std::string_view event, nlohmann::json fields);
     /// Counts a response. `kind` is that of the route, `status` the HTTP status and `reason` the
@@ -39,6 +46,8 @@
     void count_response(std::string_view kind, int status, std::string_view reason,
                         base::microseconds took);
     void count_attempt(std::string_view result);
+    /// Counts a response by its framing, the state of its connection at its end, and the verdict.
+    void count_response_end(const net::response_end& end);
     /// Counts a selection among the back ends of the service and the number of back ends compared.
     void count_choice(std::string_view service, std::size_t compared);
     /// Counts a connection opened to a back end of the service.
@@ -55,12 +64,21 @@
     void count_turn_step(std::string_view step, std::string_view outcome, base::microseconds took);
 
   private:
+    /// Lines of one budget.
+    struct line_budget {
+        base::instant second_started_at{};
+        std::uint32_t lines = 0;
+        std::uint64_t suppressed_lines = 0;
+    };
+
+    void write_within(line_budget& budget, std::uint32_t lines_per_second, std::string_view event,
+                      nlohmann::json fields);
+
     const base::clock& clock_;
     base::metrics_registry& metrics_;
     log_options options_;
-    base::instant second_started_at_{};
-    std::uint32_t lines_ = 0;
-    std::uint64_t suppressed_lines_ = 0;
+    line_budget routine_;
+    line_budget unannounced_;
     std::set<std::string, std::less<>> counted_tenants_;
 };
 
--- a/src/pearbarrow/forward/forwarded_attempt.cc
+++ b/src/pearbarrow/forward/forwarded_attempt.cc
@@ -133,6 +133,9 @@
     buffered_bytes_.set(0);
     is_reading_paused_ = false;
     head_received_ = false;
+    carries_events_ = false;
+    response_end_ = {};
+    has_response_ended_ = false;
     is_foreign_ = false;
     is_rejection_ = false;
     net::http_call call = make_call(target_);
@@ -147,7 +150,8 @@
              [this](base::microseconds took) {
                  context_.log.count_connection(target_.service);
                  context_.pool.record_connection(target_.incarnation(), took, context_.clock.now());
-             }});
+             },
+         .on_end = [this](const net::response_end& end) { on_response_end(end); }});
     start_silence_timer();
 }
 
@@ -166,6 +170,7 @@
     call.server_incarnation = target.started_at;
     call.connect_timeout = context_.options.connect_timeout;
     call.resend_when_stale = is_repeatable();
+    call.is_inside_event = [this] { return carries_events_ && events_.is_inside_event(); };
     call.may_send = [this] { return may_go_to_target() && holds_permit(); };
     const auto caller_left =
         facts_.deadline_ms.has_value()
@@ -210,6 +215,8 @@
     status_ = status;
     headers_ = headers;
     head_received_ = true;
+    carries_events_ = carries_events(headers);
+    response_end_.framing = call_->framing();
     head_at_ = context_.clock.now();
     steps_.to_head = head_at_ - attempt_started_at_;
     context_.pool.on_response_head(target_.incarnation(), attempt_started_at_);
@@ -235,6 +242,19 @@
     }
 }
 
+bool forwarded_request::carries_events(const net::http_headers& headers) const {
+    if (!is_stream() || !is_success(status_) || headers.find("Content-Encoding").has_value()) {
+        return false;
+    }
+    const auto type = headers.find("Content-Type");
+    return !type.has_value() || net::is_event_stream(*type);
+}
+
+void forwarded_request::on_response_end(const net::response_end& end) {
+    response_end_ = end;
+    has_response_ended_ = true;
+}
+
 void forwarded_request::on_call_done(const absl::Status& status) {
     if (!status.ok()) {
         on_attempt_failed(status);
@@ -256,6 +276,13 @@
         may_have_run_ = true;
         granted_at_.reset();
     }
+    if (head_received_ && !has_response_ended_) {
+        response_end_.connection = net::connection_end::canceled;
+        response_end_.is_inside_event = carries_events_ && events_.is_inside_event();
+    }
+    if (head_received_) {
+        context_.log.count_response_end(response_end_);
+    }
     const base::instant now = context_.clock.now();
     if (!head_received_) {
         context_.pool.on_response_head(target_.incarnation(), attempt_started_at_);
@@ -326,14 +353,13 @@
         // Nothing was sent, so this does not count as an attempt. The back end stays excluded.
         --attempts_;
     }
-    context_.log.notable("attempt_broken", {{"request", facts_.request_id},
-                                            {"backend", target_.id},
-                                            {"version", target_.version.name},
-                                            {"address", net::to_string(target_.address)},
-                                            {"reason", details.reason},
-                                            {"sent", ran},
-                                            {"events", event_count_},
-                                            {"attempt", attempts_}});
+    nlohmann::json fields = {
+        {"request", facts_.request_id},    {"backend", target_.id},
+        {"version", target_.version.name}, {"address", net::to_string(target_.address)},
+        {"reason", details.reason},        {"sent", ran},
+        {"events", event_count_},          {"attempt", attempts_}};
+    add_response_end(fields);
+    context_.log.notable("attempt_broken", std::move(fields));
     if (stage_ == response_stage::streaming) {
         abort_response(details.reason);
         return;
--- a/src/pearbarrow/forward/forwarded_request.cc
+++ b/src/pearbarrow/forward/forwarded_request.cc
@@ -235,12 +235,17 @@
     if (is_stream()) {
         fields["version"] = target_.version.name;
     }
+    add_response_end(fields);
     const bool is_resumed = !facts_.resumed_stream.empty();
     if (is_resumed) {
         fields["resumes"] = facts_.resumed_stream;
     }
     if (reason == "served" && !is_late(now) && !is_resumed) {
-        context_.log.routine("request_ended", std::move(fields));
+        if (response_end_.framing == net::body_framing::until_close) {
+            context_.log.unannounced("request_ended", std::move(fields));
+        } else {
+            context_.log.routine("request_ended", std::move(fields));
+        }
         return;
     }
     fields["steps"] = to_json(steps_);
@@ -253,6 +258,17 @@
     context_.log.notable("request_ended", std::move(fields));
 }
 
+void forwarded_request::add_response_end(nlohmann::json& fields) const {
+    if (!head_received_) {
+        return;
+    }
+    fields["framing"] = net::to_string(response_end_.framing);
+    fields["connection"] = net::to_string(response_end_.connection);
+    fields["inside_event"] = response_end_.is_inside_event;
+    fields["verdict"] = net::to_string(net::verdict_of(response_end_));
+    fields["caller_framing"] = net::to_string(exchange_->framing());
+}
+
 void forwarded_request::record_event() {
     const base::instant now = context_.clock.now();
     if (event_count_ == 0) {
--- a/src/pearbarrow/forward/forwarded_request.h
+++ b/src/pearbarrow/forward/forwarded_request.h
@@ -16,9 +16,12 @@
 #include <set>
 #include <string>
 
+#include <nlohmann/json.hpp>
+
 #include "pearbarrow/forward/forward_context.h"
 #include "pearbarrow/forward/request_facts.h"
 #include "pearbarrow/forward/request_steps.h"
+#include "pearbarrow/net/response_end.h"
 #include "pearbarrow/net/server_sent_events.h"
 
 namespace pearbarrow::forward {
@@ -155,6 +158,9 @@
     void start_silence_timer();
     void on_silence();
     bool may_retry(bool ran) const;
+    void on_response_end(const net::response_end& end);
+    /// Returns whether the body of a response with these headers consists of events.
+    bool carries_events(const net::http_headers& headers) const;
 
     // Response bytes to the caller, forwarded_response.cc.
     void on_chunk(std::string_view bytes);
@@ -176,6 +182,8 @@
     void finish(int status, std::string_view reason);
     void record_event();
     void log_end(int status, std::string_view reason);
+    /// Adds how the response of the last attempt ended and why it counts as whole or broken off.
+    void add_response_end(nlohmann::json& fields) const;
     /// Returns whether the response is late. The log line of a late response is always written.
     bool is_late(base::instant now) const;
 
@@ -265,6 +273,10 @@
     /// end.
     bool was_reading_paused_ = false;
     bool head_received_ = false;
+    bool carries_events_ = false;
+    /// End of the response, and whether the connection has reported it.
+    net::response_end response_end_;
+    bool has_response_ended_ = false;
     bool is_foreign_ = false;
     bool is_rejection_ = false;
 
--- a/src/pearbarrow/net/http.h
+++ b/src/pearbarrow/net/http.h
@@ -18,6 +18,7 @@
 #include "pearbarrow/net/buffered_bytes.h"
 #include "pearbarrow/net/endpoint.h"
 #include "pearbarrow/net/event_loop.h"
+#include "pearbarrow/net/response_end.h"
 #include "pearbarrow/net/tls_files.h"
 
 namespace pearbarrow::net {
@@ -87,6 +88,8 @@
     virtual void on_progress(std::function<void()> /*callback*/) {}
     /// After a disconnect: the reason for it, e.g. `slow_reader`.
     virtual std::string lost_reason() const { return {}; }
+    /// Framing of the response sent to the client. `none` before the head has been sent.
+    virtual body_framing framing() const { return body_framing::none; }
 };
 
 using http_handler = std::function<void(std::shared_ptr<http_exchange>)>;
@@ -162,6 +165,9 @@
     /// request is not sent and the call ends with reason `withdrawn`. An empty function allows
     /// every send.
     std::function<bool()> may_send = nullptr;
+    /// Called when the framing of the response says that its body is complete. Returns whether the
+    /// body ends inside an event. An empty function stands for a body without events.
+    std::function<bool()> is_inside_event = nullptr;
 };
 
 /// Callbacks of a streamed response. Any function may be empty.
@@ -175,6 +181,8 @@
     /// Runs when a connection that was opened for the call is established, with the time since the
     /// attempt started.
     std::function<void(base::microseconds took)> on_connected = nullptr;
+    /// Runs just before `on_done` if the head of the response has arrived.
+    std::function<void(const response_end& end)> on_end = nullptr;
 };
 
 /// A call in flight. Destroying the handle or calling `cancel` closes the call without further
@@ -186,6 +194,8 @@
     /// Stops reading the response until `resume`. The idle timeout is suspended meanwhile.
     virtual void pause() {}
     virtual void resume() {}
+    /// Framing of the response body. `none` before the head has arrived.
+    virtual body_framing framing() const { return body_framing::none; }
 };
 
 /// Sends requests and keeps idle connections in a pool, for a shorter time if the `Keep-Alive`
--- a/src/pearbarrow/net/http_call_core.cc
+++ b/src/pearbarrow/net/http_call_core.cc
@@ -99,6 +99,7 @@
         return;
     }
     was_sent_ = true;
+    end_ = {};
     link_ = std::move(link);
     inbox_.clear();
     if (call_.head_timeout.count() > 0) {
@@ -146,6 +147,7 @@
                 start_response();
                 break;
             case read_progress::failed:
+                end_.connection = connection_end::malformed;
                 if (reader_->body_too_large()) {
                     fail(absl::StatusCode::kResourceExhausted, "the answer is too long", "read",
                          "body_too_large");
@@ -164,6 +166,7 @@
         return;
     }
     head_seen_ = true;
+    end_.framing = reader_->framing();
     if (call_.idle_timeout.count() > 0) {
         deadline_.set_after(call_.idle_timeout);
     } else {
@@ -178,20 +181,30 @@
     // The response is complete even if the call was paused during its last part. The next call must
     // be able to read from the connection.
     resume();
+    end_.has_announced_bytes = true;
     if (reader_->keep_alive() && inbox_.empty() && link_->is_open()) {
         core_->keep_idle({call_.server, call_.server_incarnation}, link_, reader_->idle_lifetime());
         link_ = nullptr;
     }
+    conclude();
+}
+
+void http_call_core::conclude() {
     end(absl::OkStatus());
 }
 
+body_framing http_call_core::framing() const {
+    return end_.framing;
+}
+
 void http_call_core::on_lost(const absl::Status& status) {
     if (done_) {
         return;
     }
     const bool orderly = status.code() == absl::StatusCode::kOutOfRange;
+    end_.connection = orderly ? connection_end::closed : connection_end::lost;
     if (orderly && reader_->end() == read_progress::complete) {
-        end(absl::OkStatus());
+        conclude();
         return;
     }
     if (retry_request()) {
@@ -216,6 +229,7 @@
 }
 
 void http_call_core::on_timeout() {
+    end_.connection = connection_end::timed_out;
     fail(absl::StatusCode::kDeadlineExceeded,
          head_seen_ ? "the answer stopped coming" : "no answer in time",
          reader_ == nullptr ? "connect" : "read",
@@ -236,6 +250,10 @@
     if (done_) {
         return;
     }
+    if (head_seen_ && callbacks_.on_end) {
+        end_.is_inside_event = call_.is_inside_event && call_.is_inside_event();
+        callbacks_.on_end(end_);
+    }
     const auto on_done = std::move(callbacks_.on_done);
     cancel();
     if (on_done) {
--- a/src/pearbarrow/net/http_call_core.h
+++ b/src/pearbarrow/net/http_call_core.h
@@ -86,6 +86,7 @@
     void resume();
     void on_data(std::string_view bytes) override;
     void on_lost(const absl::Status& status) override;
+    body_framing framing() const;
 
   private:
     void connect();
@@ -96,6 +97,8 @@
     void read_response();
     void on_head();
     void complete();
+    /// Ends the call after the framing or the end of the connection has ended the response.
+    void conclude();
     bool retry_request();
     void on_timeout();
     void fail(absl::StatusCode code, std::string_view message, std::string step,
@@ -115,6 +118,7 @@
     /// Whether the request was sent on any connection, including one that broke.
     bool was_sent_ = false;
     bool head_seen_ = false;
+    response_end end_;
     bool paused_ = false;
     bool done_ = false;
 };
--- a/src/pearbarrow/net/http_client.cc
+++ b/src/pearbarrow/net/http_client.cc
@@ -138,6 +138,11 @@
         }
     }
 
+    body_framing framing() const override {
+        const auto core = core_.lock();
+        return core == nullptr ? body_framing::none : core->framing();
+    }
+
   private:
     std::weak_ptr<http_call_core> core_;
 };
--- a/src/pearbarrow/net/http_codec.cc
+++ b/src/pearbarrow/net/http_codec.cc
@@ -179,6 +179,7 @@
             message.chunked(true);
             break;
         case body_framing::until_close:
+        case body_framing::none:
             break;
     }
     message.keep_alive(head.keep_alive);
--- a/src/pearbarrow/net/http_codec.h
+++ b/src/pearbarrow/net/http_codec.h
@@ -65,6 +65,8 @@
     /// Handles the end of the connection: the response is complete if its body extends to the end
     /// of the connection.
     read_progress end();
+    /// Framing of the body. Valid after `head_complete`.
+    body_framing framing() const;
     bool has_begun() const;
     bool body_too_large() const;
     std::string failure() const;
@@ -79,9 +81,6 @@
     std::unique_ptr<state> state_;
 };
 
-/// Framing of the response body.
-enum class body_framing { length, chunks, until_close };
-
 struct response_head {
     int status = 200;
     const http_headers* headers = nullptr;
--- a/src/pearbarrow/net/http_exchange.cc
+++ b/src/pearbarrow/net/http_exchange.cc
@@ -29,6 +29,7 @@
         return;
     }
     const bool bodiless = response.status == 204 || response.status == 304;
+    framing_ = is_head_ || bodiless ? body_framing::none : body_framing::length;
     std::string bytes = format_response_head({.status = response.status,
                                               .headers = &response.headers,
                                               .body_size = bodiless ? 0 : response.body.size(),
--- a/src/pearbarrow/net/http_exchange.h
+++ b/src/pearbarrow/net/http_exchange.h
@@ -27,6 +27,7 @@
     void on_closed(std::function<void()> callback) override;
     void on_progress(std::function<void()> callback) override;
     std::string lost_reason() const override { return lost_reason_; }
+    body_framing framing() const override { return framing_; }
 
     /// Called by the session when the client has disconnected.
     void on_client_closed();
@@ -46,7 +47,7 @@
     std::function<void()> on_progress_;
     std::string lost_reason_;
     stage stage_ = stage::waiting;
-    body_framing framing_ = body_framing::chunks;
+    body_framing framing_ = body_framing::none;
     bool is_head_ = false;
 };
 
--- a/src/pearbarrow/net/http_response_reader.cc
+++ b/src/pearbarrow/net/http_response_reader.cc
@@ -60,6 +60,7 @@
     error_code error;
     bool has_input = false;
     bool head_reported = false;
+    bool has_body = true;
 };
 
 http_response_reader::http_response_reader(options options) : state_(std::make_unique<state>()) {
@@ -93,6 +94,7 @@
         }
         if (parser.is_header_done() && !std::exchange(state_->head_reported, true)) {
             parser.eager(true);
+            state_->has_body = !parser.is_done();
             progress = read_progress::head_complete;
             break;
         }
@@ -109,6 +111,17 @@
     return state_->error ? read_progress::failed : read_progress::complete;
 }
 
+body_framing http_response_reader::framing() const {
+    const auto& parser = state_->parser;
+    if (!parser.is_header_done() || !state_->has_body) {
+        return body_framing::none;
+    }
+    if (parser.chunked()) {
+        return body_framing::chunks;
+    }
+    return parser.content_length().has_value() ? body_framing::length : body_framing::until_close;
+}
+
 bool http_response_reader::has_begun() const {
     return state_->has_input;
 }
--- a/src/pearbarrow/net/server_sent_events.cc
+++ b/src/pearbarrow/net/server_sent_events.cc
@@ -2,6 +2,9 @@
 
 #include <utility>
 
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+
 namespace pearbarrow::net {
 namespace {
 
@@ -33,6 +36,13 @@
     return out;
 }
 
+bool is_event_stream(std::string_view content_type) {
+    const std::string_view type = content_type.substr(0, content_type.find(';'));
+    return absl::EqualsIgnoreCase(
+        absl::StripAsciiWhitespace(absl::string_view(type.data(), type.size())),
+        "text/event-stream");
+}
+
 server_sent_event_parser::server_sent_event_parser(std::function<void(server_sent_event)> on_event)
     : on_event_(std::move(on_event)) {}
 
@@ -40,6 +50,7 @@
     while (!bytes.empty()) {
         if (after_carriage_return_ && bytes.front() == '\n') {
             bytes.remove_prefix(1);
+            uses_crlf_ = true;
         }
         after_carriage_return_ = false;
         const auto end = bytes.find_first_of("\r\n");
@@ -55,6 +66,10 @@
 }
 
 void server_sent_event_parser::keep_partial_line(std::string_view part) {
+    is_line_open_ = is_line_open_ || !part.empty();
+    if (is_dropping_) {
+        return;
+    }
     if (buffer_.size() + part.size() > max_event_bytes) {
         drop_event();
         return;
@@ -63,6 +78,15 @@
 }
 
 void server_sent_event_parser::finish_line(std::string_view line) {
+    const bool is_empty = line.empty() && !is_line_open_;
+    is_line_open_ = false;
+    if (is_empty) {
+        finish_event();
+        return;
+    }
+    if (is_dropping_) {
+        return;
+    }
     if (buffer_.empty()) {
         process_line(line);
         return;
@@ -74,19 +98,31 @@
 
 void server_sent_event_parser::drop_event() {
     overflowed_ = true;
+    is_dropping_ = true;
+    is_event_open_ = true;
     buffer_.clear();
     current_ = {};
     has_data_ = false;
 }
 
+void server_sent_event_parser::finish_event() {
+    is_event_open_ = false;
+    is_dropping_ = false;
+    server_sent_event event = std::exchange(current_, {});
+    if (std::exchange(has_data_, false)) {
+        on_event_(std::move(event));
+    }
+}
+
 void server_sent_event_parser::process_line(std::string_view line) {
-    if (line.empty()) {
-        server_sent_event event = std::exchange(current_, {});
-        if (std::exchange(has_data_, false)) {
-            on_event_(std::move(event));
-        }
-        return;
+    const bool is_comment = line.front() == ':';
+    if (!is_comment) {
+        is_event_open_ = true;
+        add_field(line);
     }
+}
+
+void server_sent_event_parser::add_field(std::string_view line) {
     const auto colon = line.find(':');
     const std::string_view name = line.substr(0, colon);
     std::string_view value = colon == std::string_view::npos ? "" : line.substr(colon + 1);
