Streams that end inside an event are framed as complete: a test that fails

The emulated back end can answer without a length or chunks, with a length, with each line end of the event format, and break a stream off after any byte: by an orderly end, by a reset, or by silence.

On the code as it is, a stream that ends in order after 1 of its 69 bytes reaches the caller as a whole one, for all three framings; a turn that was cut inside an event is stored as history. Three of four tests fail; the fourth holds that complete streams without a length stay complete.

--- a/src/pearbarrow/emulator/runner.cc
+++ b/src/pearbarrow/emulator/runner.cc
@@ -1,5 +1,6 @@
 #include "pearbarrow/emulator/runner.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <spdlog/fmt/fmt.h>
@@ -107,15 +108,55 @@
 }
 
 void runner::answer_plain(net::http_exchange& exchange) const {
-    exchange.respond({.status = 200,
-                      .headers = answer_headers(exchange.request()),
-                      .body = "answer of " + options_.id});
+    const std::string body = "answer of " + options_.id;
+    if (options_.framing != net::body_framing::until_close) {
+        exchange.respond(
+            {.status = 200, .headers = answer_headers(exchange.request()), .body = body});
+        return;
+    }
+    exchange.start_until_close(200, answer_headers(exchange.request()));
+    exchange.write(body.substr(0, cut_.has_value() ? cut_->bytes : body.size()));
+    if (cut_.has_value() && cut_->end == stream_end::reset) {
+        exchange.abort();
+    } else {
+        exchange.finish();
+    }
+}
+
+std::string runner::event_text(std::uint32_t sent) const {
+    const std::string& end = options_.line_end;
+    const std::string first = options_.first_line.empty() ? "" : options_.first_line + end;
+    return first + fmt::format("id: {1}{0}data: {2}-{1}{0}{0}", end, sent, options_.id);
+}
+
+std::string runner::stream_text() const {
+    std::string text;
+    for (std::uint32_t number = 1; number <= options_.events; ++number) {
+        text += event_text(number);
+    }
+    return text;
+}
+
+void runner::respond_with_length(net::http_exchange& exchange, net::http_headers headers) const {
+    std::string body = stream_text();
+    if (cut_.has_value()) {
+        body.resize(std::min(body.size(), cut_->bytes));
+    }
+    exchange.respond({.status = 200, .headers = std::move(headers), .body = std::move(body)});
 }
 
 void runner::start_stream(const exchange_pointer& exchange) {
     net::http_headers headers = answer_headers(exchange->request());
     headers.add("Content-Type", "text/event-stream");
-    exchange->start_stream(200, std::move(headers));
+    if (options_.framing == net::body_framing::length) {
+        respond_with_length(*exchange, std::move(headers));
+        return;
+    }
+    if (options_.framing == net::body_framing::until_close) {
+        exchange->start_until_close(200, std::move(headers));
+    } else {
+        exchange->start_stream(200, std::move(headers));
+    }
     const std::uint64_t number = ++last_stream_;
     streams_[number].exchange = exchange;
     const auto last_event = exchange->request().headers.find(last_event_header);
@@ -125,11 +166,41 @@
         loop_.after(options_.event_interval, [this, number] { send_event(number); });
 }
 
+bool runner::cut_event(std::uint64_t number, const std::string& event) {
+    open_stream& stream = streams_.at(number);
+    if (!cut_.has_value() || stream.sent_bytes + event.size() < cut_->bytes) {
+        return false;
+    }
+    stream.exchange->write(event.substr(0, cut_->bytes - stream.sent_bytes));
+    const stream_end end = cut_->end;
+    if (end == stream_end::hang) {
+        held_.push_back(stream.exchange);
+        streams_.erase(number);
+        return true;
+    }
+    // The written bytes reach the caller before a reset.
+    stream.next = loop_.after(end == stream_end::reset ? time_before_cut : base::milliseconds{0},
+                              [this, number, end] {
+                                  net::http_exchange& exchange = *streams_.at(number).exchange;
+                                  if (end == stream_end::reset) {
+                                      exchange.abort();
+                                  } else {
+                                      exchange.finish();
+                                  }
+                                  streams_.erase(number);
+                              });
+    return true;
+}
+
 void runner::send_event(std::uint64_t number) {
     open_stream& stream = streams_.at(number);
     ++stream.sent;
-    stream.exchange->write(
-        fmt::format("id: {}\ndata: {}-{}\n\n", stream.sent, options_.id, stream.sent));
+    const std::string event = event_text(stream.sent);
+    if (cut_event(number, event)) {
+        return;
+    }
+    stream.sent_bytes += event.size();
+    stream.exchange->write(event);
     if (fault_ == runner_fault::cut_stream) {
         stream.exchange->abort();
         streams_.erase(number);
--- a/src/pearbarrow/emulator/runner.h
+++ b/src/pearbarrow/emulator/runner.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -38,6 +39,22 @@
     unsigned_answer,
 };
 
+/// How a runner ends a stream that it breaks off.
+enum class stream_end {
+    /// As a whole one: by its framing, or by an orderly end of its connection.
+    finish,
+    /// By a reset of its connection.
+    reset,
+    /// It sends nothing more and keeps the connection.
+    hang,
+};
+
+/// Breaks streams off after some bytes of their body.
+struct stream_cut {
+    std::size_t bytes = 0;
+    stream_end end = stream_end::finish;
+};
+
 struct runner_options {
     std::string id = "i-1";
     std::string zone = "a";
@@ -48,6 +65,12 @@
     /// Events of a stream, and the pause before each.
     std::uint32_t events = 3;
     base::milliseconds event_interval{2};
+    /// Framing of streams and of plain answers. Plain answers have a length instead of chunks.
+    net::body_framing framing = net::body_framing::chunks;
+    /// Ends each line of a stream.
+    std::string line_end = "\n";
+    /// Line before the fields of each event, e.g. a comment or a field of another kind.
+    std::string first_line;
 };
 
 /// A request that a runner has run.
@@ -78,6 +101,12 @@
     /// The entry under `servers/ID` of a runner of `service`.
     std::string list_entry(const std::string& service, const std::string& state = "ready") const;
     void set_fault(runner_fault fault) { fault_ = fault; }
+    void set_cut(std::optional<stream_cut> cut) { cut_ = cut; }
+    void set_framing(net::body_framing framing) { options_.framing = framing; }
+    void set_line_end(std::string line_end) { options_.line_end = std::move(line_end); }
+    void set_first_line(std::string line) { options_.first_line = std::move(line); }
+    /// Body of a stream that is not broken off.
+    std::string stream_text() const;
     const std::deque<run_record>& runs() const { return runs_; }
     const std::string& id() const { return options_.id; }
     const std::string& zone() const { return options_.zone; }
@@ -92,6 +121,7 @@
     struct open_stream {
         exchange_pointer exchange;
         std::uint32_t sent = 0;
+        std::size_t sent_bytes = 0;
         std::unique_ptr<net::timer_handle> next;
     };
 
@@ -99,13 +129,19 @@
     void handle(const exchange_pointer& exchange);
     void answer_plain(net::http_exchange& exchange) const;
     void start_stream(const exchange_pointer& exchange);
+    void respond_with_length(net::http_exchange& exchange, net::http_headers headers) const;
     void send_event(std::uint64_t number);
+    /// Sends the part of the event that precedes the cut, and ends the stream there. Returns
+    /// whether the stream was cut.
+    bool cut_event(std::uint64_t number, const std::string& event);
+    std::string event_text(std::uint32_t sent) const;
     net::http_headers answer_headers(const net::http_request& request) const;
 
     net::event_loop& loop_;
     runner_options options_;
     std::unique_ptr<net::http_server> server_;
     runner_fault fault_ = runner_fault::none;
+    std::optional<stream_cut> cut_;
     std::deque<run_record> runs_;
     std::map<std::uint64_t, open_stream> streams_;
     std::vector<exchange_pointer> held_;
--- a/src/pearbarrow/net/http.h
+++ b/src/pearbarrow/net/http.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include <absl/status/status.h>
@@ -73,11 +74,15 @@
     virtual void respond(http_response response) = 0;
     /// Starts a chunked response, e.g. server-sent events.
     virtual void start_stream(int status, http_headers headers) = 0;
+    /// Starts a response without a length and without chunks. It ends with its connection.
+    virtual void start_until_close(int status, http_headers headers) {
+        start_stream(status, std::move(headers));
+    }
     /// Queues a chunk of the response.
     virtual void write(std::string chunk) = 0;
-    /// Ends a chunked response.
+    /// Ends a response that was started without its body.
     virtual void finish() = 0;
-    /// Closes the connection abruptly, so that the client detects an incomplete response.
+    /// Ends the connection so that the client detects an incomplete response.
     virtual void abort() = 0;
     /// Number of queued bytes that the kernel has not accepted yet. A large value indicates a slow
     /// reader.
--- a/src/pearbarrow/net/http_exchange.cc
+++ b/src/pearbarrow/net/http_exchange.cc
@@ -46,12 +46,22 @@
 }
 
 void session_exchange::start_stream(int status, http_headers headers) {
+    const auto session = session_.lock();
+    const bool has_chunks = session != nullptr && session->supports_chunks();
+    start(status, headers, has_chunks ? body_framing::chunks : body_framing::until_close);
+}
+
+void session_exchange::start_until_close(int status, http_headers headers) {
+    start(status, headers, body_framing::until_close);
+}
+
+void session_exchange::start(int status, const http_headers& headers, body_framing framing) {
     const auto session = session_.lock();
     if (stage_ != stage::waiting || session == nullptr) {
         return;
     }
     stage_ = stage::streaming;
-    framing_ = session->supports_chunks() ? body_framing::chunks : body_framing::until_close;
+    framing_ = framing;
     session->send(format_response_head(
         {.status = status,
          .headers = &headers,
--- a/src/pearbarrow/net/http_exchange.h
+++ b/src/pearbarrow/net/http_exchange.h
@@ -20,6 +20,7 @@
     const http_request& request() const override { return request_; }
     void respond(http_response response) override;
     void start_stream(int status, http_headers headers) override;
+    void start_until_close(int status, http_headers headers) override;
     void write(std::string chunk) override;
     void finish() override;
     void abort() override;
@@ -37,6 +38,7 @@
   private:
     enum class stage { waiting, streaming, done };
 
+    void start(int status, const http_headers& headers, body_framing framing);
     void complete();
 
     std::shared_ptr<http_server_core> core_;
--- /dev/null
+++ b/tests/unit/fleet/stream_end_test.cc
@@ -0,0 +1,94 @@
+// Tests which ends of a back end's response reach the caller as the end of a whole one.
+#include "fleet_fixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace pearbarrow;
+using namespace pearbarrow::fleet::testing;
+
+using emulator::stream_cut;
+using emulator::stream_end;
+using net::body_framing;
+
+namespace {
+
+const net::http_headers stream_headers{{"Pearbarrow-Program-Id", "program"},
+                                       {"Pearbarrow-Deadline-Ms", "2500"},
+                                       {"Pearbarrow-Token-Usage", "100,50"}};
+
+struct ready_fleet : fleet_fixture {
+    ready_fleet() : fleet_fixture(3, 1) { this->make_ready(); }
+
+    client_response stream(const net::http_headers& headers = stream_headers) {
+        return this->call(0, "/stream/x", "s" + std::to_string(++this->last_id), headers, "input");
+    }
+
+    int last_id = 0;
+};
+
+std::string name_of(const std::string& line_end) {
+    return line_end == "\n" ? "LF" : (line_end == "\r" ? "CR" : "CRLF");
+}
+
+/// Breaks the stream off after each of its bytes.
+void break_off_at_each_byte(body_framing framing, const std::string& line_end) {
+    ready_fleet fleet;
+    fleet.model->set_framing(framing);
+    fleet.model->set_line_end(line_end);
+    const std::string text = fleet.model->stream_text();
+    const std::string event_end = line_end + line_end;
+    for (std::size_t bytes = 1; bytes < text.size(); ++bytes) {
+        fleet.model->set_cut(stream_cut{bytes, stream_end::finish});
+        const auto response = fleet.stream();
+        const std::string sent = text.substr(0, bytes);
+        const bool is_between_events =
+            sent.size() >= event_end.size() &&
+            sent.compare(sent.size() - event_end.size(), event_end.size(), event_end) == 0;
+        cr_assert(response.status == 200, "%d %s", response.status, response.body.c_str());
+        cr_assert(response.whole == is_between_events, "%s, %s, %zu of %zu bytes: %s",
+                  std::string(net::to_string(framing)).c_str(), name_of(line_end).c_str(), bytes,
+                  text.size(), response.whole ? "framed as complete" : "broken off");
+    }
+}
+
+}  // namespace
+
+Test(stream_end, stream_that_ends_inside_an_event_is_not_framed_as_complete) {
+    for (const std::string line_end : {"\n", "\r", "\r\n"}) {
+        break_off_at_each_byte(body_framing::until_close, line_end);
+    }
+}
+
+Test(stream_end, framed_stream_that_ends_inside_an_event_is_not_framed_as_complete) {
+    for (const body_framing framing : {body_framing::chunks, body_framing::length}) {
+        break_off_at_each_byte(framing, "\n");
+    }
+}
+
+Test(stream_end, turn_that_ends_inside_an_event_is_not_stored) {
+    ready_fleet fleet;
+    cr_assert(fleet.turn(0, "a", "", "one").whole);
+    fleet.model->set_framing(body_framing::until_close);
+    fleet.model->set_cut(stream_cut{30, stream_end::finish});
+    cr_assert(!fleet.turn(0, "b", "a", "two").whole);
+    fleet.model->set_cut(std::nullopt);
+    cr_assert(fleet.turn(0, "c", "b", "three").status == 404);
+    cr_assert(fleet.turn(0, "d", "a", "two").whole);
+}
+
+Test(stream_end, complete_stream_without_a_length_stays_complete) {
+    for (const std::string line_end : {"\n", "\r", "\r\n"}) {
+        for (const std::string first_line : {"", ": comment", "weight-version: 3"}) {
+            ready_fleet fleet;
+            fleet.model->set_framing(body_framing::until_close);
+            fleet.model->set_line_end(line_end);
+            fleet.model->set_first_line(first_line);
+            for (int index = 0; index < 5; ++index) {
+                const auto response = fleet.stream();
+                cr_assert(response.whole && response.body == fleet.model->stream_text(), "%s",
+                          response.body.c_str());
+            }
+            cr_assert(fleet.model->runs().size() == 5);
+        }
+    }
+}
