A response that ends inside an event is broken off, whatever its framing and its connection say

Cause: http_call_core took the orderly end of a connection for the end of a response without a length, which is right for the framing (RFC 9112, section 8), and nobody asked whether an event was open. The kernel ends the connections of a process that crashes in the same orderly way. The same held for chunks and lengths that end inside an event.

Why this works: verdict_of(response_end) is the only place that decides whether a response is whole; http_call_core asks it before it reports success and before it keeps the connection. The receiver states whether its event parser is inside an event, so nothing is copied or scanned again. The call then ends with event_incomplete, and all that follows sees a broken attempt: no last chunk, no stored turn, the budget by events, the backoff of the back end, the metrics. Complete responses without a length stay complete (same tests).

--- a/src/pearbarrow/net/http_call_core.cc
+++ b/src/pearbarrow/net/http_call_core.cc
@@ -182,15 +182,25 @@
     // be able to read from the connection.
     resume();
     end_.has_announced_bytes = true;
-    if (reader_->keep_alive() && inbox_.empty() && link_->is_open()) {
+    if (is_whole() && reader_->keep_alive() && inbox_.empty() && link_->is_open()) {
         core_->keep_idle({call_.server, call_.server_incarnation}, link_, reader_->idle_lifetime());
         link_ = nullptr;
     }
     conclude();
 }
 
+bool http_call_core::is_whole() {
+    end_.is_inside_event = call_.is_inside_event && call_.is_inside_event();
+    return verdict_of(end_) == response_verdict::whole;
+}
+
 void http_call_core::conclude() {
-    end(absl::OkStatus());
+    if (is_whole()) {
+        end(absl::OkStatus());
+        return;
+    }
+    fail(absl::StatusCode::kUnavailable, "the response ended inside an event", "read",
+         to_string(verdict_of(end_)));
 }
 
 body_framing http_call_core::framing() const {
@@ -237,12 +247,12 @@
 }
 
 void http_call_core::fail(absl::StatusCode code, std::string_view message, std::string step,
-                          std::string reason) {
+                          std::string_view reason) {
     end(base::make_error(
         code, message,
         {.step = std::move(step),
          .peer = to_string(call_.server),
-         .reason = std::move(reason),
+         .reason = std::string(reason),
          .was_executed = may_have_been_sent() ? base::executed::unknown : base::executed::no}));
 }
 
--- a/src/pearbarrow/net/http_call_core.h
+++ b/src/pearbarrow/net/http_call_core.h
@@ -97,12 +97,13 @@
     void read_response();
     void on_head();
     void complete();
-    /// Ends the call after the framing or the end of the connection has ended the response.
+    /// Whether the response is whole, once its framing or its connection has ended it.
+    bool is_whole();
     void conclude();
     bool retry_request();
     void on_timeout();
     void fail(absl::StatusCode code, std::string_view message, std::string step,
-              std::string reason);
+              std::string_view reason);
     void end(const absl::Status& status);
     bool may_have_been_sent() const;
 
--- a/tests/fuzz/decoders.cc
+++ b/tests/fuzz/decoders.cc
@@ -115,6 +115,10 @@
         pieces_parser.feed(bytes.substr(at, step));
     }
     require(in_pieces == whole);
+    require(pieces_parser.is_inside_event() == whole_parser.is_inside_event());
+    // An empty line ends every event.
+    whole_parser.feed("\n\n\n");
+    require(!whole_parser.is_inside_event());
 }
 
 void feed_endpoint(std::string_view bytes) {
--- a/tests/unit/fleet/stream_end_test.cc
+++ b/tests/unit/fleet/stream_end_test.cc
@@ -92,3 +92,58 @@
         }
     }
 }
+
+Test(stream_end, stream_that_ends_inside_an_event_counts_as_a_broken_attempt) {
+    ready_fleet fleet;
+    fleet.model->set_framing(body_framing::until_close);
+    fleet.model->set_cut(stream_cut{30, stream_end::finish});
+    cr_assert(!fleet.stream().whole);
+    fleet.model->set_cut(std::nullopt);
+    const std::string metrics = fleet.edges[0]->node.parts().metrics().text();
+    cr_assert(metrics.find("pearbarrow_forward_attempts_total{result=\"broken\"} 1") !=
+              std::string::npos);
+    cr_assert(metrics.find("result=\"served\"") == std::string::npos);
+    cr_assert(metrics.find("pearbarrow_forward_response_ends_total{connection=\"closed\","
+                           "framing=\"until_close\",verdict=\"event_incomplete\"} 1") !=
+                  std::string::npos,
+              "%s", metrics.c_str());
+}
+
+Test(stream_end, stream_resumed_after_its_last_whole_event_is_complete) {
+    ready_fleet fleet;
+    fleet.model->set_framing(body_framing::until_close);
+    const std::string text = fleet.model->stream_text();
+    const std::size_t event_bytes = text.size() / 3;
+    for (std::size_t bytes = event_bytes; bytes < 2 * event_bytes; ++bytes) {
+        fleet.model->set_cut(stream_cut{bytes, stream_end::reset});
+        const auto begun = fleet.stream();
+        cr_assert(!begun.whole && begun.body == text.substr(0, bytes), "%s", begun.body.c_str());
+        fleet.model->set_cut(std::nullopt);
+        net::http_headers headers = stream_headers;
+        headers.add("Resumes", "s" + std::to_string(fleet.last_id));
+        headers.add("Last-Event-Id", "1");
+        const auto rest = fleet.stream(headers);
+        cr_assert(rest.whole);
+        cr_assert(begun.body.substr(0, event_bytes) + rest.body == text);
+    }
+}
+
+Test(stream_end, body_without_a_length_that_is_reset_is_never_a_success) {
+    ready_fleet fleet;
+    fleet.tool->set_framing(body_framing::until_close);
+    cr_assert(fleet.call(0, "/plain/x", "a").body == "answer of i-tool");
+    fleet.tool->set_cut(stream_cut{6, stream_end::reset});
+    const auto once = fleet.call(0, "/once/x", "b");
+    cr_assert(once.status == 502, "%d %s", once.status, once.body.c_str());
+    // The only back end is excluded from the second attempt.
+    const auto repeatable = fleet.call(0, "/plain/x", "c");
+    cr_assert(repeatable.status == 503, "%d %s", repeatable.status, repeatable.body.c_str());
+    auto& other = fleet.add_runner("tool", "i-other");
+    cr_assert(run_until(fleet.loop, [&] { return fleet.is_settled(); }));
+    for (int index = 0; index < 8; ++index) {
+        const auto response = fleet.call(0, "/plain/x", "d" + std::to_string(index));
+        cr_assert(response.status == 200 && response.body == "answer of i-other", "%d %s",
+                  response.status, response.body.c_str());
+    }
+    cr_assert(other.runs().size() == 8);
+}
--- a/tests/unit/net/net_fixture.h
+++ b/tests/unit/net/net_fixture.h
@@ -75,6 +75,7 @@
         for (;;) {
             const auto size = ::recv(socket_, buffer, sizeof(buffer), 0);
             if (size <= 0) {
+                was_reset = was_reset || (size < 0 && errno == ECONNRESET);
                 closed_ = closed_ || size == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
                 return;
             }
@@ -97,6 +98,7 @@
     }
 
     std::string received;
+    bool was_reset = false;
 
   private:
     int socket_;
@@ -166,6 +168,11 @@
         }
         received.clear();
     }
+    void reset_connection() {
+        const linger reset{.l_onoff = 1, .l_linger = 0};
+        ::setsockopt(socket_, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+        close_connection();
+    }
 
     std::string received;
     int accepted = 0;
--- a/tests/unit/net/small_parts_test.cc
+++ b/tests/unit/net/small_parts_test.cc
@@ -53,6 +53,54 @@
     }
 }
 
+Test(server_sent_events, bytes_that_end_inside_an_event_are_recognized) {
+    struct stream_state {
+        std::string text;
+        bool is_inside;
+    };
+    const std::vector<stream_state> states{{"", false},
+                                           {"d", true},
+                                           {"data: x", true},
+                                           {"data: x\n", true},
+                                           {"data: x\n\n", false},
+                                           {"data: x\r\r", false},
+                                           {"data: x\r", true},
+                                           {"data: x\r\n", true},
+                                           {"data: x\r\n\r", true},
+                                           {"data: x\r\n\r\n", false},
+                                           {"id: 1\n", true},
+                                           {"id: 1\n\n", false},
+                                           {": comment", true},
+                                           {": comment\n", false},
+                                           {"data: x\n: comment\n", true},
+                                           {"weight-version: 3\n", true},
+                                           {"weight-version: 3\n\n", false},
+                                           {"data: x\n\nid", true}};
+    for (const stream_state& state : states) {
+        for (std::size_t step = 1; step <= state.text.size() + 1; ++step) {
+            server_sent_event_parser parser([](const server_sent_event&) {});
+            for (std::size_t at = 0; at < state.text.size(); at += step) {
+                parser.feed(std::string_view(state.text).substr(at, step));
+            }
+            cr_assert(parser.is_inside_event() == state.is_inside, "'%s' in steps of %zu",
+                      state.text.c_str(), step);
+        }
+    }
+}
+
+Test(server_sent_events, event_that_is_too_long_is_dropped_up_to_its_empty_line) {
+    std::vector<std::string> seen;
+    server_sent_event_parser parser(
+        [&](const server_sent_event& event) { seen.push_back(event.data); });
+    parser.feed("data: " + std::string(max_event_bytes, 'x'));
+    parser.feed("y\ndata: rest\n");
+    cr_assert(parser.is_inside_event());
+    parser.feed("\ndata: next\n\n");
+    cr_assert(!parser.is_inside_event());
+    cr_assert(parser.overflowed());
+    cr_assert(seen == std::vector<std::string>{"next"});
+}
+
 Test(server_sent_events, endless_event_is_dropped) {
     int seen = 0;
     server_sent_event_parser parser([&](const server_sent_event&) { ++seen; });
