A turn with an event that is too long to be stored is broken off instead of stored without it

The event parser drops an event of over 16 MiB. On a route that keeps history, the turn was stored without it and its answer ended as a whole one; a later turn would have continued a shorter text. The parser's side has a test (event_that_is_too_long_is_dropped_up_to_its_empty_line); no stand-in sends such an event through a fleet.

--- a/src/pearbarrow/forward/forwarded_request.h
+++ b/src/pearbarrow/forward/forwarded_request.h
@@ -164,6 +164,8 @@
 
     // Response bytes to the caller, forwarded_response.cc.
     void on_chunk(std::string_view bytes);
+    /// Ends the attempt because its response cannot be passed on.
+    void break_off(std::string_view message, std::string_view reason);
     /// Buffers bytes of a response that is not forwarded yet.
     void buffer_response(std::string_view bytes);
     /// Pauses reading from the back end while the caller has too many pending bytes.
--- a/src/pearbarrow/forward/forwarded_response.cc
+++ b/src/pearbarrow/forward/forwarded_response.cc
@@ -21,22 +21,30 @@
         return;
     }
     if (is_from_other_software()) {
-        call_.reset();
-        on_attempt_failed(base::make_error(absl::StatusCode::kUnavailable,
-                                           "the back end restarted with another software version",
-                                           {.step = "read",
-                                            .peer = target_.id,
-                                            .reason = "version_changed",
-                                            .was_executed = base::executed::unknown}));
+        break_off("the back end restarted with another software version", "version_changed");
         return;
     }
     if (is_stream()) {
         events_.feed(bytes);
     }
+    if (route_.keeps_history && events_.overflowed()) {
+        // The output that would be stored lacks the event.
+        break_off("an event is too long to be stored", "event_too_long");
+        return;
+    }
     exchange_->write(std::string(bytes));
     pause_reading();
 }
 
+void forwarded_request::break_off(std::string_view message, std::string_view reason) {
+    call_.reset();
+    on_attempt_failed(base::make_error(absl::StatusCode::kUnavailable, message,
+                                       {.step = "read",
+                                        .peer = target_.id,
+                                        .reason = std::string(reason),
+                                        .was_executed = base::executed::unknown}));
+}
+
 void forwarded_request::buffer_response(std::string_view bytes) {
     if (is_rejection_) {
         // The body of a rejection is discarded.
