Callers without chunks can tell an answer that was broken off: its connection is reset

What callers see: to a caller that does not support chunks (HTTP/1.0), the end of the connection is the end of the answer. abort() closed the connection as finish() did, and so did the end of the server, so a broken answer looked complete.

While such a response is open, SO_LINGER makes every end of its connection a reset, also that of a process that is killed; a response that is finished disables it once its last byte is with the kernel. Bytes that the caller has not received by a reset are lost: it resumes after its last event.

A stream that is broken off first writes what is queued (abort_after_writes), for every framing: a framed stream that stops inside an event would otherwise lose the events that arrived with its end. Slow readers are still cut off at once.

response_end_tests: the two abort tests and the one of a server that ends fail on the code before.

--- a/src/pearbarrow/forward/forwarded_request.cc
+++ b/src/pearbarrow/forward/forwarded_request.cc
@@ -159,7 +159,7 @@
     if (facts_.turn.has_value()) {
         settle(spent_tokens());
     }
-    exchange_->abort();
+    exchange_->abort_after_writes();
     finish(0, reason);
 }
 
--- a/src/pearbarrow/net/connection.cc
+++ b/src/pearbarrow/net/connection.cc
@@ -70,6 +70,9 @@
 
 connection::~connection() {
     set_pending(0);
+    // The destructor of the socket would disable a reset.
+    error_code ignored;
+    socket_.close(ignored);
 }
 
 void connection::set_pending(std::size_t bytes) {
@@ -282,7 +285,9 @@
         return;
     }
     if (queue_.empty()) {
-        if (closing_) {
+        if (closing_ && resets_after_writes_) {
+            close();
+        } else if (closing_) {
             end_gracefully();
         }
         return;
@@ -354,7 +359,19 @@
     schedule_flush();
 }
 
+void connection::reset_after_writes() {
+    resets_after_writes_ = true;
+    set_reset_on_close(true);
+    close_after_writes();
+}
+
+void connection::set_reset_on_close(bool is_enabled) {
+    error_code ignored;
+    socket_.set_option(boost::asio::socket_base::linger(is_enabled, 0), ignored);
+}
+
 void connection::end_gracefully() {
+    set_reset_on_close(false);
     // Received bytes are read and discarded: closing a socket with unread bytes would make the
     // kernel discard the last response.
     lingering_ = true;
--- a/src/pearbarrow/net/connection.h
+++ b/src/pearbarrow/net/connection.h
@@ -94,6 +94,12 @@
     /// Detaches the user, and closes the connection once the queue is written and the peer has
     /// acknowledged the end.
     void close_after_writes();
+    /// Detaches the user, and resets the connection once the queue is written. The peer may lose
+    /// bytes that it has not received by then.
+    void reset_after_writes();
+    /// From now on, every end of the connection other than `close_after_writes` is a reset,
+    /// including the end of this process.
+    void enable_reset_on_close() { set_reset_on_close(true); }
     bool is_open() const { return open_ && !closing_; }
     /// Address of the peer.
     std::string peer() const { return peer_; }
@@ -117,6 +123,7 @@
     void flush();
     void on_written(const error_code& error, std::size_t size);
     void merge_small_writes();
+    void set_reset_on_close(bool is_enabled);
     void end_gracefully();
     void close_with_error(const absl::Status& status);
     void release_user();
@@ -144,6 +151,7 @@
     bool open_ = true;
     bool closing_ = false;
     bool lingering_ = false;
+    bool resets_after_writes_ = false;
     bool paused_ = false;
     bool reading_ = false;
     bool writing_ = false;
--- a/src/pearbarrow/net/http.h
+++ b/src/pearbarrow/net/http.h
@@ -82,8 +82,11 @@
     virtual void write(std::string chunk) = 0;
     /// Ends a response that was started without its body.
     virtual void finish() = 0;
-    /// Ends the connection so that the client detects an incomplete response.
+    /// Ends the connection at once, so that the client detects an incomplete response: the last
+    /// chunk or a part of the announced length is missing, or the connection is reset.
     virtual void abort() = 0;
+    /// Writes the queued bytes and then ends the connection as `abort` does.
+    virtual void abort_after_writes() { abort(); }
     /// Number of queued bytes that the kernel has not accepted yet. A large value indicates a slow
     /// reader.
     virtual std::size_t pending_bytes() const = 0;
--- a/src/pearbarrow/net/http_exchange.cc
+++ b/src/pearbarrow/net/http_exchange.cc
@@ -62,6 +62,10 @@
     }
     stage_ = stage::streaming;
     framing_ = framing;
+    // An orderly end of the connection would mark the response as whole.
+    if (framing_ == body_framing::until_close) {
+        session->enable_reset_on_close();
+    }
     session->send(format_response_head(
         {.status = status,
          .headers = &headers,
@@ -104,6 +108,18 @@
     on_client_closed();
 }
 
+void session_exchange::abort_after_writes() {
+    const auto session = session_.lock();
+    if (stage_ == stage::done) {
+        return;
+    }
+    on_closed_ = nullptr;
+    if (session != nullptr) {
+        session->abort_after_writes(framing_);
+    }
+    on_client_closed();
+}
+
 std::size_t session_exchange::pending_bytes() const {
     const auto session = session_.lock();
     return session == nullptr || stage_ == stage::done ? 0 : session->pending_bytes();
--- a/src/pearbarrow/net/http_exchange.h
+++ b/src/pearbarrow/net/http_exchange.h
@@ -24,6 +24,7 @@
     void write(std::string chunk) override;
     void finish() override;
     void abort() override;
+    void abort_after_writes() override;
     std::size_t pending_bytes() const override;
     void on_closed(std::function<void()> callback) override;
     void on_progress(std::function<void()> callback) override;
--- a/src/pearbarrow/net/http_session.cc
+++ b/src/pearbarrow/net/http_session.cc
@@ -214,6 +214,16 @@
     }
 }
 
+void http_session::abort_after_writes(body_framing framing) {
+    exchange_.reset();
+    unregister();
+    if (framing == body_framing::until_close) {
+        link_->reset_after_writes();
+    } else {
+        link_->close_after_writes();
+    }
+}
+
 void http_session::release_received() {
     core_->receiving_bytes -= std::exchange(received_bytes_, 0);
     buffered_request_.set(0);
--- a/src/pearbarrow/net/http_session.h
+++ b/src/pearbarrow/net/http_session.h
@@ -53,6 +53,9 @@
     // Interface of the current exchange.
     void send(std::string bytes) { link_->write(std::move(bytes)); }
     void on_response_complete();
+    void enable_reset_on_close() { link_->enable_reset_on_close(); }
+    /// Closes the session once the queued bytes of an incomplete response are written.
+    void abort_after_writes(body_framing framing);
     std::size_t pending_bytes() const { return link_->pending_bytes(); }
     bool keeps_alive() const;
     bool supports_chunks() const { return supports_chunks_; }
--- a/tests/unit/fleet/stream_end_test.cc
+++ b/tests/unit/fleet/stream_end_test.cc
@@ -147,3 +147,24 @@
     }
     cr_assert(other.runs().size() == 8);
 }
+
+Test(stream_end, caller_without_chunks_can_tell_a_stream_that_was_broken_off) {
+    ready_fleet fleet;
+    for (const stream_end end : {stream_end::finish, stream_end::reset}) {
+        for (const std::size_t bytes : {std::size_t{30}, fleet.model->stream_text().size()}) {
+            const bool is_cut = bytes == 30;
+            fleet.model->set_framing(body_framing::until_close);
+            fleet.model->set_cut(is_cut ? std::optional(stream_cut{bytes, end}) : std::nullopt);
+            net::testing::raw_client caller(
+                pearbarrow::fleet::to_endpoint(fleet.edge_settings[0].caller));
+            caller.send(
+                "POST /stream/x HTTP/1.0\r\nHost: shop.example\r\nPearbarrow-Request-Id: r" +
+                std::to_string(++fleet.last_id) +
+                "\r\nPearbarrow-Token-Usage: 100,50\r\nContent-Length: 1\r\n\r\nx");
+            cr_assert(run_until(fleet.loop, [&] { return caller.closed(); }));
+            cr_assert(caller.received.find("id: 1") != std::string::npos, "%s",
+                      caller.received.c_str());
+            cr_assert(caller.was_reset == is_cut);
+        }
+    }
+}
--- a/tests/unit/net/response_end_test.cc
+++ b/tests/unit/net/response_end_test.cc
@@ -97,6 +97,34 @@
     return is_inside_event ? response_verdict::event_incomplete : response_verdict::whole;
 }
 
+/// A server that starts a response, and ends it as `then` says.
+struct serving {
+    explicit serving(std::string request) {
+        this->server = serve(this->loop, [this](std::shared_ptr<http_exchange> exchange) {
+            this->exchange = std::move(exchange);
+            this->exchange->start_stream(200, {});
+            this->exchange->write("first");
+        });
+        this->client.emplace(this->server->local_endpoint());
+        this->client->send(request);
+        cr_assert(run_until(this->loop, [this] { return this->client->has("first"); }));
+    }
+    void wait_for_end() {
+        cr_assert(run_until(this->loop, [this] { return this->client->closed(); }));
+    }
+    bool has_last_chunk() const {
+        return this->client->received.find("\r\n0\r\n\r\n") != std::string::npos;
+    }
+
+    event_loop loop;
+    std::shared_ptr<http_exchange> exchange;
+    std::unique_ptr<http_server> server;
+    std::optional<raw_client> client;
+};
+
+constexpr char without_chunks[] = "GET / HTTP/1.0\r\n\r\n";
+constexpr char with_chunks[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+
 }  // namespace
 
 Test(response_end, framing_and_connection_decide_whether_a_response_is_whole) {
@@ -215,3 +243,52 @@
         cr_assert(end->connection == (is_alerted ? connection_end::closed : connection_end::lost));
     }
 }
+
+Test(response_end, response_without_chunks_that_is_aborted_ends_with_a_reset) {
+    for (const bool after_writes : {false, true}) {
+        serving aborted(without_chunks);
+        if (after_writes) {
+            aborted.exchange->write("last");
+            aborted.exchange->abort_after_writes();
+        } else {
+            aborted.exchange->abort();
+        }
+        aborted.wait_for_end();
+        cr_assert(aborted.client->was_reset);
+        cr_assert(aborted.client->has("last") == after_writes);
+    }
+}
+
+Test(response_end, response_without_chunks_is_reset_when_its_server_ends) {
+    serving stopped(without_chunks);
+    stopped.server.reset();
+    stopped.wait_for_end();
+    cr_assert(stopped.client->was_reset);
+}
+
+Test(response_end, response_without_chunks_that_is_finished_ends_in_order) {
+    serving finished(without_chunks);
+    finished.exchange->write("last");
+    finished.exchange->finish();
+    finished.wait_for_end();
+    cr_assert(!finished.client->was_reset);
+    cr_assert(finished.client->has("last"));
+}
+
+Test(response_end, chunked_response_that_is_aborted_after_writes_lacks_its_last_chunk_only) {
+    serving aborted(with_chunks);
+    aborted.exchange->write("last");
+    aborted.exchange->abort_after_writes();
+    aborted.wait_for_end();
+    cr_assert(aborted.client->has("last"));
+    cr_assert(!aborted.has_last_chunk());
+    cr_assert(aborted.server->open_exchanges() == 0);
+}
+
+Test(response_end, finished_connection_with_unread_bytes_of_the_client_is_not_reset) {
+    serving finished(without_chunks);
+    finished.client->send("surplus");
+    finished.exchange->finish();
+    finished.wait_for_end();
+    cr_assert(!finished.client->was_reset);
+}
