A stream that ends after a comment line, without its empty line, is broken off

The grammar of the format (WHATWG HTML, section 9.2.5) ends comments like fields with an empty line; heartbeats of our own emulated engine do so.

--- a/src/pearbarrow/net/server_sent_events.cc
+++ b/src/pearbarrow/net/server_sent_events.cc
@@ -115,9 +115,9 @@
 }
 
 void server_sent_event_parser::process_line(std::string_view line) {
+    is_event_open_ = true;
     const bool is_comment = line.front() == ':';
     if (!is_comment) {
-        is_event_open_ = true;
         add_field(line);
     }
 }
--- a/src/pearbarrow/net/server_sent_events.h
+++ b/src/pearbarrow/net/server_sent_events.h
@@ -30,8 +30,8 @@
     void feed(std::string_view bytes);
     /// Whether an event or a line longer than `max_event_bytes` was dropped.
     bool overflowed() const { return overflowed_; }
-    /// Whether the bytes received so far end inside an event: in a line, after a line other than a
-    /// comment but before the empty line that ends the event, or in the middle of a CRLF.
+    /// Whether the bytes received so far end inside an event: in a line, after a field or comment
+    /// line but before the empty line that ends the event, or in the middle of a CRLF.
     bool is_inside_event() const {
         return is_line_open_ || is_event_open_ || (after_carriage_return_ && uses_crlf_);
     }
@@ -50,7 +50,7 @@
     bool has_data_ = false;
     /// Whether bytes have arrived since the last line end.
     bool is_line_open_ = false;
-    /// Whether a line other than a comment has arrived since the last empty line.
+    /// Whether a line has arrived since the last empty line.
     bool is_event_open_ = false;
     /// Whether the current event is too long. Its remaining lines are ignored.
     bool is_dropping_ = false;
