A caller with a long queue is cut off at once when its response is broken off

abort_after_writes would otherwise keep the connection of a slow reader past its deadline, for as long as it reads a little. 64 KiB of queued bytes are the limit. Found by reading the fix; the slow reader tests of forward pass before and after.

--- a/src/pearbarrow/forward/forwarded_request.cc
+++ b/src/pearbarrow/forward/forwarded_request.cc
@@ -12,6 +12,9 @@
 namespace pearbarrow::forward {
 namespace {
 
+/// A caller with more queued bytes reads slowly and is cut off when its response is broken off.
+constexpr std::size_t max_pending_bytes_at_abort = std::size_t{64} * 1024;
+
 std::string seconds_text(base::milliseconds time) {
     return fmt::format("{:.3f}", static_cast<double>(time.count()) / 1000.0);
 }
@@ -159,7 +162,11 @@
     if (facts_.turn.has_value()) {
         settle(spent_tokens());
     }
-    exchange_->abort_after_writes();
+    if (exchange_->pending_bytes() > max_pending_bytes_at_abort) {
+        exchange_->abort();
+    } else {
+        exchange_->abort_after_writes();
+    }
     finish(0, reason);
 }
 
