The stream soak breaks streams off at any byte, with any framing and line end

Back ends change between chunks, a length and neither, and between the line ends of the event format; streams end after any of their bytes: in order, by a reset, or in silence, in series with the faults that the soak had. A stream that is framed as complete must end between two events and hold the last one, unless its back end stopped between two events and ended in order, which nothing can tell.

--- a/src/pearbarrow/emulator/runner.cc
+++ b/src/pearbarrow/emulator/runner.cc
@@ -137,14 +137,26 @@
     return text;
 }
 
-void runner::respond_with_length(net::http_exchange& exchange, net::http_headers headers) const {
-    std::string body = stream_text();
+void runner::respond_with_length(net::http_exchange& exchange, net::http_headers headers) {
+    std::string body;
+    for (std::uint32_t number = first_event(exchange.request()); number <= options_.events;
+         ++number) {
+        if (cut_.has_value() && cut_->bytes == body.size()) {
+            runs_.back().was_cut_between_events = true;
+        }
+        body += event_text(number);
+    }
     if (cut_.has_value()) {
         body.resize(std::min(body.size(), cut_->bytes));
     }
     exchange.respond({.status = 200, .headers = std::move(headers), .body = std::move(body)});
 }
 
+std::uint32_t runner::first_event(const net::http_request& request) {
+    const auto last = request.headers.find(last_event_header);
+    return last.has_value() ? static_cast<std::uint32_t>(std::stoul(*last)) + 1 : 1;
+}
+
 void runner::start_stream(const exchange_pointer& exchange) {
     net::http_headers headers = answer_headers(exchange->request());
     headers.add("Content-Type", "text/event-stream");
@@ -159,20 +171,28 @@
     }
     const std::uint64_t number = ++last_stream_;
     streams_[number].exchange = exchange;
-    const auto last_event = exchange->request().headers.find(last_event_header);
-    streams_[number].sent =
-        last_event.has_value() ? static_cast<std::uint32_t>(std::stoul(*last_event)) : 0;
+    streams_[number].run = runs_.size() - 1;
+    streams_[number].sent = first_event(exchange->request()) - 1;
+    if (streams_[number].sent >= options_.events) {
+        exchange->finish();
+        streams_.erase(number);
+        return;
+    }
     streams_[number].next =
         loop_.after(options_.event_interval, [this, number] { send_event(number); });
 }
 
 bool runner::cut_event(std::uint64_t number, const std::string& event) {
     open_stream& stream = streams_.at(number);
-    if (!cut_.has_value() || stream.sent_bytes + event.size() < cut_->bytes) {
+    const bool is_cut_here = cut_.has_value() && cut_->bytes > stream.sent_bytes &&
+                             cut_->bytes <= stream.sent_bytes + event.size();
+    if (!is_cut_here) {
         return false;
     }
-    stream.exchange->write(event.substr(0, cut_->bytes - stream.sent_bytes));
+    const std::size_t part = cut_->bytes - stream.sent_bytes;
+    stream.exchange->write(event.substr(0, part));
     const stream_end end = cut_->end;
+    runs_[stream.run].was_cut_between_events = part == event.size() && end == stream_end::finish;
     if (end == stream_end::hang) {
         held_.push_back(stream.exchange);
         streams_.erase(number);
--- a/src/pearbarrow/emulator/runner.h
+++ b/src/pearbarrow/emulator/runner.h
@@ -84,6 +84,8 @@
     /// All that the runner was told.
     net::http_headers headers;
     bool cancelled = false;
+    /// Whether its stream was cut after a whole event and ended as a whole one.
+    bool was_cut_between_events = false;
 };
 
 class runner {
@@ -120,6 +122,8 @@
     using exchange_pointer = std::shared_ptr<net::http_exchange>;
     struct open_stream {
         exchange_pointer exchange;
+        /// Index in `runs_`.
+        std::size_t run = 0;
         std::uint32_t sent = 0;
         std::size_t sent_bytes = 0;
         std::unique_ptr<net::timer_handle> next;
@@ -129,12 +133,13 @@
     void handle(const exchange_pointer& exchange);
     void answer_plain(net::http_exchange& exchange) const;
     void start_stream(const exchange_pointer& exchange);
-    void respond_with_length(net::http_exchange& exchange, net::http_headers headers) const;
+    void respond_with_length(net::http_exchange& exchange, net::http_headers headers);
     void send_event(std::uint64_t number);
     /// Sends the part of the event that precedes the cut, and ends the stream there. Returns
     /// whether the stream was cut.
     bool cut_event(std::uint64_t number, const std::string& event);
     std::string event_text(std::uint32_t sent) const;
+    static std::uint32_t first_event(const net::http_request& request);
     net::http_headers answer_headers(const net::http_request& request) const;
 
     net::event_loop& loop_;
--- a/tests/unit/fleet/stream_soak_test.cc
+++ b/tests/unit/fleet/stream_soak_test.cc
@@ -31,14 +31,25 @@
 /// Number of resumed streams from which on the share that goes on is judged.
 constexpr int min_judged_streams = 12;
 
-/// Returns the id of the last whole event of a stream, or 0.
-std::uint64_t last_event_of(const std::string& body) {
+/// What a caller has of a stream.
+struct received_events {
+    /// Id of the last whole event, or 0.
     std::uint64_t last = 0;
-    net::server_sent_event_parser parser([&last](const net::server_sent_event& event) {
-        last = std::strtoull(event.id.c_str(), nullptr, 10);
+    bool is_inside_event = false;
+};
+
+received_events events_of(const std::string& body) {
+    received_events events;
+    net::server_sent_event_parser parser([&events](const net::server_sent_event& event) {
+        events.last = std::strtoull(event.id.c_str(), nullptr, 10);
     });
     parser.feed(body);
-    return last;
+    events.is_inside_event = parser.is_inside_event();
+    return events;
+}
+
+std::uint64_t last_event_of(const std::string& body) {
+    return events_of(body).last;
 }
 
 /// One stream over all attempts of its caller.
@@ -101,12 +112,13 @@
     }
 
     void log_counts(std::uint64_t seed) const {
-        cr_log_info("seed %lu: %d faults, %d streams, %d resumed, %d went on, %d refused", seed,
-                    faults, streams, resumptions, continued, refused);
+        cr_log_info("seed %lu: %d faults, %d streams, %d whole, %d resumed, %d went on, %d refused",
+                    seed, faults, streams, whole, resumptions, continued, refused);
     }
 
     int faults = 0;
     int streams = 0;
+    int whole = 0;
     int resumptions = 0;
     int continued = 0;
     int refused = 0;
@@ -182,6 +194,9 @@
         }
         cr_assert(response.status != 409, "stream %s is unknown", stream.id.c_str());
         const bool is_whole = response.status == 200 && response.whole;
+        if (is_whole) {
+            check_whole(stream, response.body);
+        }
         if (is_whole || stream.attempts == max_attempts) {
             return true;
         }
@@ -189,6 +204,30 @@
         return false;
     }
 
+    /// A back end that stops between two events of a response without a length looks like one that
+    /// has finished.
+    void check_whole(const soak_stream& stream, const std::string& body) {
+        ++whole;
+        cr_assert(!events_of(body).is_inside_event,
+                  "attempt %s ended inside an event and was framed as complete: %s",
+                  stream.open_attempt.c_str(), body.c_str());
+        const bool has_last_event = stream.last_event == emulator::runner_options().events;
+        cr_assert(has_last_event || was_cut_between_events(stream.open_attempt),
+                  "attempt %s lacks events and was framed as complete: %s",
+                  stream.open_attempt.c_str(), body.c_str());
+    }
+
+    bool was_cut_between_events(const std::string& attempt) const {
+        for (const emulator::runner& runner : fleet_.runners) {
+            for (const emulator::run_record& run : runner.runs()) {
+                if (run.request_id == attempt && run.was_cut_between_events) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
     std::set<std::string> versions_of(const std::string& attempt) const {
         std::set<std::string> versions;
         for (const emulator::runner& runner : fleet_.runners) {
@@ -213,7 +252,7 @@
 
     void inject_fault() {
         ++faults;
-        switch (random_.below(14)) {
+        switch (random_.below(18)) {
             case 0:
                 restart_edge();
                 return;
@@ -242,6 +281,14 @@
             case 8:
                 stop_edge();
                 return;
+            case 10:
+            case 11:
+                change_framing(random_model());
+                return;
+            case 12:
+            case 13:
+                break_streams_off(random_model());
+                return;
             case 9:
                 fleet_.configure(++config_version_, 2'000 + 500 * random_.below(3));
                 return;
@@ -254,6 +301,29 @@
 
     emulator::runner& random_model() { return *models_[random_.below(models_.size())]; }
 
+    void change_framing(emulator::runner& model) {
+        const std::vector<net::body_framing> framings{
+            net::body_framing::chunks, net::body_framing::length, net::body_framing::until_close};
+        const std::vector<std::string> line_ends{"\n", "\r", "\r\n"};
+        const std::vector<std::string> first_lines{"", ": comment", "weight-version: 3"};
+        model.set_framing(framings[random_.below(framings.size())]);
+        model.set_line_end(line_ends[random_.below(line_ends.size())]);
+        model.set_first_line(first_lines[random_.below(first_lines.size())]);
+    }
+
+    /// Streams of the back end end after some of their bytes, until the next change.
+    void break_streams_off(emulator::runner& model) {
+        const std::vector<emulator::stream_end> ends{
+            emulator::stream_end::finish, emulator::stream_end::finish, emulator::stream_end::reset,
+            emulator::stream_end::hang};
+        if (random_.chance(0.4)) {
+            model.set_cut(std::nullopt);
+            return;
+        }
+        model.set_cut(emulator::stream_cut{.bytes = 1 + random_.below(model.stream_text().size()),
+                                           .end = ends[random_.below(ends.size())]});
+    }
+
     void restart_edge() {
         const std::size_t edge = random_.below(fleet_.edges.size());
         stopping_.erase(edge);
@@ -329,6 +399,9 @@
     void clear_faults() {
         fleet_.store.set_trouble(metadata_store::trouble::none);
         set_faults(runner_fault::none);
+        for (emulator::runner& runner : fleet_.runners) {
+            runner.set_cut(std::nullopt);
+        }
         cr_assert(run_until(fleet_.loop, [this] { return stopping_.empty(); }));
         for (const std::string version : {"v1", "v1", "v2", "v2"}) {
             add_model(version);
