--- a/src/pearbarrow/operator/trace.cc
+++ b/src/pearbarrow/operator/trace.cc
@@ -127,6 +127,45 @@
     return costliest;
 }
 
+namespace {
+
+std::string_view reason_of(std::string_view verdict, std::string_view framing) {
+    if (verdict == "event_incomplete") {
+        return "it ended inside an event";
+    }
+    const bool is_whole = verdict == "whole";
+    if (framing == "until_close") {
+        return is_whole ? "its connection ended in order" : "its connection did not end in order";
+    }
+    if (!is_whole) {
+        return "bytes that it announced are missing";
+    }
+    if (framing == "none") {
+        return "it has no body";
+    }
+    return framing == "chunks" ? "its last chunk arrived" : "its whole length arrived";
+}
+
+}  // namespace
+
+std::optional<std::string> response_end_text(const request_trace& trace) {
+    const auto last = std::find_if(
+        trace.lines.rbegin(), trace.lines.rend(),
+        [](const trace_line& line) { return line.of_request && line.fields.contains("verdict"); });
+    if (last == trace.lines.rend()) {
+        return std::nullopt;
+    }
+    const auto field = [&last](const char* name) {
+        const auto found = last->fields.find(name);
+        return found != last->fields.end() && found->is_string() ? found->get<std::string>() : "";
+    };
+    const std::string verdict = field("verdict");
+    const std::string framing = field("framing");
+    return fmt::format("response of {}: framing {}, connection {}: {}, because {}",
+                       field("backend"), framing, field("connection"), verdict,
+                       reason_of(verdict, framing));
+}
+
 std::string trace_text(const request_trace& trace) {
     std::string out;
     for (std::size_t index = 0; index < trace.lines.size(); ++index) {
@@ -141,6 +180,9 @@
         }
         out.push_back('\n');
     }
+    if (const auto end = response_end_text(trace); end.has_value()) {
+        out += "   " + *end + "\n";
+    }
     if (const auto step = find_costliest_step(trace); step.has_value()) {
         out += fmt::format("   costliest step: {}, {} of {} ms\n", step->name, step->milliseconds,
                            step->of_milliseconds);
--- a/src/pearbarrow/operator/trace.h
+++ b/src/pearbarrow/operator/trace.h
@@ -58,6 +58,10 @@
 /// None when the request's end was not logged with its steps.
 std::optional<costliest_step> find_costliest_step(const request_trace& trace);
 
+/// Returns how the last response of a back end was framed, how its connection ended, and why it
+/// counts as whole or broken off. None if no back end has sent the head of a response.
+std::optional<std::string> response_end_text(const request_trace& trace);
+
 /// The trace for a person, one line each; the deciding one begins with "=>". The costliest step
 /// stands last.
 std::string trace_text(const request_trace& trace);
--- a/tests/unit/operator/trace_test.cc
+++ b/tests/unit/operator/trace_test.cc
@@ -104,3 +104,40 @@
         cr_assert((text.find("request=\"r2\"") != std::string::npos) == (request == "r1"));
     }
 }
+
+Test(trace, explains_why_a_response_counts_as_whole_or_broken_off) {
+    struct explained_end {
+        const char* fields;
+        const char* text;
+    };
+    const explained_end ends[] = {
+        {R"("framing":"until_close","connection":"closed","verdict":"event_incomplete")",
+         "framing until_close, connection closed: event_incomplete, because it ended inside an "
+         "event"},
+        {R"("framing":"until_close","connection":"closed","verdict":"whole")",
+         "whole, because its connection ended in order"},
+        {R"("framing":"until_close","connection":"lost","verdict":"body_incomplete")",
+         "body_incomplete, because its connection did not end in order"},
+        {R"("framing":"length","connection":"closed","verdict":"body_incomplete")",
+         "body_incomplete, because bytes that it announced are missing"},
+        {R"("framing":"length","connection":"open","verdict":"whole")",
+         "whole, because its whole length arrived"},
+        {R"("framing":"chunks","connection":"open","verdict":"whole")",
+         "whole, because its last chunk arrived"},
+        {R"("framing":"none","connection":"open","verdict":"whole")",
+         "whole, because it has no body"}};
+    for (const explained_end& end : ends) {
+        trace_collector collector("r1");
+        collector.add_line(line("05.3", "edge-1",
+                                std::string(R"("event":"request_ended","request":"r1",)"
+                                            R"("backend":"b1",)") +
+                                    end.fields));
+        const std::string text = trace_text(collector.finish());
+        cr_assert(text.find("response of b1: ") != std::string::npos, "%s", text.c_str());
+        cr_assert(text.find(end.text) != std::string::npos, "%s", text.c_str());
+    }
+    trace_collector without("r1");
+    without.add_line(
+        line("05.3", "edge-1", R"("event":"request_ended","request":"r1","verdict":7)"));
+    cr_assert(response_end_text(without.finish()).has_value());
+}
