Tests of responses whose process is killed, on both sides

A killed back end's connection ends in order (the client's verdict rests on the open event); a killed server resets the connection of a response without chunks.

--- a/tests/unit/net/response_end_test.cc
+++ b/tests/unit/net/response_end_test.cc
@@ -1,7 +1,10 @@
 // Tests which responses count as whole: framing against the end of the connection, on both sides.
 #include "pearbarrow/net/response_end.h"
 
-#include <filesystem>
+#include <signal.h>
+#include <sys/wait.h>
+
+#include <functional>
 #include <optional>
 #include <vector>
 
@@ -122,6 +125,30 @@
     std::optional<raw_client> client;
 };
 
+/// Another process, which is killed at the end.
+class child_process {
+  public:
+    explicit child_process(const std::function<void()>& work) : id_(::fork()) {
+        if (id_ == 0) {
+            work();
+            ::_exit(0);
+        }
+    }
+    child_process(const child_process&) = delete;
+    child_process& operator=(const child_process&) = delete;
+    ~child_process() { kill(); }
+
+    void kill() {
+        if (id_ > 0) {
+            ::kill(id_, SIGKILL);
+            ::waitpid(std::exchange(id_, 0), nullptr, 0);
+        }
+    }
+
+  private:
+    pid_t id_;
+};
+
 constexpr char without_chunks[] = "GET / HTTP/1.0\r\n\r\n";
 constexpr char with_chunks[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
 
@@ -292,3 +319,60 @@
     finished.wait_for_end();
     cr_assert(!finished.client->was_reset);
 }
+
+Test(response_end, response_of_a_killed_process_that_ends_inside_an_event_is_broken_off) {
+    for (const bool is_inside_event : {true, false}) {
+        raw_server server;
+        child_process sender([&server] {
+            while (!server.has("\r\n\r\n")) {
+                ::usleep(1'000);
+            }
+            server.send("HTTP/1.1 200 OK\r\n\r\ndata: x");
+            ::pause();
+        });
+        event_loop loop;
+        const auto client = make_http_client(loop);
+        std::string received;
+        std::optional<absl::Status> status;
+        std::optional<response_end> end;
+        http_call call = get(server.local_endpoint());
+        call.is_inside_event = [is_inside_event] { return is_inside_event; };
+        const auto handle = client->start(
+            std::move(call), {.on_chunk = [&](std::string_view part) { received.append(part); },
+                              .on_done = [&](const absl::Status& done) { status = done; },
+                              .on_end = [&](const response_end& seen) { end = seen; }});
+        cr_assert(run_until(loop, [&] { return received == "data: x"; }));
+        sender.kill();
+        cr_assert(run_until(loop, [&] { return status.has_value(); }));
+        // The kernel ends the connections of a killed process in order.
+        cr_assert(end->connection == connection_end::closed);
+        cr_assert(status->ok() == !is_inside_event, "%s", status->ToString().c_str());
+    }
+}
+
+Test(response_end, response_without_chunks_is_reset_when_its_process_is_killed) {
+    int port_pipe[2];
+    cr_assert(::pipe(port_pipe) == 0);
+    child_process responder([&port_pipe] {
+        event_loop loop;
+        std::shared_ptr<http_exchange> open;
+        const auto server = serve(loop, [&open](std::shared_ptr<http_exchange> exchange) {
+            open = std::move(exchange);
+            open->start_stream(200, {});
+            open->write("first");
+        });
+        const std::uint16_t port = server->local_endpoint().port;
+        if (::write(port_pipe[1], &port, sizeof(port)) == sizeof(port)) {
+            loop.run();
+        }
+    });
+    std::uint16_t port = 0;
+    cr_assert(::read(port_pipe[0], &port, sizeof(port)) == sizeof(port));
+    raw_client client({"127.0.0.1", port});
+    client.send(without_chunks);
+    event_loop loop;
+    cr_assert(run_until(loop, [&] { return client.has("first"); }));
+    responder.kill();
+    cr_assert(run_until(loop, [&] { return client.closed(); }));
+    cr_assert(client.was_reset);
+}
