Cut turns at many bytes, the chain of later turns, and the framing in the fuzzing of responses

A turn that is cut inside an event is stored at none of the bytes; a later turn continues the whole ones only. The fuzzed response reader ends at the end of its connection only without a length and without chunks.

--- a/tests/fuzz/decoders.cc
+++ b/tests/fuzz/decoders.cc
@@ -72,20 +72,19 @@
     MSGPACK_DEFINE(ballot, parts, labels, flag, score);
 };
 
+/// Returns the last progress.
 template <typename Reader>
-void feed_reader(Reader& reader, std::string_view bytes, std::size_t step) {
+net::read_progress feed_reader(Reader& reader, std::string_view bytes, std::size_t step) {
     std::string buffer;
-    while (!bytes.empty()) {
+    net::read_progress progress = net::read_progress::need_more;
+    while (!bytes.empty() && progress == net::read_progress::need_more) {
         buffer.append(bytes.substr(0, step));
         bytes.remove_prefix(std::min(step, bytes.size()));
-        net::read_progress progress = net::read_progress::need_more;
         do {
             progress = reader.feed(buffer);
         } while (progress == net::read_progress::head_complete);
-        if (progress != net::read_progress::need_more) {
-            return;
-        }
     }
+    return progress;
 }
 
 }  // namespace
@@ -165,8 +164,14 @@
     net::http_response_reader reader(
         {.max_body_bytes = max_body_bytes,
          .on_body = [&](std::string_view part) { body_size += part.size(); }});
-    feed_reader(reader, bytes, step);
-    static_cast<void>(reader.end());
+    const net::read_progress progress = feed_reader(reader, bytes, step);
+    if (progress == net::read_progress::complete) {
+        require(reader.framing() != net::body_framing::until_close);
+    }
+    const bool is_whole_at_end = reader.end() == net::read_progress::complete;
+    if (progress == net::read_progress::need_more && is_whole_at_end) {
+        require(reader.framing() == net::body_framing::until_close);
+    }
     static_cast<void>(reader.headers());
     require(body_size <= max_body_bytes);
 }
--- a/tests/unit/fleet/stream_end_test.cc
+++ b/tests/unit/fleet/stream_end_test.cc
@@ -69,11 +69,24 @@
     ready_fleet fleet;
     cr_assert(fleet.turn(0, "a", "", "one").whole);
     fleet.model->set_framing(body_framing::until_close);
-    fleet.model->set_cut(stream_cut{30, stream_end::finish});
-    cr_assert(!fleet.turn(0, "b", "a", "two").whole);
-    fleet.model->set_cut(std::nullopt);
-    cr_assert(fleet.turn(0, "c", "b", "three").status == 404);
+    const std::string text = fleet.model->stream_text();
+    const std::size_t event_bytes = text.size() / 3;
+    for (std::size_t bytes = 1; bytes < text.size(); bytes += 5) {
+        if (bytes % event_bytes == 0) {
+            continue;
+        }
+        const std::string number = std::to_string(bytes);
+        fleet.model->set_cut(stream_cut{bytes, stream_end::finish});
+        cr_assert(!fleet.turn(0, "b" + number, "a", "two").whole);
+        fleet.model->set_cut(std::nullopt);
+        cr_assert(fleet.turn(0, "c" + number, "b" + number, "three").status == 404);
+    }
     cr_assert(fleet.turn(0, "d", "a", "two").whole);
+    // The back end gets each input of the chain and the data of each event of its output.
+    cr_assert(fleet.turn(0, "e", "d", "three").whole);
+    const std::string output = "i-model-1\ni-model-2\ni-model-3\n";
+    cr_assert(fleet.model->runs().back().body == "one" + output + "two" + output + "three", "%s",
+              fleet.model->runs().back().body.c_str());
 }
 
 Test(stream_end, complete_stream_without_a_length_stays_complete) {
