Process tests reserve the ports of their nodes

A node did not start: "node-2.toml:12: listen.operator: has the same address as listen.caller".

Cause: free_tcp_port() drew a port, closed its probe and returned, so nothing kept the port from being drawn again before a node listened on it. Two draws out of 20,000 were equal within one settings file. free_udp_port() had the same gap: the kernel could give its port away again.

Fix: a bound socket that never listens holds each port until the test process ends. Later calls and other test processes fail to bind it and draw again; the nodes' listeners, which allow address reuse, still get it. UDP ports are reserved through the TCP port of the same number.

No check and no bound is changed. test_docs drew again by itself on equal ports; that loop goes.

--- a/tests/process/fleet.py
+++ b/tests/process/fleet.py
@@ -1,7 +1,7 @@
 """Starts, stops and pauses real pearbarrow processes on loopback, for tests and the quickstart.
 
-Every process listens on a port that the kernel chooses and prints it as a JSON line; every file
-lies in one temporary folder. Processes are ended by their own pid only.
+Every process listens on a port that is reserved here or chosen by the kernel, and prints it as a
+JSON line; every file lies in one temporary folder. Processes are ended by their own pid only.
 """
 
 import collections
@@ -22,6 +22,10 @@
 START_SECONDS = 30
 STOP_SECONDS = 20
 LOG_TAIL_LINES = 40
+FIRST_PORT = 10_000
+END_PORT = 30_000
+
+port_holders = []
 
 
 class FleetError(Exception):
@@ -357,20 +361,10 @@
 
 
 def free_udp_port():
-    """A port that the kernel chose, for a node that others must know before it starts."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
-def free_tcp_port():
-    """A free port below those that the kernel gives to outgoing connections.
-
-    A node that starts again needs the same port, so no connection may take it meanwhile.
-    """
+    """A reserved port for a node that others must know before it starts."""
     while True:
-        port = random.randrange(10_000, 30_000)
-        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+        port = free_tcp_port()
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
             try:
                 probe.bind(("127.0.0.1", port))
                 return port
@@ -378,6 +372,27 @@
                 continue
 
 
+def free_tcp_port():
+    """A reserved port below those that the kernel gives to outgoing connections.
+
+    A node that starts again needs the same port, so no connection may take it meanwhile. A socket
+    that never listens holds it until this process ends: neither a later call nor another test
+    process gets it. A node can still listen on it, since its listeners allow address reuse.
+    """
+    while True:
+        port = random.randrange(FIRST_PORT, END_PORT)
+        holder = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            holder.bind(("127.0.0.1", port))
+        except OSError:
+            holder.close()
+            continue
+        # Set after bind(): a port that another process has bound is not shared.
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        port_holders.append(holder)
+        return port
+
+
 def key_digest(key):
     return hashlib.sha256(key.encode()).hexdigest()
 
--- a/tests/process/test_docs.py
+++ b/tests/process/test_docs.py
@@ -34,10 +34,8 @@
         return ADDRESS.sub(lambda match: f"127.0.0.1:{self.port(match[1])}", text)
 
     def port(self, example):
-        while example not in self.ports:
-            port = fleet.free_tcp_port()
-            if port not in self.ports.values():
-                self.ports[example] = port
+        if example not in self.ports:
+            self.ports[example] = fleet.free_udp_port()
         return self.ports[example]
 
 
