Logs identify the content of a request over the ids of its tries

attempt_broken and the request_ended of a request that lost an attempt state a fingerprint of the request's content (tenant, program, session, previous turn, host, method, target, body). Callers give each try another id, so nothing in the logs linked the tries of one request, and the hypotheses about repeated requests could not be told apart. No decision changes.

--- a/scripts/check_includes.py
+++ b/scripts/check_includes.py
@@ -9,7 +9,7 @@
 FOLDERS = [
     "base", "settings", "config", "wire", "net", "platform", "membership", "journal", "program",
     "placement", "backend", "gateway", "operator", "node", "directory", "places", "dispatch", "turns", "tenants",
-    "slowstart", "forward",
+    "slowstart", "suspects", "forward",
     "fleet", "emulator", "bench",
 ]
 # `settings` and `config` are plain data and may name endpoints; `emulator` and `bench` may use all.
--- a/src/pearbarrow/forward/forwarded_attempt.cc
+++ b/src/pearbarrow/forward/forwarded_attempt.cc
@@ -357,7 +357,8 @@
         {"request", facts_.request_id},    {"backend", target_.id},
         {"version", target_.version.name}, {"address", net::to_string(target_.address)},
         {"reason", details.reason},        {"sent", ran},
-        {"events", event_count_},          {"attempt", attempts_}};
+        {"events", event_count_},          {"attempt", attempts_},
+        {"fingerprint", fingerprint().digest}};
     add_response_end(fields);
     context_.log.notable("attempt_broken", std::move(fields));
     if (stage_ == response_stage::streaming) {
--- a/src/pearbarrow/forward/forwarded_request.cc
+++ b/src/pearbarrow/forward/forwarded_request.cc
@@ -242,6 +242,9 @@
     if (is_stream()) {
         fields["version"] = target_.version.name;
     }
+    if (fingerprint_.has_value()) {
+        fields["fingerprint"] = fingerprint_->digest;
+    }
     add_response_end(fields);
     const bool is_resumed = !facts_.resumed_stream.empty();
     if (is_resumed) {
--- a/src/pearbarrow/forward/forwarded_request.h
+++ b/src/pearbarrow/forward/forwarded_request.h
@@ -23,6 +23,7 @@
 #include "pearbarrow/forward/request_steps.h"
 #include "pearbarrow/net/response_end.h"
 #include "pearbarrow/net/server_sent_events.h"
+#include "pearbarrow/suspects/request_fingerprint.h"
 
 namespace pearbarrow::forward {
 
@@ -131,6 +132,10 @@
     std::optional<directory::software_version> required_version() const;
     choice_request placement_request() const;
 
+    // Requests under which back ends have ended, forwarded_suspect.cc.
+    /// Returns the fingerprint, which is computed once.
+    const suspects::request_fingerprint& fingerprint();
+
     // Attempts at back ends, forwarded_attempt.cc.
     /// Checks conditions that may have changed while the request waited, then selects a back end.
     void send();
@@ -264,6 +269,8 @@
     std::uint32_t attempts_ = 0;
     bool attempt_open_ = false;
 
+    std::optional<suspects::request_fingerprint> fingerprint_;
+
     /// Response of the current attempt. `is_rejection_`: reported by the back end as not executed.
     int status_ = 0;
     net::http_headers headers_;
