--- a/src/pearbarrow/emulator/runner.cc
+++ b/src/pearbarrow/emulator/runner.cc
@@ -33,7 +33,19 @@
 }
 
 absl::Status runner::start_again(std::uint64_t born) {
-    const net::endpoint same = address();
+    crash();
+    options_.born = born;
+    server_ = make_server(address_);
+    return server_->start();
+}
+
+void runner::crash() {
+    crash_timer_.reset();
+    end_streams();
+    server_.reset();
+}
+
+void runner::end_streams() {
     for (auto& [number, stream] : streams_) {
         stream.exchange->abort();
     }
@@ -42,14 +54,27 @@
         exchange->abort();
     }
     held_.clear();
-    server_.reset();
-    options_.born = born;
-    server_ = make_server(same);
-    return server_->start();
+}
+
+bool runner::is_lethal(const net::http_request& request) const {
+    return lethal_.has_value() && (request.body.find(lethal_->marker) != std::string::npos ||
+                                   request.target.find(lethal_->marker) != std::string::npos);
+}
+
+/// The server cannot be destroyed inside one of its callbacks.
+void runner::crash_soon() {
+    if (crash_timer_ == nullptr) {
+        crash_timer_ = loop_.after(time_before_cut, [this] {
+            ++lethal_crashes_;
+            crash();
+        });
+    }
 }
 
 absl::Status runner::start() {
-    return server_->start();
+    const absl::Status status = server_->start();
+    address_ = server_->local_endpoint();
+    return status;
 }
 
 std::string runner::list_entry(const std::string& service, const std::string& state) const {
@@ -96,7 +121,11 @@
                      .version = options_.version,
                      .headers = request.headers});
     exchange->on_closed([this, index = runs_.size() - 1] { runs_[index].cancelled = true; });
-    if (fault_ == runner_fault::lose_answer) {
+    const bool is_plain = !request.headers.find(usage_header).has_value();
+    if (is_lethal(request) && (is_plain || lethal_->moment == crash_moment::queued)) {
+        held_.push_back(exchange);
+        crash_soon();
+    } else if (fault_ == runner_fault::lose_answer) {
         exchange->abort();
     } else if (fault_ == runner_fault::hang) {
         held_.push_back(exchange);
@@ -178,10 +207,30 @@
         streams_.erase(number);
         return;
     }
+    if (has_reached_crash(streams_[number])) {
+        crash_soon();
+        return;
+    }
     streams_[number].next =
         loop_.after(options_.event_interval, [this, number] { send_event(number); });
 }
 
+bool runner::has_reached_crash(const open_stream& stream) const {
+    if (!is_lethal(stream.exchange->request())) {
+        return false;
+    }
+    switch (lethal_->moment) {
+        case crash_moment::queued:
+        case crash_moment::after_head:
+            return true;
+        case crash_moment::after_first_event:
+            return stream.sent >= 1;
+        case crash_moment::after_last_event:
+            return stream.sent >= options_.events;
+    }
+    return true;
+}
+
 bool runner::cut_event(std::uint64_t number, const std::string& event) {
     open_stream& stream = streams_.at(number);
     const bool is_cut_here = cut_.has_value() && cut_->bytes > stream.sent_bytes &&
@@ -233,6 +282,10 @@
         });
         return;
     }
+    if (has_reached_crash(stream)) {
+        crash_soon();
+        return;
+    }
     if (stream.sent == options_.events) {
         stream.exchange->finish();
         streams_.erase(number);
--- a/src/pearbarrow/emulator/runner.h
+++ b/src/pearbarrow/emulator/runner.h
@@ -55,6 +55,24 @@
     stream_end end = stream_end::finish;
 };
 
+/// When a request ends the process of the runner that has it.
+enum class crash_moment {
+    /// While the request is queued, before it has run.
+    queued,
+    /// After the head of its response.
+    after_head,
+    /// After the first event of its stream.
+    after_first_event,
+    /// After its last event, before the stream is framed as complete.
+    after_last_event,
+};
+
+/// Requests whose target or body contains `marker` end the process.
+struct lethal_requests {
+    std::string marker;
+    crash_moment moment = crash_moment::after_head;
+};
+
 struct runner_options {
     std::string id = "i-1";
     std::string zone = "a";
@@ -99,7 +117,14 @@
     /// Ends as a crash does, and starts again under the same id and address; `runs` are kept, as
     /// the test's record.
     absl::Status start_again(std::uint64_t born);
-    net::endpoint address() const { return server_->local_endpoint(); }
+    net::endpoint address() const { return address_; }
+    /// Ends as a crash does, with all its connections. Nothing listens at the address until
+    /// `start_again`.
+    void crash();
+    bool is_running() const { return server_ != nullptr; }
+    /// Number of crashes that a request has caused.
+    std::uint32_t lethal_crashes() const { return lethal_crashes_; }
+    void set_lethal(std::optional<lethal_requests> lethal) { lethal_ = std::move(lethal); }
     /// The entry under `servers/ID` of a runner of `service`.
     std::string list_entry(const std::string& service, const std::string& state = "ready") const;
     void set_fault(runner_fault fault) { fault_ = fault; }
@@ -131,6 +156,12 @@
 
     std::unique_ptr<net::http_server> make_server(const net::endpoint& listen);
     void handle(const exchange_pointer& exchange);
+    void end_streams();
+    bool is_lethal(const net::http_request& request) const;
+    /// Schedules the crash that a request causes.
+    void crash_soon();
+    /// Returns whether the stream has reached the moment at which its request ends the process.
+    bool has_reached_crash(const open_stream& stream) const;
     void answer_plain(net::http_exchange& exchange) const;
     void start_stream(const exchange_pointer& exchange);
     void respond_with_length(net::http_exchange& exchange, net::http_headers headers);
@@ -145,6 +176,10 @@
     net::event_loop& loop_;
     runner_options options_;
     std::unique_ptr<net::http_server> server_;
+    net::endpoint address_;
+    std::optional<lethal_requests> lethal_;
+    std::unique_ptr<net::timer_handle> crash_timer_;
+    std::uint32_t lethal_crashes_ = 0;
     runner_fault fault_ = runner_fault::none;
     std::optional<stream_cut> cut_;
     std::deque<run_record> runs_;
