A GET that is sent again on a new connection counts as sent

Callers saw: one GET, whose route allows two attempts, was run by nine back ends and ended all of them within 180 ms; the caller got a 503 that says executed: no.

Cause (hypothesis 2): a GET on a kept connection that breaks is sent again on a new connection. If that one is refused, since the process has ended, or does not come up in time, the call reported executed: no, although the first connection had carried the request. The edge took the attempt back (--attempts_) and went on to the next back end, without end.

Now a call that may have been sent on any connection never reports executed: no. The edge counts the attempt, and a caller gets 502 instead of a promise that does not hold.

--- a/src/pearbarrow/net/http_call_core.cc
+++ b/src/pearbarrow/net/http_call_core.cc
@@ -57,7 +57,7 @@
                 return;
             }
             if (!status.ok()) {
-                self->end(status);
+                self->fail_to_connect(status);
                 return;
             }
             if (self->callbacks_.on_connected) {
@@ -230,12 +230,22 @@
     if (!was_idle_ || reader_->has_begun() || call_.method != "GET" || !call_.resend_when_stale) {
         return false;
     }
+    may_have_run_before_ = may_have_run_before_ || may_have_been_sent();
     connect();
     return true;
 }
 
+void http_call_core::fail_to_connect(const absl::Status& status) {
+    base::error_details details = base::details_of(status);
+    if (may_have_run_before_) {
+        details.was_executed = base::executed::unknown;
+    }
+    end(base::make_error(status.code(), std::string(status.message()), std::move(details)));
+}
+
 bool http_call_core::may_have_been_sent() const {
-    return link_ != nullptr && reader_ != nullptr && link_->may_have_sent(request_position_);
+    return may_have_run_before_ ||
+           (link_ != nullptr && reader_ != nullptr && link_->may_have_sent(request_position_));
 }
 
 void http_call_core::on_timeout() {
--- a/src/pearbarrow/net/http_call_core.h
+++ b/src/pearbarrow/net/http_call_core.h
@@ -106,6 +106,8 @@
               std::string_view reason);
     void end(const absl::Status& status);
     bool may_have_been_sent() const;
+    /// Ends the call because no connection could be opened.
+    void fail_to_connect(const absl::Status& status);
 
     std::shared_ptr<http_client_core> core_;
     http_call call_;
@@ -118,6 +120,8 @@
     bool was_idle_ = false;
     /// Whether the request was sent on any connection, including one that broke.
     bool was_sent_ = false;
+    /// Whether a connection that broke before the request was sent again may have carried it.
+    bool may_have_run_before_ = false;
     bool head_seen_ = false;
     response_end end_;
     bool paused_ = false;
--- a/tests/unit/net/http_client_test.cc
+++ b/tests/unit/net/http_client_test.cc
@@ -287,3 +287,30 @@
     call_incarnation(2);
     cr_assert(server.accepted == 2);
 }
+
+Test(http_client, get_refused_after_its_kept_connection_was_lost_may_have_been_executed) {
+    event_loop loop;
+    const auto client = make_http_client(loop);
+    auto server = std::make_unique<raw_server>();
+    const endpoint address = server->local_endpoint();
+    std::vector<absl::Status> results;
+    const auto send_get = [&](std::string target) {
+        http_call call = get(address);
+        call.target = std::move(target);
+        client->fetch(std::move(call), [&](const absl::StatusOr<http_response>& response) {
+            results.push_back(response.status());
+        });
+    };
+    send_get("/first");
+    cr_assert(run_until(loop, [&] { return server->has("/first"); }));
+    server->send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    cr_assert(run_until(loop, [&] { return results.size() == 1; }));
+    cr_assert(results[0].ok());
+    send_get("/second");
+    cr_assert(run_until(loop, [&] { return server->has("/second"); }));
+    cr_assert(server->accepted == 1, "the connection was not kept");
+    server.reset();
+    cr_assert(run_until(loop, [&] { return results.size() == 2; }));
+    cr_assert(base::details_of(results[1]).reason == "connect_failed");
+    cr_assert(base::details_of(results[1]).was_executed == base::executed::unknown);
+}
