--- a/src/pearbarrow/fleet/edge_node.cc
+++ b/src/pearbarrow/fleet/edge_node.cc
@@ -87,6 +87,10 @@
       quotas_(loop, clock, members_, {}),
       permit_client_(loop, clock, members_, slowstart::permit_client_options()),
       permits_(loop, clock, parts_.random(), permit_client_),
+      end_monitor_(loop, clock, parts_.metrics(), parts_.suspects(),
+                   {.node = settings.node.value()}),
+      isolation_(clock, end_monitor_.table(),
+                 [this](const std::string& service) { return pool_.open_backends(service); }),
       context_{.loop = loop,
                .clock = clock,
                .random = parts_.random(),
@@ -105,6 +109,8 @@
                    },
                .zone_rules = &zone_rules_,
                .permits = &permits_,
+               .suspects = &end_monitor_,
+               .isolation = &isolation_,
                .traffic = forward::backend_traffic(distances_from(settings)),
                .buffered = parts_.buffered()},
       service_(context_) {
@@ -174,6 +180,7 @@
         has_backends_ = true;
         cold_.apply(changed.step, parts_.clock().now());
         pool_.apply(changed.step, parts_.clock().now());
+        end_monitor_.apply(changed.step);
     }
     if (changed.storage) {
         relay_.set_view(*known.storage);
--- a/src/pearbarrow/fleet/edge_node.h
+++ b/src/pearbarrow/fleet/edge_node.h
@@ -12,6 +12,8 @@
 #include "pearbarrow/places/zone_rules.h"
 #include "pearbarrow/slowstart/cold_table.h"
 #include "pearbarrow/slowstart/start_quota.h"
+#include "pearbarrow/suspects/end_monitor.h"
+#include "pearbarrow/suspects/isolation_plans.h"
 #include "pearbarrow/turns/call_relay.h"
 #include "pearbarrow/turns/relaying_caller.h"
 
@@ -62,6 +64,8 @@
     tenants::quota_client quotas_;
     tenants::quota_client permit_client_;
     slowstart::start_quota permits_;
+    suspects::end_monitor end_monitor_;
+    suspects::isolation_plans isolation_;
     forward::forward_context context_;
     forward::forward_service service_;
     std::unique_ptr<net::http_server> callers_;
--- a/src/pearbarrow/fleet/node_parts.cc
+++ b/src/pearbarrow/fleet/node_parts.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "pearbarrow/base/log.h"
 #include "pearbarrow/fleet/traffic_names.h"
 
 namespace pearbarrow::fleet {
@@ -47,6 +48,12 @@
     return options;
 }
 
+suspects::suspect_exchange_options suspect_options(const settings::fleet_settings& settings) {
+    return {.self = to_endpoint(settings.peer),
+            .table = {.max_ends = settings.suspects.max_ends,
+                      .block_time = settings.suspects.block_time}};
+}
+
 }  // namespace
 
 net::endpoint to_endpoint(const settings::ip_endpoint& value) {
@@ -69,12 +76,15 @@
               count_changes(changed);
               on_change(changed);
           })),
+      suspects_(std::make_unique<suspects::suspect_exchange>(loop, *rpc_, clock, *exchange_,
+                                                             suspect_options(settings))),
       work_log_(loop, metrics_, *rpc_,
                 settings.role == settings::fleet_role::edge ? "edge" : "storage") {
     gauges_.add([this](auto&) {
         gauges_.collect_directory(*exchange_);
         gauges_.collect_traffic(*rpc_);
         gauges_.collect_buffered_bytes(*buffered_);
+        collect_suspects();
     });
 }
 
@@ -102,7 +112,31 @@
     }
 }
 
+void node_parts::collect_suspects() {
+    const suspects::suspect_table& table = suspects_->table();
+    metrics_
+        .add_gauge("pearbarrow_suspects",
+                   "Requests under which back ends have ended, as known here")
+        .set(static_cast<double>(table.size()));
+    metrics_
+        .add_gauge("pearbarrow_suspects_blocked",
+                   "Requests that are refused since back ends ended under them")
+        .set(static_cast<double>(table.blocked_count(clock_.now())));
+}
+
+void node_parts::release_requests() {
+    for (const std::string& digest : settings_.suspects.released) {
+        if (suspects_->excuse(digest)) {
+            base::log(base::log_level::warning, "suspect_excused",
+                      {{"fingerprint", digest}, {"reason", "released"}});
+            suspects_->report({digest}, nullptr);
+        }
+    }
+}
+
 void node_parts::apply_settings(const settings::fleet_settings& next) {
+    settings_.suspects.released = next.suspects.released;
+    release_requests();
     settings_.seeds = next.seeds;
     settings_.directory_service = next.directory_service;
     for (const settings::ip_endpoint& seed : next.seeds) {
@@ -115,6 +149,7 @@
         return status;
     }
     exchange_->start();
+    suspects_->start();
     if (!settings_.metrics.has_value()) {
         return absl::OkStatus();
     }
--- a/src/pearbarrow/fleet/node_parts.h
+++ b/src/pearbarrow/fleet/node_parts.h
@@ -17,6 +17,7 @@
 #include "pearbarrow/net/http.h"
 #include "pearbarrow/net/peer_rpc.h"
 #include "pearbarrow/settings/fleet_settings.h"
+#include "pearbarrow/suspects/suspect_exchange.h"
 
 namespace pearbarrow::fleet {
 
@@ -46,10 +47,14 @@
     /// Returns the account of the bytes that the node buffers for callers, back ends and peers.
     const std::shared_ptr<net::buffered_bytes>& buffered() const { return buffered_; }
     directory::directory_exchange& directory() { return *exchange_; }
+    suspects::suspect_exchange& suspects() { return *suspects_; }
     const settings::fleet_settings& settings() const { return settings_; }
 
   private:
     void count_changes(const directory::directory_state::changes& changed);
+    void collect_suspects();
+    /// Lets requests pass again that an operator has released.
+    void release_requests();
 
     net::event_loop& loop_;
     const base::clock& clock_;
@@ -60,6 +65,7 @@
     std::shared_ptr<net::buffered_bytes> buffered_;
     std::unique_ptr<net::peer_rpc> rpc_;
     std::unique_ptr<directory::directory_exchange> exchange_;
+    std::unique_ptr<suspects::suspect_exchange> suspects_;
     std::unique_ptr<net::http_server> metrics_server_;
     work_log work_log_;
 };
--- a/src/pearbarrow/fleet/settings_reload.cc
+++ b/src/pearbarrow/fleet/settings_reload.cc
@@ -28,6 +28,12 @@
     add_if(difference.applied, current.seeds != next.seeds, "seeds");
     add_if(difference.applied, current.directory_service != next.directory_service,
            "directory_service");
+    add_if(difference.applied, current.suspects.released != next.suspects.released,
+           "suspects.released");
+    add_if(difference.need_restart, current.suspects.max_ends != next.suspects.max_ends,
+           "suspects.max_ends");
+    add_if(difference.need_restart, current.suspects.block_time != next.suspects.block_time,
+           "suspects.block_time_ms");
     add_if(difference.need_restart, current.role != next.role, "role");
     add_if(difference.need_restart, current.node != next.node, "node");
     add_if(difference.need_restart, current.zone != next.zone, "zone");
@@ -72,6 +78,7 @@
               {{"taken", difference.applied}, {"need_restart", difference.need_restart}});
     this->current.seeds = next.settings.seeds;
     this->current.directory_service = next.settings.directory_service;
+    this->current.suspects.released = next.settings.suspects.released;
     if (!difference.applied.empty()) {
         this->apply(this->current);
     }
--- a/src/pearbarrow/forward/backend_pool.cc
+++ b/src/pearbarrow/forward/backend_pool.cc
@@ -337,4 +337,19 @@
     return found == services_.end() ? 0 : found->second.listed_count();
 }
 
+std::vector<std::string> backend_pool::open_backends(const std::string& service) const {
+    std::vector<std::string> ids;
+    for (const auto& [id, entry] : entries_) {
+        if (entry.backend.service == service && entry.listed && !entry.backend.draining) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+bool backend_pool::is_leaving(const directory::backend_incarnation& incarnation) const {
+    const auto found = entries_.find(incarnation.id);
+    return found == entries_.end() || !found->second.listed || found->second.backend.draining;
+}
+
 }  // namespace pearbarrow::forward
--- a/src/pearbarrow/forward/backend_pool.h
+++ b/src/pearbarrow/forward/backend_pool.h
@@ -72,6 +72,10 @@
     /// Back ends to which this request was already sent, by id: a back end that restarted just
     /// after the request broke there is the least likely to serve it in time.
     std::set<std::string> excluded;
+    /// Back ends that are selected only if no other one is eligible, by id.
+    std::set<std::string> avoided = {};
+    /// Back end that is selected if it is eligible and not deferred; empty if there is none.
+    std::string assigned_backend = {};
     /// Zones and regions to which the request may go.
     places::region_limits region_limits;
     /// Cold back ends that rejected a permit for this request. If not empty, a cold back end is
@@ -185,6 +189,10 @@
     /// Returns the aggregate load of the back ends of the service that accept requests.
     service_load load_of(std::string_view service, base::instant now) const;
     std::size_t backend_count(std::string_view service) const;
+    /// Returns the ids of the listed back ends of the service that are not draining, sorted.
+    std::vector<std::string> open_backends(const std::string& service) const;
+    /// Returns whether the back end has announced its end, or has left the list.
+    bool is_leaving(const directory::backend_incarnation& incarnation) const;
     /// Returns why the zone rules exclude the back ends of the service, or of one version of it.
     /// Returns `permitted` if at least one is permitted or there is none.
     places::zone_verdict placement_verdict_of(
@@ -282,6 +290,9 @@
     void visit_previous(const choice_request& request, candidate_collector& collector) const;
     void visit_connected(const choice_request& request, const service_backends& service,
                          candidate_collector& collector) const;
+    void visit_assigned(const choice_request& request, candidate_collector& collector) const;
+    /// Selects the assigned back end of the request if it is among the candidates.
+    static void select_assigned(const choice_request& request, ranked_candidates& ranked);
     bool has_many(const service_backends& service) const;
     /// Returns whether an open connection to the back end is assumed to be idle.
     bool is_connected(const pool_entry& entry, base::instant now) const;
--- a/src/pearbarrow/forward/choice_policy.h
+++ b/src/pearbarrow/forward/choice_policy.h
@@ -78,6 +78,8 @@
     least_load,
     /// The back end has the lowest cost.
     least_cost,
+    /// The back end is the one that the request is assigned to.
+    assigned,
 };
 
 /// Cost of a request at a back end, in microseconds.
--- a/src/pearbarrow/forward/forward_context.h
+++ b/src/pearbarrow/forward/forward_context.h
@@ -17,6 +17,8 @@
 #include "pearbarrow/net/http.h"
 #include "pearbarrow/places/zone_rules.h"
 #include "pearbarrow/slowstart/start_permit.h"
+#include "pearbarrow/suspects/end_monitor.h"
+#include "pearbarrow/suspects/isolation_plans.h"
 #include "pearbarrow/tenants/quota_client.h"
 #include "pearbarrow/tenants/tenant_table.h"
 #include "pearbarrow/turns/turn_client.h"
@@ -65,6 +67,10 @@
     const places::zone_rules* zone_rules = nullptr;
     /// Source of permits for cold back ends. If null, requests are sent without permits.
     slowstart::permit_source* permits = nullptr;
+    /// Finds ends of back ends under requests. If null, no request is suspected.
+    suspects::end_monitor* suspects = nullptr;
+    /// Reserves back ends for suspects. If null, suspects are placed like other requests.
+    suspects::isolation_plans* isolation = nullptr;
     backend_traffic traffic = backend_traffic();
     /// Accounting of buffered bytes. If null, buffers are unbounded.
     std::shared_ptr<net::buffered_bytes> buffered = nullptr;
--- a/src/pearbarrow/forward/forward_log.cc
+++ b/src/pearbarrow/forward/forward_log.cc
@@ -101,16 +101,27 @@
         .increment();
 }
 
-void forward_log::count_quota(std::string_view tenant, std::string_view verdict) {
+std::string forward_log::counted_name(std::string_view tenant) {
     if (counted_tenants_.size() < options_.counted_tenants) {
         counted_tenants_.emplace(tenant);
     }
     const bool is_counted = counted_tenants_.find(tenant) != counted_tenants_.end();
+    return is_counted ? std::string(tenant) : "other";
+}
+
+void forward_log::count_blocked(std::string_view tenant) {
+    metrics_
+        .add_counter("pearbarrow_suspects_refused_total",
+                     "Requests refused since back ends ended under them",
+                     {{"tenant", counted_name(tenant)}})
+        .increment();
+}
+
+void forward_log::count_quota(std::string_view tenant, std::string_view verdict) {
     metrics_
         .add_counter("pearbarrow_tenant_quota_total",
                      "Questions whether a tenant's limit holds one more request, by their end",
-                     {{"tenant", is_counted ? std::string(tenant) : "other"},
-                      {"verdict", std::string(verdict)}})
+                     {{"tenant", counted_name(tenant)}, {"verdict", std::string(verdict)}})
         .increment();
 }
 
--- a/src/pearbarrow/forward/forward_log.h
+++ b/src/pearbarrow/forward/forward_log.h
@@ -56,6 +56,8 @@
     void count_paused_reading();
     /// Counts a request that resumes a stream: sent to a back end, or the reason of its rejection.
     void count_resumed(std::string_view outcome);
+    /// Counts a rejection of a blocked request. The number of distinct tenants is limited.
+    void count_blocked(std::string_view tenant);
     /// Counts the result of a quota request. The number of distinct tenants is limited.
     void count_quota(std::string_view tenant, std::string_view verdict);
     /// Counts the result of a permit request for a cold back end.
@@ -71,6 +73,8 @@
         std::uint64_t suppressed_lines = 0;
     };
 
+    /// Returns the name under which metrics count the tenant.
+    std::string counted_name(std::string_view tenant);
     void write_within(line_budget& budget, std::uint32_t lines_per_second, std::string_view event,
                       nlohmann::json fields);
 
--- a/src/pearbarrow/forward/forwarded_attempt.cc
+++ b/src/pearbarrow/forward/forwarded_attempt.cc
@@ -59,6 +59,9 @@
                              "the key does not belong to its tenant any more", std::nullopt);
         return;
     }
+    if (reject_if_blocked()) {
+        return;
+    }
     if (!holds_grant()) {
         request_quota();
         return;
@@ -90,16 +93,18 @@
 }
 
 choice_request forwarded_request::placement_request() const {
-    return {.service = service_,
-            .version = required_version(),
-            .affinity_key = is_stream() ? scoped(facts_.program) : "",
-            .avoids_failures = is_resumed(),
-            .excluded = tried_backends_,
-            .region_limits = placement_bounds(),
-            .without_permit = without_permit_,
-            .prompt_tokens = is_stream() ? facts_.prompt_tokens : 0,
-            .is_first = begins_program(),
-            .previous_backend = previous_backend_};
+    choice_request request{.service = service_,
+                           .version = required_version(),
+                           .affinity_key = is_stream() ? scoped(facts_.program) : "",
+                           .avoids_failures = is_resumed(),
+                           .excluded = tried_backends_,
+                           .region_limits = placement_bounds(),
+                           .without_permit = without_permit_,
+                           .prompt_tokens = is_stream() ? facts_.prompt_tokens : 0,
+                           .is_first = begins_program(),
+                           .previous_backend = previous_backend_};
+    isolate(request);
+    return request;
 }
 
 void forwarded_request::on_no_backend() {
@@ -124,6 +129,9 @@
     if (is_resumed()) {
         log_resumed();
     }
+    if (suspected_ends_ > 0) {
+        begin_trial();
+    }
     tried_backends_.insert(target_.id);
     ++attempts_;
     attempt_open_ = true;
@@ -313,6 +321,7 @@
 }
 
 void forwarded_request::on_response_complete() {
+    excuse_if_suspect();
     if (status_ >= 500 && may_retry(true)) {
         end_attempt(attempt_result::failed);
         context_.log.notable("attempt_failed", {{"request", facts_.request_id},
@@ -333,6 +342,9 @@
                                              {"status", status_},
                                              {"attempt", attempts_},
                                              {"backends_revision", context_.pool.revision()}});
+    if (status_ == 421 && context_.suspects != nullptr) {
+        context_.suspects->on_replaced(target_.incarnation());
+    }
     if (may_retry(false)) {
         send();
         return;
@@ -353,16 +365,27 @@
         // Nothing was sent, so this does not count as an attempt. The back end stays excluded.
         --attempts_;
     }
-    nlohmann::json fields = {
-        {"request", facts_.request_id},    {"backend", target_.id},
-        {"version", target_.version.name}, {"address", net::to_string(target_.address)},
-        {"reason", details.reason},        {"sent", ran},
-        {"events", event_count_},          {"attempt", attempts_},
-        {"fingerprint", fingerprint().digest}};
+    nlohmann::json fields = {{"request", facts_.request_id},
+                             {"backend", target_.id},
+                             {"version", target_.version.name},
+                             {"address", net::to_string(target_.address)},
+                             {"reason", details.reason},
+                             {"sent", ran},
+                             {"events", event_count_},
+                             {"attempt", attempts_},
+                             {"fingerprint", fingerprint().digest}};
     add_response_end(fields);
     context_.log.notable("attempt_broken", std::move(fields));
+    if (may_have_ended_backend(details)) {
+        examine_end(details);
+        return;
+    }
+    conclude_failed_attempt(ran, details.reason);
+}
+
+void forwarded_request::conclude_failed_attempt(bool ran, const std::string& reason) {
     if (stage_ == response_stage::streaming) {
-        abort_response(details.reason);
+        abort_response(reason);
         return;
     }
     if (may_retry(ran)) {
@@ -370,9 +393,9 @@
         return;
     }
     if (ran) {
-        respond_with_problem(502, details.reason, "the back end's answer was lost", std::nullopt);
+        respond_with_problem(502, reason, "the back end's answer was lost", std::nullopt);
     } else {
-        respond_with_problem(503, details.reason, "the back end could not be reached",
+        respond_with_problem(503, reason, "the back end could not be reached",
                              context_.options.retry_after);
     }
 }
--- a/src/pearbarrow/forward/forwarded_request.cc
+++ b/src/pearbarrow/forward/forwarded_request.cc
@@ -69,7 +69,7 @@
 /// the budget of its program is never executed and must not use up the quota of its tenant. Under
 /// normal load, this is 2,566 of 52,000 attempted turns, mostly of programs that loop forever.
 void forwarded_request::advance() {
-    if (reject_program_if_full()) {
+    if (reject_if_blocked() || reject_program_if_full()) {
         return;
     }
     if (facts_.turn.has_value() && !prepared_) {
@@ -220,6 +220,7 @@
     }
     timeout_timer_.reset();
     silence_timer_.reset();
+    examination_.reset();
     log_end(status, reason);
     on_finished_();
 }
--- a/src/pearbarrow/forward/forwarded_request.h
+++ b/src/pearbarrow/forward/forwarded_request.h
@@ -18,12 +18,14 @@
 
 #include <nlohmann/json.hpp>
 
+#include "pearbarrow/base/status.h"
 #include "pearbarrow/forward/forward_context.h"
 #include "pearbarrow/forward/request_facts.h"
 #include "pearbarrow/forward/request_steps.h"
 #include "pearbarrow/net/response_end.h"
 #include "pearbarrow/net/server_sent_events.h"
 #include "pearbarrow/suspects/request_fingerprint.h"
+#include "pearbarrow/suspects/suspect_table.h"
 
 namespace pearbarrow::forward {
 
@@ -135,6 +137,19 @@
     // Requests under which back ends have ended, forwarded_suspect.cc.
     /// Returns the fingerprint, which is computed once.
     const suspects::request_fingerprint& fingerprint();
+    suspects::suspect_status suspect_status();
+    /// Returns true if the request is blocked and the response has been sent.
+    bool reject_if_blocked();
+    /// Excuses the request from earlier ends after a back end has completed it.
+    void excuse_if_suspect();
+    /// Keeps suspects at back ends of their own.
+    void isolate(choice_request& request) const;
+    /// Tells all nodes at which back end the suspect is tried.
+    void begin_trial();
+    /// Returns whether the end of its back end can have broken the attempt.
+    bool may_have_ended_backend(const base::error_details& details) const;
+    /// Finds out whether the back end has ended, and then concludes the failed attempt.
+    void examine_end(const base::error_details& details);
 
     // Attempts at back ends, forwarded_attempt.cc.
     /// Checks conditions that may have changed while the request waited, then selects a back end.
@@ -156,6 +171,8 @@
     void on_response_complete();
     void on_rejected();
     void on_attempt_failed(const absl::Status& status);
+    /// Retries a failed attempt, or ends the response.
+    void conclude_failed_attempt(bool ran, const std::string& reason);
     void end_attempt(attempt_result result);
     /// Result recorded for the back end if the caller leaves now.
     attempt_result result_if_caller_leaves() const;
@@ -270,6 +287,9 @@
     bool attempt_open_ = false;
 
     std::optional<suspects::request_fingerprint> fingerprint_;
+    /// Ends under earlier attempts of this request, at any node, when it was last checked.
+    std::size_t suspected_ends_ = 0;
+    std::unique_ptr<suspects::examination> examination_;
 
     /// Response of the current attempt. `is_rejection_`: reported by the back end as not executed.
     int status_ = 0;
--- a/src/pearbarrow/forward/forwarded_suspect.cc
+++ b/src/pearbarrow/forward/forwarded_suspect.cc
@@ -1,7 +1,16 @@
-// Requests under which back ends have ended.
+// Requests under which back ends have ended (docs/design/lethal-requests.md).
+#include <utility>
+
+#include "pearbarrow/base/status.h"
 #include "pearbarrow/forward/forwarded_request.h"
 
 namespace pearbarrow::forward {
+namespace {
+
+/// Reason of the rejection of a blocked request.
+constexpr std::string_view blocked_reason = "request_ends_back_ends";
+
+}  // namespace
 
 const suspects::request_fingerprint& forwarded_request::fingerprint() {
     if (!fingerprint_.has_value()) {
@@ -19,4 +28,95 @@
     return *fingerprint_;
 }
 
+suspects::suspect_status forwarded_request::suspect_status() {
+    if (context_.suspects == nullptr || context_.suspects->table().is_empty()) {
+        return {};
+    }
+    const suspects::suspect_table& table = context_.suspects->table();
+    // A digest is computed only for requests of a tenant and program that has a suspect.
+    if (!fingerprint_.has_value() &&
+        !table.may_contain(suspects::scope_of(facts_.tenant, facts_.program))) {
+        return {};
+    }
+    return table.status_of(fingerprint().digest, context_.clock.now());
+}
+
+bool forwarded_request::reject_if_blocked() {
+    const suspects::suspect_status status = suspect_status();
+    suspected_ends_ = status.ends;
+    if (!status.is_blocked) {
+        return false;
+    }
+    const auto known = context_.suspects->table().find(fingerprint().digest, context_.clock.now());
+    context_.log.notable("suspect_refused", {{"request", facts_.request_id},
+                                             {"fingerprint", fingerprint().digest},
+                                             {"program", facts_.program},
+                                             {"tenant", facts_.tenant},
+                                             {"route", route_.name},
+                                             {"reason", blocked_reason},
+                                             {"blocked_for_ms", status.blocked_for.count()},
+                                             {"ends", suspects::to_json(*known)}});
+    context_.log.count_blocked(facts_.tenant);
+    constexpr std::string_view detail = "back ends have ended under earlier tries of this request";
+    if (may_have_run_) {
+        respond_with_problem(502, blocked_reason, detail, std::nullopt);
+    } else {
+        respond_with_problem(503, blocked_reason, detail, status.blocked_for);
+    }
+    return true;
+}
+
+void forwarded_request::excuse_if_suspect() {
+    if (suspect_status().ends > 0) {
+        context_.suspects->on_completed(fingerprint());
+    }
+}
+
+void forwarded_request::isolate(choice_request& request) const {
+    if (context_.isolation == nullptr || context_.suspects->table().is_empty()) {
+        return;
+    }
+    const suspects::isolation_plan& plan = context_.isolation->of(request.service);
+    if (suspected_ends_ == 0) {
+        request.avoided = plan.reserved;
+        return;
+    }
+    for (const auto& [digest, backend] : plan.trials) {
+        if (digest == fingerprint_->digest) {
+            request.assigned_backend = backend;
+        } else {
+            request.avoided.insert(backend);
+        }
+    }
+}
+
+void forwarded_request::begin_trial() {
+    context_.suspects->on_trial(fingerprint(), target_.id);
+    context_.log.notable("suspect_tried", {{"request", facts_.request_id},
+                                           {"fingerprint", fingerprint().digest},
+                                           {"backend", target_.id},
+                                           {"ends", suspected_ends_},
+                                           {"placement", to_string(placed_->reason)}});
+}
+
+bool forwarded_request::may_have_ended_backend(const base::error_details& details) const {
+    if (context_.suspects == nullptr || details.was_executed == base::executed::no) {
+        return false;
+    }
+    const bool is_closed =
+        has_response_ended_ && response_end_.connection == net::connection_end::closed;
+    const bool is_lost = details.reason == "connection_lost" || details.reason == "connect_failed";
+    return (is_closed || is_lost) && !context_.pool.is_leaving(target_.incarnation());
+}
+
+void forwarded_request::examine_end(const base::error_details& details) {
+    examination_ = context_.suspects->examine(
+        {.target = target_,
+         .fingerprint = fingerprint(),
+         .request = facts_.request_id,
+         .tenant = facts_.tenant,
+         .route = route_.name},
+        [this, reason = details.reason] { conclude_failed_attempt(true, reason); });
+}
+
 }  // namespace pearbarrow::forward
--- a/src/pearbarrow/forward/load_policy.cc
+++ b/src/pearbarrow/forward/load_policy.cc
@@ -122,6 +122,8 @@
             return "least_load";
         case choice_reason::least_cost:
             return "least_cost";
+        case choice_reason::assigned:
+            return "assigned";
     }
     return "unknown";
 }
--- a/src/pearbarrow/forward/pool_candidates.cc
+++ b/src/pearbarrow/forward/pool_candidates.cc
@@ -30,7 +30,8 @@
             return;
         }
         const bool passed_over =
-            may_be_replaced || this->pool.is_backing_off(entry, this->at) ||
+            may_be_replaced || this->request.avoided.count(entry.backend.id) > 0 ||
+            this->pool.is_backing_off(entry, this->at) ||
             (this->pool.is_failing(item, this->at) &&
              this->pool.random_.below(this->pool.options_.trial_interval) != 0);
         if (passed_over) {
@@ -170,6 +171,26 @@
     collector.mark_reused(entry);
 }
 
+void backend_pool::visit_assigned(const choice_request& request,
+                                  candidate_collector& collector) const {
+    const auto assigned = entries_.find(request.assigned_backend);
+    if (assigned != entries_.end() && assigned->second.backend.service == request.service &&
+        !collector.has_seen(assigned->second)) {
+        collector.visit(assigned->second);
+    }
+}
+
+void backend_pool::select_assigned(const choice_request& request, ranked_candidates& ranked) {
+    const auto assigned =
+        std::find_if(ranked.fit.begin(), ranked.fit.end(), [&](const candidate_entry& item) {
+            return item.entry->backend.id == request.assigned_backend;
+        });
+    if (assigned != ranked.fit.end()) {
+        ranked.selected = {.index = static_cast<std::size_t>(assigned - ranked.fit.begin()),
+                           .reason = choice_reason::assigned};
+    }
+}
+
 backend_pool::candidate_entries backend_pool::candidates(const choice_request& request,
                                                          std::size_t preferred,
                                                          base::instant now) const {
@@ -185,6 +206,9 @@
         visit_previous(request, collector);
         visit_connected(request, *backends, collector);
     }
+    if (!request.assigned_backend.empty()) {
+        visit_assigned(request, collector);
+    }
     return std::move(collector).best();
 }
 
@@ -225,6 +249,9 @@
                         .prompt_tokens = request.prompt_tokens,
                         .is_first = request.is_first,
                         .prefill_us_per_token = prefill_us_per_token(request.service)});
+    if (!request.assigned_backend.empty()) {
+        select_assigned(request, ranked);
+    }
     return ranked;
 }
 
--- a/src/pearbarrow/operator/trace.cc
+++ b/src/pearbarrow/operator/trace.cc
@@ -27,10 +27,15 @@
                                                        "turn_replica_complete"};
 
 /// Events that end the hopes of a request, or of one attempt.
-constexpr std::array<std::string_view, 10> deciding_events{
-    "turn_refused",  "attempt_broken",      "attempt_refused", "attempt_failed",
-    "quota_refused", "resume_refused",      "request_refused", "program_turned_away",
-    "place_refused", "start_permit_refused"};
+constexpr std::array<std::string_view, 11> deciding_events{
+    "turn_refused",  "attempt_broken",       "attempt_refused", "attempt_failed",
+    "quota_refused", "resume_refused",       "request_refused", "program_turned_away",
+    "place_refused", "start_permit_refused", "suspect_refused"};
+
+std::string text_field(const nlohmann::json& fields, const char* name) {
+    const auto found = fields.find(name);
+    return found != fields.end() && found->is_string() ? found->get<std::string>() : "";
+}
 
 template <typename List>
 bool contains(const List& list, std::string_view text) {
@@ -77,12 +82,15 @@
                     .event = fields.value("event", ""),
                     .fields = {},
                     .of_request = fields.value("request", "") == request_ ||
-                                  fields.value("resumes", "") == request_};
+                                  fields.value("resumes", "") == request_,
+                    .fingerprint = text_field(fields, "fingerprint")};
     line.fields = std::move(fields);
     if (line.of_request) {
         of_request_.push_back(std::move(line));
     } else if (contains(node_events, line.event)) {
         of_nodes_.push_back(std::move(line));
+    } else if (!line.fingerprint.empty()) {
+        of_contents_.push_back(std::move(line));
     }
 }
 
@@ -100,6 +108,15 @@
             trace.lines.push_back(line);
         }
     }
+    for (const trace_line& line : of_contents_) {
+        const bool is_other_try = std::any_of(
+            of_request_.begin(), of_request_.end(), [&line](const trace_line& request_line) {
+                return request_line.fingerprint == line.fingerprint;
+            });
+        if (is_other_try) {
+            trace.lines.push_back(line);
+        }
+    }
     std::stable_sort(trace.lines.begin(), trace.lines.end(),
                      [](const auto& left, const auto& right) { return left.time < right.time; });
     trace.deciding = deciding_line(trace.lines);
@@ -155,10 +172,7 @@
     if (last == trace.lines.rend()) {
         return std::nullopt;
     }
-    const auto field = [&last](const char* name) {
-        const auto found = last->fields.find(name);
-        return found != last->fields.end() && found->is_string() ? found->get<std::string>() : "";
-    };
+    const auto field = [&last](const char* name) { return text_field(last->fields, name); };
     const std::string verdict = field("verdict");
     const std::string framing = field("framing");
     return fmt::format("response of {}: framing {}, connection {}: {}, because {}",
@@ -166,6 +180,27 @@
                        reason_of(verdict, framing));
 }
 
+std::optional<std::string> ends_text(const request_trace& trace) {
+    std::string text;
+    std::size_t count = 0;
+    for (const trace_line& line : trace.lines) {
+        if (line.event == "back_end_ended") {
+            ++count;
+            text += fmt::format(
+                "   back end {} ended under try {} at {}: {}\n", text_field(line.fields, "backend"),
+                text_field(line.fields, "request"), line.node, text_field(line.fields, "evidence"));
+        }
+    }
+    if (count == 0) {
+        return std::nullopt;
+    }
+    const auto refused =
+        std::count_if(trace.lines.begin(), trace.lines.end(),
+                      [](const trace_line& line) { return line.event == "suspect_refused"; });
+    text += fmt::format("   {} back ends ended; {} tries refused for it\n", count, refused);
+    return text;
+}
+
 std::string trace_text(const request_trace& trace) {
     std::string out;
     for (std::size_t index = 0; index < trace.lines.size(); ++index) {
@@ -183,6 +218,9 @@
     if (const auto end = response_end_text(trace); end.has_value()) {
         out += "   " + *end + "\n";
     }
+    if (const auto ends = ends_text(trace); ends.has_value()) {
+        out += *ends;
+    }
     if (const auto step = find_costliest_step(trace); step.has_value()) {
         out += fmt::format("   costliest step: {}, {} of {} ms\n", step->name, step->milliseconds,
                            step->of_milliseconds);
--- a/src/pearbarrow/operator/trace.h
+++ b/src/pearbarrow/operator/trace.h
@@ -20,6 +20,9 @@
     /// The line is about the request itself or one that resumes its stream, not about what its
     /// nodes went through meanwhile.
     bool of_request = false;
+    /// Identifies the content of the request, which all tries of a caller share; empty if the line
+    /// does not state it.
+    std::string fingerprint;
 };
 
 struct request_trace {
@@ -30,10 +33,10 @@
     std::optional<std::size_t> deciding;
 };
 
-/// Collects the lines about `request`, and about requests that resume its stream, from logs of any
-/// nodes, and what the nodes that served it noted within a second around it (lost and regained
-/// dependencies, changes, starts and stops). Text before a line's first brace, as log collectors
-/// add it, is ignored; so are other lines.
+/// Collects the lines about `request`, about requests that resume its stream, and about other tries
+/// with its content, from logs of any nodes, and what the nodes that served it noted within a
+/// second around it (lost and regained dependencies, changes, starts and stops). Text before a
+/// line's first brace, as log collectors add it, is ignored; so are other lines.
 class trace_collector {
   public:
     explicit trace_collector(std::string request) : request_(std::move(request)) {}
@@ -45,6 +48,8 @@
     std::string request_;
     std::vector<trace_line> of_request_;
     std::vector<trace_line> of_nodes_;
+    /// Lines that state the content of other requests.
+    std::vector<trace_line> of_contents_;
 };
 
 /// The step of the request that took the longest.
@@ -62,6 +67,10 @@
 /// counts as whole or broken off. None if no back end has sent the head of a response.
 std::optional<std::string> response_end_text(const request_trace& trace);
 
+/// Returns which back ends ended under the tries of the request, by what evidence, and whether it
+/// was refused for them. None if no end is known.
+std::optional<std::string> ends_text(const request_trace& trace);
+
 /// The trace for a person, one line each; the deciding one begins with "=>". The costliest step
 /// stands last.
 std::string trace_text(const request_trace& trace);
--- a/src/pearbarrow/settings/fleet_settings.cc
+++ b/src/pearbarrow/settings/fleet_settings.cc
@@ -1,5 +1,6 @@
 #include "pearbarrow/settings/fleet_settings.h"
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 
@@ -17,6 +18,8 @@
 constexpr std::uint64_t max_tolerated_zones = 16;
 constexpr std::uint64_t max_memory_mb = std::uint64_t{1024} * 1024;
 constexpr std::uint64_t max_quota_slack = 1'000'000;
+constexpr std::uint64_t max_suspected_ends = 8;
+constexpr std::size_t fingerprint_length = 32;
 constexpr double max_cold_overage = 1'000;
 constexpr double max_cold_slack = 1'000'000;
 
@@ -59,6 +62,24 @@
                              base::milliseconds{10'000}, dispatch.lapse_grace);
 }
 
+void read_suspects(field_reader& reader, suspect_settings& suspects) {
+    std::uint64_t ends = suspects.max_ends;
+    reader.read_integer("suspects.max_ends", 0, max_suspected_ends, ends);
+    suspects.max_ends = ends;
+    reader.read_milliseconds("suspects.block_time_ms", base::milliseconds{1'000},
+                             base::milliseconds{86'400'000}, suspects.block_time);
+    reader.read_strings("suspects.released", suspects.released);
+    const bool are_fingerprints = std::all_of(
+        suspects.released.begin(), suspects.released.end(), [](const std::string& text) {
+            return text.size() == fingerprint_length &&
+                   text.find_first_not_of("0123456789abcdef") == std::string::npos;
+        });
+    if (!are_fingerprints) {
+        reader.add_problem("suspects.released",
+                           "must contain fingerprints of 32 hexadecimal digits");
+    }
+}
+
 fleet_settings_result read_document(const toml::table& document) {
     fleet_settings_result result;
     fleet_settings& settings = result.settings;
@@ -84,6 +105,7 @@
                              base::milliseconds{600'000}, settings.change_bound);
     reader.read_milliseconds("leaving_notice_ms", base::milliseconds{0},
                              base::milliseconds{600'000}, settings.leaving_notice);
+    read_suspects(reader, settings.suspects);
     if (settings.role == fleet_role::edge) {
         read_required(reader, "listen.caller", endpoint_use::listen, settings.caller);
         read_required(reader, "listen.ready", endpoint_use::listen, settings.ready);
--- a/src/pearbarrow/settings/fleet_settings.h
+++ b/src/pearbarrow/settings/fleet_settings.h
@@ -56,6 +56,16 @@
     double slack = 0;
 };
 
+/// Requests under which back ends end (`suspects/suspect_table.h`).
+struct suspect_settings {
+    /// Ends after which a request is blocked. 0 disables blocking.
+    std::size_t max_ends = 3;
+    /// How long a request is blocked after its last end.
+    base::milliseconds block_time{600'000};
+    /// Fingerprints of requests that may pass again, as stated in the log.
+    std::vector<std::string> released;
+};
+
 struct fleet_settings {
     fleet_role role = fleet_role::edge;
     base::node_id node;
@@ -107,6 +117,7 @@
     base::milliseconds leaving_notice{2'000};
     /// Distribution of requests over back ends; edges only.
     dispatch_settings dispatch;
+    suspect_settings suspects;
 };
 
 struct fleet_settings_result {
--- /dev/null
+++ b/src/pearbarrow/suspects/suspect_exchange.cc
@@ -0,0 +1,113 @@
+#include "pearbarrow/suspects/suspect_exchange.h"
+
+#include <utility>
+
+#include "pearbarrow/wire/codec.h"
+
+namespace pearbarrow::suspects {
+
+suspect_exchange::suspect_exchange(net::event_loop& loop, net::peer_rpc& rpc,
+                                   const base::clock& clock, directory::directory_exchange& peers,
+                                   suspect_exchange_options options)
+    : loop(loop),
+      rpc(rpc),
+      clock(clock),
+      peers(peers),
+      options(std::move(options)),
+      known(this->options.table),
+      multicast(
+          loop, rpc, clock, {.self = this->options.self, .method = wire::suspect_report},
+          [this] { return this->peers.confirmed_peers(); },
+          [this](std::string_view payload) { this->merge(payload); }) {
+    rpc.register_method(wire::suspect_fetch, [this](std::string_view /*payload*/, auto responder) {
+        responder->finish(
+            wire::encode(suspect_report{.suspects = this->known.all(this->clock.now())}));
+    });
+}
+
+void suspect_exchange::start() {
+    this->fetch();
+}
+
+void suspect_exchange::fetch() {
+    this->fetch_timer.reset();
+    if (this->fetches == this->options.max_fetches) {
+        return;
+    }
+    ++this->fetches;
+    const net::endpoint peer =
+        this->peers.random_peer([](const net::endpoint& /*peer*/) { return true; });
+    const auto retry = [this] {
+        this->fetch_timer = this->loop.after(this->options.fetch_retry, [this] { this->fetch(); });
+    };
+    if (peer.port == 0) {
+        retry();
+        return;
+    }
+    this->fetch_call = this->rpc.call(
+        base::node_id(), peer, wire::suspect_fetch, "", this->options.fetch_timeout,
+        {.on_part = nullptr, .on_done = [this, retry](const absl::StatusOr<std::string>& reply) {
+             if (reply.ok()) {
+                 this->merge(*reply);
+             } else {
+                 retry();
+             }
+         }});
+}
+
+void suspect_exchange::merge(std::string_view payload) {
+    const auto report = wire::decode<suspect_report>(payload);
+    if (!report.ok()) {
+        return;
+    }
+    this->add(report->suspects);
+}
+
+std::vector<std::string> suspect_exchange::add(const std::vector<suspect>& observed) {
+    const base::instant now = this->clock.now();
+    std::vector<std::string> blocked;
+    for (const suspect& each : observed) {
+        if (this->known.merge(each, now)) {
+            blocked.push_back(each.digest);
+        }
+    }
+    this->schedule_expiry();
+    return blocked;
+}
+
+void suspect_exchange::schedule_expiry() {
+    if (this->known.is_empty() || this->expiry_timer != nullptr) {
+        return;
+    }
+    this->expiry_timer = this->loop.after(this->options.expiry_interval, [this] {
+        this->expiry_timer.reset();
+        this->known.expire(this->clock.now());
+        this->schedule_expiry();
+    });
+}
+
+void suspect_exchange::set_trial(const std::string& digest, const std::string& backend) {
+    this->known.set_trial(digest, backend, this->clock.now());
+    this->report({digest}, nullptr);
+}
+
+bool suspect_exchange::excuse(const std::string& digest) {
+    return this->known.excuse(digest, this->clock.now());
+}
+
+void suspect_exchange::report(const std::vector<std::string>& digests, std::function<void()> done) {
+    suspect_report message;
+    for (const std::string& digest : digests) {
+        if (auto found = this->known.find(digest, this->clock.now()); found.has_value()) {
+            message.suspects.push_back(*std::move(found));
+        }
+    }
+    this->multicast.send(wire::encode(message),
+                         [done = std::move(done)](const directory::multicast_result& /*result*/) {
+                             if (done) {
+                                 done();
+                             }
+                         });
+}
+
+}  // namespace pearbarrow::suspects
--- /dev/null
+++ b/src/pearbarrow/suspects/suspect_exchange.h
@@ -0,0 +1,73 @@
+/// Keeps the suspects of all nodes the same: tells every node of new ends, and fetches what is
+/// known when a node starts.
+///
+/// Reports state all ends of a suspect that their sender knows, so a node that has missed earlier
+/// reports knows them from the next one. A node that no report reaches does not block the request.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "pearbarrow/base/clock.h"
+#include "pearbarrow/directory/directory_exchange.h"
+#include "pearbarrow/directory/peer_multicast.h"
+#include "pearbarrow/net/event_loop.h"
+#include "pearbarrow/net/peer_rpc.h"
+#include "pearbarrow/suspects/suspect_messages.h"
+#include "pearbarrow/suspects/suspect_table.h"
+
+namespace pearbarrow::suspects {
+
+struct suspect_exchange_options {
+    net::endpoint self;
+    suspect_options table;
+    base::milliseconds fetch_timeout{500};
+    base::milliseconds fetch_retry{100};
+    /// Number of peers that a node asks when it starts.
+    std::uint32_t max_fetches = 20;
+    base::milliseconds expiry_interval{5'000};
+};
+
+class suspect_exchange {
+  public:
+    suspect_exchange(net::event_loop& loop, net::peer_rpc& rpc, const base::clock& clock,
+                     directory::directory_exchange& peers, suspect_exchange_options options);
+    suspect_exchange(const suspect_exchange&) = delete;
+    suspect_exchange& operator=(const suspect_exchange&) = delete;
+
+    /// Starts to fetch what the peers know. Call it once the links between nodes are open.
+    void start();
+    const suspect_table& table() const { return this->known; }
+    /// Adds ends that this node has observed. Returns the digests of requests that are now blocked.
+    std::vector<std::string> add(const std::vector<suspect>& observed);
+    /// Records that a suspect is sent to the back end, and tells all nodes.
+    void set_trial(const std::string& digest, const std::string& backend);
+    /// Excuses a request from its ends. Returns whether it was a suspect.
+    bool excuse(const std::string& digest);
+    /// Sends what is known of the requests to all nodes. `done` runs once, when they have confirmed
+    /// or the time is up.
+    void report(const std::vector<std::string>& digests, std::function<void()> done);
+
+  private:
+    void merge(std::string_view payload);
+    void fetch();
+    /// Expires suspects as long as there are any.
+    void schedule_expiry();
+
+    net::event_loop& loop;
+    net::peer_rpc& rpc;
+    const base::clock& clock;
+    directory::directory_exchange& peers;
+    suspect_exchange_options options;
+    suspect_table known;
+    directory::peer_multicast multicast;
+    std::unique_ptr<net::peer_call_handle> fetch_call;
+    std::unique_ptr<net::timer_handle> fetch_timer;
+    std::unique_ptr<net::timer_handle> expiry_timer;
+    std::uint32_t fetches = 0;
+};
+
+}  // namespace pearbarrow::suspects
--- a/tests/unit/fleet/lethal_requests_test.cc
+++ b/tests/unit/fleet/lethal_requests_test.cc
@@ -1,5 +1,6 @@
 // Tests requests that end their back ends, over all tries of their callers.
 #include "lethal_fixture.h"
+#include "tenants_fixture.h"
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
@@ -11,6 +12,13 @@
 
 /// Back ends that may end under one request.
 constexpr std::uint32_t max_ends = 3;
+constexpr char blocked_reason[] = "request_ends_back_ends";
+
+bool is_blocked(const client_response& response) {
+    return response.body.find(blocked_reason) != std::string::npos;
+}
+
+const repeated_request lethal_turn{.target = "/turn/x", .program = "p", .body = lethal_marker};
 
 }  // namespace
 
@@ -32,8 +40,8 @@
 Test(lethal_requests, resumed_stream_ends_at_most_three_back_ends) {
     lethal_fixture callers;
     callers.set_lethal(crash_moment::after_first_event);
-    callers.repeat(
-        {.target = "/stream/x", .program = "p", .body = lethal_marker, .resumes = true}, "a");
+    callers.repeat({.target = "/stream/x", .program = "p", .body = lethal_marker, .resumes = true},
+                   "a");
     cr_assert(callers.ended() <= max_ends, "%u back ends ended", callers.ended());
 }
 
@@ -48,11 +56,206 @@
 Test(lethal_requests, get_on_a_kept_connection_counts_as_an_attempt) {
     lethal_fixture callers(1, 9);
     for (int index = 0; index < 60; ++index) {
-        const auto response =
-            callers.fleet.call(0, "/plain/x", "warm" + std::to_string(index));
+        const auto response = callers.fleet.call(0, "/plain/x", "warm" + std::to_string(index));
         cr_assert(response.status == 200);
     }
     callers.set_lethal(crash_moment::queued);
     callers.fleet.call(0, "/plain/lethal", "a");
     cr_assert(callers.runs_of("a") <= 2, "sent to %zu back ends", callers.runs_of("a"));
 }
+
+Test(lethal_requests, blocked_request_is_rejected_at_once_and_sent_to_no_back_end) {
+    lethal_fixture callers;
+    callers.set_lethal(crash_moment::after_head);
+    callers.repeat(lethal_turn, "a");
+    const std::size_t runs = callers.runs_of("");
+    const base::instant before = callers.fleet.clock.now();
+    const auto response =
+        callers.fleet.call(0, "/turn/x", "late", callers.headers_of(lethal_turn), lethal_marker);
+    cr_assert(callers.fleet.clock.now() - before < base::milliseconds{500});
+    cr_assert(response.status == 503 && is_blocked(response), "%d", response.status);
+    cr_assert(response.body.find(R"("executed":"no")") != std::string::npos);
+    cr_assert(!response.headers.find("Pearbarrow-Response-Signature").has_value());
+    const std::string retry_after = response.headers.find("Retry-After").value_or("0");
+    cr_assert(std::stod(retry_after) > 500, "%s", retry_after.c_str());
+    cr_assert(callers.runs_of("") == runs);
+}
+
+Test(lethal_requests, content_of_another_program_is_not_blocked) {
+    lethal_fixture callers;
+    callers.set_lethal(crash_moment::after_head);
+    callers.repeat(lethal_turn, "a");
+    run_for(callers.fleet.loop, callers.downtime);
+    for (emulator::runner& runner : callers.fleet.runners) {
+        runner.set_lethal(std::nullopt);
+    }
+    repeated_request copy = lethal_turn;
+    copy.program = "other";
+    const auto result = callers.repeat(copy, "b");
+    cr_assert(result.last.status == 200 && result.rejected == 0, "%s", result.last.body.c_str());
+}
+
+Test(lethal_requests, requests_beside_a_lethal_one_are_not_rejected) {
+    lethal_fixture callers;
+    callers.set_lethal(crash_moment::after_first_event);
+    std::list<std::optional<client_response>> responses;
+    int sent = 0;
+    const auto traffic = callers.fleet.loop.every(base::milliseconds{3}, [&] {
+        const std::string id = "i" + std::to_string(++sent);
+        const repeated_request innocent{.target = "/turn/x", .program = id, .body = "input"};
+        callers.fleet.start_call(static_cast<std::size_t>(sent) % 3, innocent.target, id,
+                                 callers.headers_of(innocent), innocent.body,
+                                 responses.emplace_back());
+    });
+    for (int index = 0; index < 4; ++index) {
+        const std::string name = "l" + std::to_string(index);
+        callers.repeat({.target = "/turn/x", .program = name, .body = lethal_marker}, name);
+        run_for(callers.fleet.loop, callers.downtime);
+    }
+    cr_assert(callers.ended() >= 4 && callers.ended() <= 4 * max_ends, "%u", callers.ended());
+    for (const auto& response : responses) {
+        cr_assert(!response.has_value() || !is_blocked(*response), "%s", response->body.c_str());
+    }
+}
+
+Test(lethal_requests, responses_broken_off_without_an_end_block_nothing) {
+    lethal_fixture callers(3);
+    for (emulator::runner& runner : callers.fleet.runners) {
+        runner.set_fault(emulator::runner_fault::cut_after_event);
+    }
+    const auto result = callers.repeat(lethal_turn, "a");
+    cr_assert(result.tries == 6 && result.rejected == 0);
+    cr_assert(callers.runs_of("a") == 6, "%zu", callers.runs_of("a"));
+}
+
+Test(lethal_requests, ends_that_back_ends_announced_block_nothing) {
+    lethal_fixture callers(4);
+    callers.downtime = base::milliseconds{60'000};
+    int ended = 0;
+    for (int index = 0; index < 3; ++index) {
+        const std::string id = "a" + std::to_string(index);
+        std::optional<client_response> response;
+        for (emulator::runner& runner : callers.fleet.runners) {
+            runner.set_fault(emulator::runner_fault::hang);
+        }
+        callers.fleet.start_call(0, "/turn/x", id, callers.headers_of(lethal_turn), lethal_marker,
+                                 response);
+        cr_assert(run_until(callers.fleet.loop, [&] { return callers.runs_of(id) == 1; }));
+        for (emulator::runner& runner : callers.fleet.runners) {
+            if (runner.is_running() && !runner.runs().empty() &&
+                runner.runs().back().request_id == id) {
+                callers.fleet.store.put("servers/" + runner.id(),
+                                        runner.list_entry("model", "draining"));
+                run_for(callers.fleet.loop, base::milliseconds{500});
+                runner.crash();
+                ++ended;
+            }
+        }
+        cr_assert(run_until(callers.fleet.loop, [&] { return response.has_value(); }));
+    }
+    cr_assert(ended == 3);
+    for (emulator::runner& runner : callers.fleet.runners) {
+        runner.set_fault(emulator::runner_fault::none);
+    }
+    const auto response =
+        callers.fleet.call(1, "/turn/x", "b", callers.headers_of(lethal_turn), lethal_marker);
+    cr_assert(!is_blocked(response), "%s", response.body.c_str());
+}
+
+Test(lethal_requests, completed_request_is_not_blocked_by_later_crashes) {
+    lethal_fixture callers(6);
+    for (int round = 0; round < 3; ++round) {
+        callers.set_lethal(crash_moment::after_head);
+        const std::string id = "a" + std::to_string(round);
+        callers.fleet.call(0, "/turn/x", id, callers.headers_of(lethal_turn), lethal_marker);
+        for (emulator::runner& runner : callers.fleet.runners) {
+            runner.set_lethal(std::nullopt);
+        }
+        const auto response = callers.fleet.call(1, "/turn/x", id + "r",
+                                                 callers.headers_of(lethal_turn), lethal_marker);
+        cr_assert(response.status == 200 && response.whole, "%s", response.body.c_str());
+    }
+    cr_assert(callers.ended() == 3);
+}
+
+Test(lethal_requests, restarted_edge_knows_blocked_requests) {
+    lethal_fixture callers;
+    callers.set_lethal(crash_moment::after_head);
+    callers.repeat(lethal_turn, "a");
+    const std::uint32_t ended = callers.ended();
+    callers.fleet.edges[2].reset();
+    callers.fleet.start_edge(2);
+    cr_assert(run_until(callers.fleet.loop, [&] {
+        return callers.fleet.edges[2]->node.is_ready() && callers.fleet.is_settled() &&
+               !callers.fleet.edges[2]->node.parts().suspects().table().is_empty();
+    }));
+    const auto response =
+        callers.fleet.call(2, "/turn/x", "b", callers.headers_of(lethal_turn), lethal_marker);
+    cr_assert(is_blocked(response), "%s", response.body.c_str());
+    cr_assert(callers.ended() == ended);
+}
+
+Test(lethal_requests, released_request_passes_again_on_all_edges) {
+    lethal_fixture callers;
+    callers.set_lethal(crash_moment::after_head);
+    callers.repeat(lethal_turn, "a");
+    for (emulator::runner& runner : callers.fleet.runners) {
+        runner.set_lethal(std::nullopt);
+    }
+    auto& parts = callers.fleet.edges[0]->node.parts();
+    settings::fleet_settings released = parts.settings();
+    released.suspects.released = {
+        parts.suspects().table().all(callers.fleet.clock.now())[0].digest};
+    parts.apply_settings(released);
+    run_for(callers.fleet.loop, callers.downtime);
+    const auto result = callers.repeat(lethal_turn, "b");
+    cr_assert(result.last.status == 200, "%s", result.last.body.c_str());
+    for (const auto& edge : callers.fleet.edges) {
+        cr_assert(edge->node.parts().suspects().table().blocked_count(callers.fleet.clock.now()) ==
+                  0);
+    }
+}
+
+Test(lethal_requests, edge_that_missed_the_ends_learns_of_them_from_the_next) {
+    lethal_fixture callers;
+    callers.set_lethal(crash_moment::after_head);
+    callers.fleet.call(0, "/turn/x", "a0", callers.headers_of(lethal_turn), lethal_marker);
+    callers.fleet.call(0, "/turn/x", "a1", callers.headers_of(lethal_turn), lethal_marker);
+    callers.fleet.edges[2].reset();
+    callers.fleet.start_edge(2);
+    cr_assert(run_until(callers.fleet.loop, [&] {
+        return callers.fleet.edges[2]->node.is_ready() && callers.fleet.is_settled();
+    }));
+    callers.fleet.call(0, "/turn/x", "a2", callers.headers_of(lethal_turn), lethal_marker);
+    const auto response =
+        callers.fleet.call(2, "/turn/x", "b", callers.headers_of(lethal_turn), lethal_marker);
+    cr_assert(is_blocked(response), "%s", response.body.c_str());
+}
+
+Test(lethal_requests, tenant_cannot_block_the_request_of_another_one) {
+    tenants_fixture fleet;
+    for (int index = 0; index < 5; ++index) {
+        fleet.add_runner("model", "i-more" + std::to_string(index));
+    }
+    cr_assert(run_until(fleet.loop, [&] { return fleet.is_settled(); }));
+    const auto send = [&](const char* key, const std::string& id) {
+        return fleet.call(0, "/turn/x", id,
+                          {{"Pearbarrow-Key", key},
+                           {"Pearbarrow-Program-Id", "p"},
+                           {"Pearbarrow-Token-Budget", "100000"},
+                           {"Pearbarrow-Token-Usage", "100,50"}},
+                          lethal_marker);
+    };
+    for (emulator::runner& runner : fleet.runners) {
+        runner.set_lethal(emulator::lethal_requests{lethal_marker, crash_moment::after_head});
+    }
+    for (const std::string id : {"a1", "a2", "a3"}) {
+        cr_assert(!is_blocked(send(key_of_a, id)));
+    }
+    cr_assert(is_blocked(send(key_of_a, "a4")));
+    for (emulator::runner& runner : fleet.runners) {
+        runner.set_lethal(std::nullopt);
+    }
+    const auto response = send(key_of_b, "b1");
+    cr_assert(!is_blocked(response), "%s", response.body.c_str());
+}
--- a/tests/unit/operator/trace_test.cc
+++ b/tests/unit/operator/trace_test.cc
@@ -141,3 +141,32 @@
         line("05.3", "edge-1", R"("event":"request_ended","request":"r1","verdict":7)"));
     cr_assert(response_end_text(without.finish()).has_value());
 }
+
+Test(trace, any_try_shows_the_other_tries_and_the_ends_under_them) {
+    const std::vector<std::string> log{
+        R"({"time":"2026-01-01T00:00:01.000Z","node":"edge-1","event":"attempt_broken","request":"r1","fingerprint":"f1","backend":"b1"})",
+        R"({"time":"2026-01-01T00:00:01.002Z","node":"edge-1","event":"back_end_ended","request":"r1","fingerprint":"f1","backend":"b1","evidence":"connection_refused"})",
+        R"({"time":"2026-01-01T00:00:02.002Z","node":"edge-2","event":"back_end_ended","request":"r2","fingerprint":"f1","backend":"b2","evidence":"replaced"})",
+        R"({"time":"2026-01-01T00:00:03.000Z","node":"edge-3","event":"suspect_refused","request":"r3","fingerprint":"f1","ends":[]})",
+        R"({"time":"2026-01-01T00:00:03.001Z","node":"edge-3","event":"request_ended","request":"r3","fingerprint":"f1","status":503,"reason":"request_ends_back_ends"})",
+        R"({"time":"2026-01-01T00:00:03.002Z","node":"edge-3","event":"back_end_ended","request":"x","fingerprint":"f2","backend":"b3"})"};
+    for (const std::string request : {"r1", "r2", "r3"}) {
+        trace_collector collector(request);
+        for (const std::string& line : log) {
+            collector.add_line(line);
+        }
+        const std::string text = trace_text(collector.finish());
+        cr_assert(text.find("back end b1 ended under try r1 at edge-1: connection_refused") !=
+                  std::string::npos);
+        cr_assert(text.find("back end b2 ended under try r2 at edge-2: replaced") !=
+                  std::string::npos);
+        cr_assert(text.find("2 back ends ended; 1 tries refused for it") != std::string::npos);
+        cr_assert(text.find("b3") == std::string::npos);
+    }
+    trace_collector refused("r3");
+    for (const std::string& line : log) {
+        refused.add_line(line);
+    }
+    const auto trace = refused.finish();
+    cr_assert(trace.lines[*trace.deciding].event == "suspect_refused");
+}
--- a/tests/unit/settings/fleet_settings_test.cc
+++ b/tests/unit/settings/fleet_settings_test.cc
@@ -158,3 +158,24 @@
     cr_assert(has_problem(result, "slow_start.slack"));
     cr_assert(result.problems.size() == 2);
 }
+
+Test(fleet_settings, limits_for_requests_that_end_back_ends_are_read) {
+    const std::string digest(32, 'a');
+    const auto result = check_fleet(std::string(edge_text) + R"(
+[suspects]
+max_ends = 2
+block_time_ms = 5000
+released = [")" + digest + R"("]
+)");
+    cr_assert(result.problems.empty());
+    cr_assert(result.settings.suspects.max_ends == 2);
+    cr_assert(result.settings.suspects.block_time.count() == 5'000);
+    cr_assert(result.settings.suspects.released.front() == digest);
+}
+
+Test(fleet_settings, malformed_fingerprint_names_its_field) {
+    const auto result =
+        check_fleet(std::string(edge_text) + "[suspects]\nmax_ends = 9\nreleased = [\"A\"]\n");
+    cr_assert(has_problem(result, "suspects.released"));
+    cr_assert(has_problem(result, "suspects.max_ends"));
+}
--- /dev/null
+++ b/tests/unit/suspects/suspect_table_test.cc
@@ -0,0 +1,219 @@
+#include "pearbarrow/suspects/suspect_table.h"
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace pearbarrow;
+using namespace pearbarrow::suspects;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Digests have a fixed length.
+std::string digest_of(const std::string& name) {
+    return name + std::string(32 - name.size(), '0');
+}
+
+suspect suspect_at(const std::string& name, const std::vector<std::string>& backends,
+                   const std::string& tenant = "") {
+    suspect reported{.scope = 1, .digest = digest_of(name), .tenant = tenant, .service = "model"};
+    for (const std::string& backend : backends) {
+        reported.ends.push_back({.backend = backend, .request = name + " at " + backend});
+    }
+    return reported;
+}
+
+struct table_fixture {
+    explicit table_fixture(suspect_options options = {}) : table(options) {}
+
+    bool merge(const suspect& reported) { return this->table.merge(reported, this->now); }
+    suspect_status status(const std::string& name) const {
+        return this->table.status_of(digest_of(name), this->now);
+    }
+
+    suspect_table table;
+    base::instant now{std::chrono::hours{1}};
+};
+
+}  // namespace
+
+Test(suspect_table, request_is_blocked_after_three_ends) {
+    table_fixture known;
+    cr_assert(!known.merge(suspect_at("a", {"b1"})));
+    cr_assert(!known.merge(suspect_at("a", {"b2"})));
+    cr_assert(!known.status("a").is_blocked && known.status("a").ends == 2);
+    cr_assert(known.merge(suspect_at("a", {"b3"})));
+    cr_assert(known.status("a").is_blocked);
+    cr_assert(known.status("a").blocked_for == milliseconds{600'000});
+    cr_assert(known.table.blocked_count(known.now) == 1);
+}
+
+Test(suspect_table, repeated_report_of_an_end_counts_once) {
+    table_fixture known;
+    for (int index = 0; index < 5; ++index) {
+        known.merge(suspect_at("a", {"b1", "b2"}));
+    }
+    cr_assert(known.status("a").ends == 2);
+}
+
+Test(suspect_table, later_incarnation_of_a_back_end_counts_again) {
+    table_fixture known;
+    suspect reported = suspect_at("a", {"b1", "b1"});
+    reported.ends[1].started_at = 5;
+    known.merge(reported);
+    cr_assert(known.status("a").ends == 2);
+}
+
+Test(suspect_table, one_report_makes_up_for_missed_ones) {
+    table_fixture known;
+    cr_assert(known.merge(suspect_at("a", {"b1", "b2", "b3"})));
+    cr_assert(known.status("a").is_blocked);
+}
+
+Test(suspect_table, completed_request_is_excused) {
+    table_fixture known;
+    known.merge(suspect_at("a", {"b1", "b2"}));
+    cr_assert(known.table.excuse(digest_of("a"), known.now));
+    cr_assert(!known.table.excuse(digest_of("a"), known.now));
+    cr_assert(known.status("a").ends == 0);
+    // A report that was under way does not take the excuse back.
+    known.merge(suspect_at("a", {"b1", "b2"}));
+    cr_assert(known.status("a").ends == 0);
+    known.merge(suspect_at("a", {"b3"}));
+    cr_assert(known.status("a").ends == 1);
+}
+
+Test(suspect_table, excuse_reaches_other_nodes) {
+    table_fixture first;
+    table_fixture second;
+    second.merge(suspect_at("a", {"b1", "b2", "b3"}));
+    first.merge(suspect_at("a", {"b1", "b2", "b3"}));
+    first.table.excuse(digest_of("a"), first.now);
+    second.merge(*first.table.find(digest_of("a"), first.now));
+    cr_assert(!second.status("a").is_blocked);
+}
+
+Test(suspect_table, blocked_request_explains_the_ends_of_those_beside_it) {
+    table_fixture known;
+    known.merge(suspect_at("beside", {"b1", "b2"}));
+    known.merge(suspect_at("lethal", {"b1", "b2"}));
+    known.merge(suspect_at("lethal", {"b3"}));
+    cr_assert(known.status("lethal").is_blocked);
+    // Both of its ends are explained, so a third one does not block it.
+    cr_assert(!known.merge(suspect_at("beside", {"b4"})));
+    cr_assert(!known.status("beside").is_blocked);
+    // The same holds for ends that are reported later.
+    cr_assert(!known.merge(suspect_at("late", {"b2", "b3", "b5"})));
+}
+
+Test(suspect_table, one_explained_end_does_not_excuse_a_second_lethal_request) {
+    table_fixture known;
+    known.merge(suspect_at("lethal", {"b1", "b2", "b3"}));
+    cr_assert(known.merge(suspect_at("second", {"b3", "b4", "b5"})));
+}
+
+Test(suspect_table, order_of_reports_does_not_matter) {
+    const std::vector<suspect> reports{suspect_at("lethal", {"b1", "b2", "b3"}),
+                                       suspect_at("beside", {"b1", "b2"}),
+                                       suspect_at("other", {"b4"})};
+    for (std::size_t first = 0; first < reports.size(); ++first) {
+        table_fixture known;
+        for (std::size_t index = 0; index < reports.size(); ++index) {
+            known.merge(reports[(first + index) % reports.size()]);
+        }
+        cr_assert(known.status("lethal").is_blocked);
+        cr_assert(!known.merge(suspect_at("beside", {"b4"})));
+        cr_assert(known.status("other").ends == 1);
+    }
+}
+
+Test(suspect_table, suspicion_and_block_expire) {
+    table_fixture known;
+    known.merge(suspect_at("a", {"b1", "b2"}));
+    known.merge(suspect_at("blocked", {"b1", "b2", "b3"}));
+    known.now += milliseconds{60'000};
+    known.table.expire(known.now);
+    cr_assert(known.status("a").ends == 0);
+    cr_assert(known.status("blocked").is_blocked);
+    known.now += milliseconds{540'000};
+    cr_assert(!known.status("blocked").is_blocked);
+    // One more end blocks it again.
+    cr_assert(known.merge(suspect_at("blocked", {"b4"})));
+    known.now += milliseconds{1'200'000};
+    known.table.expire(known.now);
+    cr_assert(known.table.is_empty() && !known.table.may_contain(1));
+}
+
+Test(suspect_table, age_of_an_end_is_kept_between_nodes) {
+    table_fixture first;
+    first.merge(suspect_at("a", {"b1", "b2", "b3"}));
+    first.now += milliseconds{100'000};
+    table_fixture second;
+    second.merge(first.table.all(first.now).front());
+    cr_assert(second.status("a").blocked_for == milliseconds{500'000});
+}
+
+Test(suspect_table, tenant_with_many_suspects_displaces_its_own) {
+    table_fixture known({.max_suspects = 8, .max_suspects_of_tenant = 4});
+    known.merge(suspect_at("quiet", {"b1", "b2", "b3"}, "quiet"));
+    for (int index = 0; index < 100; ++index) {
+        known.now += milliseconds{1};
+        known.merge(suspect_at("n" + std::to_string(index), {"b9"}, "noisy"));
+    }
+    cr_assert(known.table.size() == 5, "%zu", known.table.size());
+    cr_assert(known.status("quiet").is_blocked);
+}
+
+Test(suspect_table, blocked_request_outlives_suspects_of_its_tenant) {
+    table_fixture known({.max_suspects = 8, .max_suspects_of_tenant = 4});
+    known.merge(suspect_at("blocked", {"b1", "b2", "b3"}));
+    for (int index = 0; index < 100; ++index) {
+        known.now += milliseconds{1};
+        known.merge(suspect_at("n" + std::to_string(index), {"b9"}));
+    }
+    cr_assert(known.status("blocked").is_blocked);
+}
+
+Test(suspect_table, malformed_report_is_ignored) {
+    table_fixture known;
+    suspect short_digest = suspect_at("a", {"b1"});
+    short_digest.digest = "a";
+    known.merge(short_digest);
+    known.merge(suspect_at("b", {}));
+    cr_assert(known.table.is_empty());
+}
+
+Test(suspect_table, suspects_are_tried_at_different_back_ends) {
+    table_fixture known;
+    const std::vector<std::string> backends{"b1", "b2", "b3", "b4", "b5", "b6"};
+    for (const std::string name : {"a", "b", "c", "d"}) {
+        known.merge(suspect_at(name, {"b1"}));
+    }
+    known.merge(suspect_at("d", {"b2"}));
+    const isolation_plan plan = known.table.plan("model", backends, known.now);
+    std::set<std::string> used;
+    for (const auto& [digest, backend] : plan.trials) {
+        cr_assert(backend != "b1" && backend != "b2", "%s has ended", backend.c_str());
+        cr_assert(used.insert(backend).second, "%s has two suspects", backend.c_str());
+    }
+    cr_assert(plan.trials.size() == 4);
+    // One more end blocks this suspect.
+    cr_assert(plan.reserved == std::set<std::string>{plan.trials.at(digest_of("d"))});
+    cr_assert(known.table.plan("tool", backends, known.now).trials.empty());
+    known.now += milliseconds{3'000};
+    cr_assert(known.table.plan("model", backends, known.now).trials.empty());
+}
+
+Test(suspect_table, suspects_with_most_ends_are_alone_when_back_ends_are_few) {
+    table_fixture known;
+    for (const std::string name : {"a", "b", "c", "d", "e"}) {
+        known.merge(suspect_at(name, {"x1"}));
+    }
+    known.merge(suspect_at("e", {"x2"}));
+    const isolation_plan plan = known.table.plan("model", {"b1", "b2"}, known.now);
+    cr_assert(plan.trials.size() == 2);
+    cr_assert(plan.trials.count(digest_of("e")) == 1);
+}
