A node that has just started tells all nodes of an end, not only those that it knows

An edge that had just restarted knew only a few peers, so its report of an end reached only these, and another edge counted one end less. Also, an arc of the ring was lost when its first peer knew few of the others.

Now a message names the peers of its arc, and up to three receivers, storage members first, send it to all their peers if they know more than its sender. A node that starts fetches from three peers.

--- a/src/pearbarrow/directory/peer_multicast.cc
+++ b/src/pearbarrow/directory/peer_multicast.cc
@@ -26,16 +26,20 @@
                  done_handler done)
         : owner(owner), payload(std::move(payload)), timeout(timeout), done(std::move(done)) {}
 
-    void start(const std::vector<ring_peer>& targets) {
+    void start(const std::vector<ring_peer>& targets, bool may_widen) {
+        this->known_peers = targets.size();
         std::vector<ring_peer> responsive;
         for (const ring_peer& target : targets) {
-            if (!this->owner.is_unresponsive(target.address)) {
+            const bool is_responsive = !this->owner.is_unresponsive(target.address);
+            if (may_widen && is_responsive && target.is_hub && this->has_wideners_left()) {
+                this->arcs.push_back({.peers = {target}, .may_widen = true});
+            } else if (is_responsive) {
                 responsive.push_back(target);
             } else if (this->arcs.size() < this->owner.options.fanout) {
                 this->arcs.push_back({.peers = {target}, .is_awaited = false});
             }
         }
-        this->divide(responsive);
+        this->divide(responsive, may_widen);
         for (arc& each : this->arcs) {
             this->send(each);
         }
@@ -65,30 +69,41 @@
         std::size_t head = 0;
         /// False if its only peer has not replied recently.
         bool is_awaited = true;
+        bool may_widen = false;
         bool is_over = false;
         std::unique_ptr<net::peer_call_handle> call;
     };
 
-    void divide(const std::vector<ring_peer>& targets) {
+    bool has_wideners_left() const {
+        const auto wideners = std::count_if(this->arcs.begin(), this->arcs.end(),
+                                            [](const arc& each) { return each.may_widen; });
+        return static_cast<std::size_t>(wideners) < this->owner.options.wideners;
+    }
+
+    void divide(const std::vector<ring_peer>& targets, bool may_widen) {
         const std::size_t arc_count = std::min(targets.size(), this->owner.options.fanout);
         const auto at = [&](std::size_t index) {
             return targets.begin() +
                    static_cast<std::ptrdiff_t>(index * targets.size() / arc_count);
         };
         for (std::size_t index = 0; index < arc_count; ++index) {
-            this->arcs.push_back({.peers = {at(index), at(index + 1)}});
+            this->arcs.push_back({.peers = {at(index), at(index + 1)},
+                                  .may_widen = may_widen && this->has_wideners_left()});
         }
     }
 
     void send(arc& target) {
         const bool is_passed_on = target.head + 1 < target.peers.size();
-        const auto share = is_passed_on ? share_of_time_passed_on : 1.0;
+        const auto share = is_passed_on || target.may_widen ? share_of_time_passed_on : 1.0;
         const base::milliseconds time{std::max<std::int64_t>(
             1, static_cast<std::int64_t>(static_cast<double>(this->timeout.count()) * share))};
-        const multicast_message message{.payload = this->payload,
-                                        .is_passed_on = is_passed_on,
-                                        .last = target.peers.back().position,
-                                        .timeout_ms = static_cast<std::uint32_t>(time.count())};
+        multicast_message message{.payload = this->payload,
+                                  .timeout_ms = static_cast<std::uint32_t>(time.count()),
+                                  .may_widen = target.may_widen,
+                                  .known_peers = static_cast<std::uint32_t>(this->known_peers)};
+        for (std::size_t index = target.head + 1; index < target.peers.size(); ++index) {
+            message.pass_on_to.push_back(target.peers[index].address);
+        }
         target.call =
             this->owner.rpc.call(base::node_id(), target.peers[target.head].address,
                                  this->owner.options.method, wire::encode(message), time * 2,
@@ -147,18 +162,21 @@
     base::milliseconds timeout;
     done_handler done;
     std::list<arc> arcs;
+    std::size_t known_peers = 0;
     std::unique_ptr<net::timer_handle> timer;
     multicast_result result;
     bool is_cancelled = false;
 };
 
 peer_multicast::peer_multicast(net::event_loop& loop, net::peer_rpc& rpc, const base::clock& clock,
-                               multicast_options options, peer_source peers, receiver receive)
+                               multicast_options options, peer_source peers, peer_source hubs,
+                               receiver receive)
     : loop(loop),
       rpc(rpc),
       clock(clock),
       options(std::move(options)),
       peers(std::move(peers)),
+      hubs(std::move(hubs)),
       receive(std::move(receive)),
       own_position(position_of(this->options.self)) {
     rpc.register_method(this->options.method, [this](std::string_view payload, auto responder) {
@@ -173,16 +191,16 @@
 }
 
 void peer_multicast::send(std::string payload, done_handler done) {
-    this->start(this->peers_after_self(nullptr), payload, this->options.timeout, std::move(done));
+    this->start(this->peers_after_self(), payload, this->options.timeout, true, std::move(done));
 }
 
 void peer_multicast::start(const std::vector<ring_peer>& targets, const std::string& payload,
-                           base::milliseconds timeout, done_handler done) {
+                           base::milliseconds timeout, bool may_widen, done_handler done) {
     this->transmissions.remove_if(
         [](const std::shared_ptr<transmission>& each) { return each->is_over(); });
     const auto started = std::make_shared<transmission>(*this, payload, timeout, std::move(done));
     this->transmissions.push_back(started);
-    started->start(targets);
+    started->start(targets, may_widen);
 }
 
 void peer_multicast::handle(std::string_view payload,
@@ -193,32 +211,46 @@
         return;
     }
     this->receive(message->payload);
-    if (!message->is_passed_on) {
+    std::vector<ring_peer> targets;
+    if (message->may_widen) {
+        targets = this->peers_after_self();
+    }
+    if (targets.size() <= message->known_peers) {
+        targets.clear();
+        for (const net::endpoint& peer : message->pass_on_to) {
+            targets.push_back({.position = 0, .address = peer});
+        }
+    }
+    if (targets.empty()) {
         responder->finish(wire::encode(multicast_reply{.reached = 1}));
         return;
     }
     const base::milliseconds timeout{
         std::min<std::int64_t>(message->timeout_ms, this->options.timeout.count())};
-    this->start(this->peers_after_self(&message->last), message->payload, timeout,
+    this->start(targets, message->payload, timeout, false,
                 [responder](const multicast_result& result) {
                     responder->finish(wire::encode(multicast_reply{.reached = result.reached + 1}));
                 });
 }
 
-std::vector<peer_multicast::ring_peer> peer_multicast::peers_after_self(
-    const std::uint64_t* last) const {
-    std::vector<ring_peer> found;
-    // Positions relative to this node do not wrap around.
-    const auto distance = [this](std::uint64_t position) { return position - this->own_position; };
+std::vector<peer_multicast::ring_peer> peer_multicast::peers_after_self() const {
+    std::map<net::endpoint, bool> known;
     for (const net::endpoint& peer : this->peers()) {
-        const std::uint64_t position = position_of(peer);
-        const bool is_in_arc = last == nullptr || distance(position) <= distance(*last);
-        if (peer != this->options.self && is_in_arc) {
-            found.push_back({.position = position, .address = peer});
-        }
+        known[peer] = false;
+    }
+    for (const net::endpoint& hub : this->hubs()) {
+        known[hub] = true;
+    }
+    known.erase(this->options.self);
+    std::vector<ring_peer> found;
+    for (const auto& [address, is_hub] : known) {
+        // Positions relative to this node do not wrap around.
+        found.push_back({.position = position_of(address) - this->own_position,
+                         .address = address,
+                         .is_hub = is_hub});
     }
-    std::sort(found.begin(), found.end(), [&](const ring_peer& left, const ring_peer& right) {
-        return distance(left.position) < distance(right.position);
+    std::sort(found.begin(), found.end(), [](const ring_peer& left, const ring_peer& right) {
+        return left.position < right.position;
     });
     return found;
 }
--- a/src/pearbarrow/directory/peer_multicast.h
+++ b/src/pearbarrow/directory/peer_multicast.h
@@ -2,10 +2,13 @@
 ///
 /// Protocol: the sender orders its peers on a ring by the hash of their addresses, divides the ring
 /// into a bounded number of arcs, and sends the message to the first peer of each arc, which passes
-/// it on in the same way to the peers that it knows in the rest of the arc. A peer confirms once
+/// it on in the same way to the rest of the arc, named in the message. A peer confirms once
 /// those in its arc have confirmed, or its time is up. If the first peer of an arc does not reply,
 /// the next one takes its place. A node thus sends few messages, and a fleet of a thousand nodes is
 /// reached in three steps. A node may receive a message more than once.
+///
+/// A node that has just started knows few peers. It lets some receivers, hubs if it knows any, send
+/// the message to all peers that they know if these are more.
 #pragma once
 
 #include <cstdint>
@@ -31,20 +34,23 @@
     std::size_t fanout = 16;
     /// Time until all peers should have confirmed.
     base::milliseconds timeout{60};
+    /// Number of receivers that may send the message to further peers.
+    std::size_t wideners = 3;
     /// How long a peer that did not reply is not waited for.
     base::milliseconds unresponsive_penalty{3'000};
 };
 
-/// A message, and the arc of the ring in which the receiver passes it on: from its own position up
-/// to and including `last`.
+/// A message, and the peers to which the receiver passes it on.
 struct multicast_message {
     std::string payload;
-    bool is_passed_on = false;
-    std::uint64_t last = 0;
+    std::vector<net::endpoint> pass_on_to;
     /// Milliseconds within which the receiver should confirm.
     std::uint32_t timeout_ms = 0;
+    /// The receiver sends the message to all its peers if it knows more than `known_peers`.
+    bool may_widen = false;
+    std::uint32_t known_peers = 0;
 
-    MSGPACK_DEFINE(payload, is_passed_on, last, timeout_ms);
+    MSGPACK_DEFINE(payload, pass_on_to, timeout_ms, may_widen, known_peers);
 };
 
 struct multicast_reply {
@@ -67,8 +73,10 @@
     using receiver = std::function<void(std::string_view payload)>;
     using done_handler = std::function<void(const multicast_result&)>;
 
+    /// `hubs` returns nodes that most nodes know.
     peer_multicast(net::event_loop& loop, net::peer_rpc& rpc, const base::clock& clock,
-                   multicast_options options, peer_source peers, receiver receive);
+                   multicast_options options, peer_source peers, peer_source hubs,
+                   receiver receive);
     ~peer_multicast();
     peer_multicast(const peer_multicast&) = delete;
     peer_multicast& operator=(const peer_multicast&) = delete;
@@ -83,13 +91,14 @@
     struct ring_peer {
         std::uint64_t position = 0;
         net::endpoint address;
+        bool is_hub = false;
     };
 
     void handle(std::string_view payload, const std::shared_ptr<net::peer_responder>& responder);
-    /// Returns the peers after this node, in the order of the ring, up to `last` if it is given.
-    std::vector<ring_peer> peers_after_self(const std::uint64_t* last) const;
+    /// Returns all peers, in the order of the ring from this node on.
+    std::vector<ring_peer> peers_after_self() const;
     void start(const std::vector<ring_peer>& targets, const std::string& payload,
-               base::milliseconds timeout, done_handler done);
+               base::milliseconds timeout, bool may_widen, done_handler done);
     bool is_unresponsive(const net::endpoint& peer) const;
 
     net::event_loop& loop;
@@ -97,6 +106,7 @@
     const base::clock& clock;
     multicast_options options;
     peer_source peers;
+    peer_source hubs;
     receiver receive;
     std::uint64_t own_position;
     std::map<net::endpoint, base::instant> unresponsive_until;
--- a/src/pearbarrow/emulator/runner.cc
+++ b/src/pearbarrow/emulator/runner.cc
@@ -62,8 +62,9 @@
 }
 
 /// The server cannot be destroyed inside one of its callbacks.
-void runner::crash_soon() {
+void runner::crash_soon(std::size_t run) {
     if (crash_timer_ == nullptr) {
+        runs_[run].ended_process = true;
         crash_timer_ = loop_.after(time_before_cut, [this] {
             ++lethal_crashes_;
             crash();
@@ -124,7 +125,7 @@
     const bool is_plain = !request.headers.find(usage_header).has_value();
     if (is_lethal(request) && (is_plain || lethal_->moment == crash_moment::queued)) {
         held_.push_back(exchange);
-        crash_soon();
+        crash_soon(runs_.size() - 1);
     } else if (fault_ == runner_fault::lose_answer) {
         exchange->abort();
     } else if (fault_ == runner_fault::hang) {
@@ -208,7 +209,7 @@
         return;
     }
     if (has_reached_crash(streams_[number])) {
-        crash_soon();
+        crash_soon(streams_[number].run);
         return;
     }
     streams_[number].next =
@@ -283,7 +284,7 @@
         return;
     }
     if (has_reached_crash(stream)) {
-        crash_soon();
+        crash_soon(stream.run);
         return;
     }
     if (stream.sent == options_.events) {
--- a/src/pearbarrow/emulator/runner.h
+++ b/src/pearbarrow/emulator/runner.h
@@ -104,6 +104,8 @@
     bool cancelled = false;
     /// Whether its stream was cut after a whole event and ended as a whole one.
     bool was_cut_between_events = false;
+    /// Whether the request ended the process.
+    bool ended_process = false;
 };
 
 class runner {
@@ -158,8 +160,8 @@
     void handle(const exchange_pointer& exchange);
     void end_streams();
     bool is_lethal(const net::http_request& request) const;
-    /// Schedules the crash that a request causes.
-    void crash_soon();
+    /// Schedules the crash that a request causes. `run` is its index in `runs_`.
+    void crash_soon(std::size_t run);
     /// Returns whether the stream has reached the moment at which its request ends the process.
     bool has_reached_crash(const open_stream& stream) const;
     void answer_plain(net::http_exchange& exchange) const;
--- a/src/pearbarrow/suspects/suspect_exchange.cc
+++ b/src/pearbarrow/suspects/suspect_exchange.cc
@@ -18,6 +18,7 @@
       multicast(
           loop, rpc, clock, {.self = this->options.self, .method = wire::suspect_report},
           [this] { return this->peers.confirmed_peers(); },
+          [this] { return this->storage_members(); },
           [this](std::string_view payload) { this->merge(payload); }) {
     rpc.register_method(wire::suspect_fetch, [this](std::string_view /*payload*/, auto responder) {
         responder->finish(
@@ -31,12 +32,12 @@
 
 void suspect_exchange::fetch() {
     this->fetch_timer.reset();
-    if (this->fetches == this->options.max_fetches) {
+    if (this->fetches == this->options.max_fetches ||
+        this->fetched == this->options.wanted_fetches) {
         return;
     }
     ++this->fetches;
-    const net::endpoint peer =
-        this->peers.random_peer([](const net::endpoint& /*peer*/) { return true; });
+    const net::endpoint peer = this->peers.random_peer([](const auto& /*peer*/) { return true; });
     const auto retry = [this] {
         this->fetch_timer = this->loop.after(this->options.fetch_retry, [this] { this->fetch(); });
     };
@@ -49,12 +50,23 @@
         {.on_part = nullptr, .on_done = [this, retry](const absl::StatusOr<std::string>& reply) {
              if (reply.ok()) {
                  this->merge(*reply);
-             } else {
-                 retry();
+                 ++this->fetched;
              }
+             retry();
          }});
 }
 
+std::vector<net::endpoint> suspect_exchange::storage_members() const {
+    std::vector<net::endpoint> addresses;
+    const auto& view = this->peers.state().current().storage;
+    if (view.has_value()) {
+        for (const directory::storage_member& member : view->members) {
+            addresses.push_back(member.address);
+        }
+    }
+    return addresses;
+}
+
 void suspect_exchange::merge(std::string_view payload) {
     const auto report = wire::decode<suspect_report>(payload);
     if (!report.ok()) {
--- a/src/pearbarrow/suspects/suspect_exchange.h
+++ b/src/pearbarrow/suspects/suspect_exchange.h
@@ -26,8 +26,10 @@
     suspect_options table;
     base::milliseconds fetch_timeout{500};
     base::milliseconds fetch_retry{100};
-    /// Number of peers that a node asks when it starts.
+    /// Number of peers that a node asks when it starts, and of replies after which it stops. A peer
+    /// may have started just before.
     std::uint32_t max_fetches = 20;
+    std::uint32_t wanted_fetches = 3;
     base::milliseconds expiry_interval{5'000};
 };
 
@@ -54,6 +56,7 @@
   private:
     void merge(std::string_view payload);
     void fetch();
+    std::vector<net::endpoint> storage_members() const;
     /// Expires suspects as long as there are any.
     void schedule_expiry();
 
@@ -68,6 +71,7 @@
     std::unique_ptr<net::timer_handle> fetch_timer;
     std::unique_ptr<net::timer_handle> expiry_timer;
     std::uint32_t fetches = 0;
+    std::uint32_t fetched = 0;
 };
 
 }  // namespace pearbarrow::suspects
