--- a/src/pearbarrow/directory/peer_multicast.cc
+++ b/src/pearbarrow/directory/peer_multicast.cc
@@ -243,6 +243,7 @@
     }
     known.erase(this->options.self);
     std::vector<ring_peer> found;
+    found.reserve(known.size());
     for (const auto& [address, is_hub] : known) {
         // Positions relative to this node do not wrap around.
         found.push_back({.position = position_of(address) - this->own_position,
--- a/src/pearbarrow/emulator/runner.cc
+++ b/src/pearbarrow/emulator/runner.cc
@@ -73,7 +73,7 @@
 }
 
 absl::Status runner::start() {
-    const absl::Status status = server_->start();
+    absl::Status status = server_->start();
     address_ = server_->local_endpoint();
     return status;
 }
--- a/src/pearbarrow/suspects/suspect_table.cc
+++ b/src/pearbarrow/suspects/suspect_table.cc
@@ -254,6 +254,7 @@
     }
     // On a ring, back ends that come and go change the places of few suspects.
     std::vector<std::pair<std::uint64_t, std::string>> ring;
+    ring.reserve(backends.size());
     for (const std::string& backend : backends) {
         ring.emplace_back(base::stable_hash(backend), backend);
     }
--- a/tests/unit/fleet/lethal_requests_test.cc
+++ b/tests/unit/fleet/lethal_requests_test.cc
@@ -259,3 +259,34 @@
     const auto response = send(key_of_b, "b1");
     cr_assert(!is_blocked(response), "%s", response.body.c_str());
 }
+
+Test(lethal_requests, process_replaced_at_once_counts_when_another_one_is_found_there) {
+    for (const bool shows_in_directory : {false, true}) {
+        lethal_fixture callers(1, 1);
+        emulator::runner& tool = *callers.fleet.tool;
+        tool.set_fault(emulator::runner_fault::hang);
+        std::optional<client_response> response;
+        callers.fleet.start_call(0, "/once/x", "a", {}, "input", response);
+        cr_assert(run_until(callers.fleet.loop, [&] { return tool.runs().size() == 1; }));
+        tool.set_fault(emulator::runner_fault::none);
+        // The new process listens before the probe.
+        if (shows_in_directory) {
+            cr_assert(tool.start_again(1'700'000'000'000).ok());
+            callers.fleet.store.put("servers/" + tool.id(), tool.list_entry("tool"));
+        } else {
+            tool.set_id("i-next");
+            cr_assert(tool.start_again(0).ok());
+        }
+        cr_assert(run_until(callers.fleet.loop, [&] { return response.has_value(); }));
+        cr_assert(response->status == 502);
+        if (!shows_in_directory) {
+            callers.fleet.call(0, "/once/y", "b", {}, "other");
+        }
+        const auto& table = callers.fleet.edges[1]->node.parts().suspects().table();
+        cr_assert(run_until(callers.fleet.loop, [&] { return !table.is_empty(); }));
+        const auto known = table.all(callers.fleet.clock.now());
+        cr_assert(known.size() == 1 && known[0].ends.size() == 1);
+        cr_assert(known[0].ends[0].request == "a");
+        cr_assert(known[0].ends[0].evidence == suspects::end_evidence::replaced);
+    }
+}
