A node that missed reports learns of the ends with its own report, and is ready once it knows them

An edge that had restarted 80 ms before did not know of the first two ends, sent the third try, reported one end, and sent another try 0.2 s later.

Now a receiver that knows further ends of a reported request states them in its reply, so the reporting edge knows them before it answers its caller. An edge is ready once it has fetched what a peer knows, or 0.5 s after its start if none replies; the first fetches are 20 ms apart.

--- a/src/pearbarrow/directory/peer_multicast.cc
+++ b/src/pearbarrow/directory/peer_multicast.cc
@@ -121,6 +121,9 @@
         if (answer.ok()) {
             this->owner.unresponsive_until.erase(peer);
             this->result.reached += answer->reached;
+            if (!answer->correction.empty()) {
+                this->owner.receive(answer->correction);
+            }
             target.is_over = true;
         } else {
             this->owner.unresponsive_until[peer] =
@@ -170,7 +173,7 @@
 
 peer_multicast::peer_multicast(net::event_loop& loop, net::peer_rpc& rpc, const base::clock& clock,
                                multicast_options options, peer_source peers, peer_source hubs,
-                               receiver receive)
+                               receiver receive, corrector correct)
     : loop(loop),
       rpc(rpc),
       clock(clock),
@@ -178,6 +181,7 @@
       peers(std::move(peers)),
       hubs(std::move(hubs)),
       receive(std::move(receive)),
+      correct(std::move(correct)),
       own_position(position_of(this->options.self)) {
     rpc.register_method(this->options.method, [this](std::string_view payload, auto responder) {
         this->handle(payload, responder);
@@ -221,16 +225,18 @@
             targets.push_back({.position = 0, .address = peer});
         }
     }
+    const auto reply = [this, responder, received = message->payload](std::uint32_t reached) {
+        responder->finish(wire::encode(
+            multicast_reply{.reached = reached, .correction = this->correct(received)}));
+    };
     if (targets.empty()) {
-        responder->finish(wire::encode(multicast_reply{.reached = 1}));
+        reply(1);
         return;
     }
     const base::milliseconds timeout{
         std::min<std::int64_t>(message->timeout_ms, this->options.timeout.count())};
     this->start(targets, message->payload, timeout, false,
-                [responder](const multicast_result& result) {
-                    responder->finish(wire::encode(multicast_reply{.reached = result.reached + 1}));
-                });
+                [reply](const multicast_result& result) { reply(result.reached + 1); });
 }
 
 std::vector<peer_multicast::ring_peer> peer_multicast::peers_after_self() const {
--- a/src/pearbarrow/directory/peer_multicast.h
+++ b/src/pearbarrow/directory/peer_multicast.h
@@ -8,7 +8,8 @@
 /// reached in three steps. A node may receive a message more than once.
 ///
 /// A node that has just started knows few peers. It lets some receivers, hubs if it knows any, send
-/// the message to all peers that they know if these are more.
+/// the message to all peers that they know if these are more. A receiver that knows more than a
+/// message states corrects it with its reply.
 #pragma once
 
 #include <cstdint>
@@ -56,8 +57,10 @@
 struct multicast_reply {
     /// Nodes that have received the message, including the replying one.
     std::uint32_t reached = 0;
+    /// Message to the sender; empty if there is none.
+    std::string correction;
 
-    MSGPACK_DEFINE(reached);
+    MSGPACK_DEFINE(reached, correction);
 };
 
 struct multicast_result {
@@ -71,12 +74,15 @@
     /// Returns the peers that this node knows.
     using peer_source = std::function<std::vector<net::endpoint>()>;
     using receiver = std::function<void(std::string_view payload)>;
+    /// Returns what a sender of the message should know in addition, or an empty text. It is called
+    /// after `receiver`.
+    using corrector = std::function<std::string(std::string_view payload)>;
     using done_handler = std::function<void(const multicast_result&)>;
 
     /// `hubs` returns nodes that most nodes know.
     peer_multicast(net::event_loop& loop, net::peer_rpc& rpc, const base::clock& clock,
-                   multicast_options options, peer_source peers, peer_source hubs,
-                   receiver receive);
+                   multicast_options options, peer_source peers, peer_source hubs, receiver receive,
+                   corrector correct);
     ~peer_multicast();
     peer_multicast(const peer_multicast&) = delete;
     peer_multicast& operator=(const peer_multicast&) = delete;
@@ -108,6 +114,7 @@
     peer_source peers;
     peer_source hubs;
     receiver receive;
+    corrector correct;
     std::uint64_t own_position;
     std::map<net::endpoint, base::instant> unresponsive_until;
     std::list<std::shared_ptr<transmission>> transmissions;
--- a/src/pearbarrow/fleet/edge_node.cc
+++ b/src/pearbarrow/fleet/edge_node.cc
@@ -151,7 +151,7 @@
     // nodes that started together did so for up to 2 s, and programs whose retries reached several
     // of them failed.
     return !stopping_ && service_.is_configured() && zone_rules_.is_emptied_list_known() &&
-           has_backends_;
+           has_backends_ && parts_.suspects().is_current();
 }
 
 void edge_node::respond_readiness(const std::shared_ptr<net::http_exchange>& exchange) const {
--- a/src/pearbarrow/fleet/node_parts.h
+++ b/src/pearbarrow/fleet/node_parts.h
@@ -48,6 +48,7 @@
     const std::shared_ptr<net::buffered_bytes>& buffered() const { return buffered_; }
     directory::directory_exchange& directory() { return *exchange_; }
     suspects::suspect_exchange& suspects() { return *suspects_; }
+    const suspects::suspect_exchange& suspects() const { return *suspects_; }
     const settings::fleet_settings& settings() const { return settings_; }
 
   private:
--- a/src/pearbarrow/suspects/suspect_exchange.cc
+++ b/src/pearbarrow/suspects/suspect_exchange.cc
@@ -19,14 +19,21 @@
           loop, rpc, clock, {.self = this->options.self, .method = wire::suspect_report},
           [this] { return this->peers.confirmed_peers(); },
           [this] { return this->storage_members(); },
-          [this](std::string_view payload) { this->merge(payload); }) {
+          [this](std::string_view payload) { this->merge(payload); },
+          [this](std::string_view payload) { return this->correction_of(payload); }) {
     rpc.register_method(wire::suspect_fetch, [this](std::string_view /*payload*/, auto responder) {
         responder->finish(
             wire::encode(suspect_report{.suspects = this->known.all(this->clock.now())}));
     });
 }
 
+bool suspect_exchange::is_current() const {
+    return this->fetched > 0 ||
+           this->clock.now() - this->started_at >= this->options.max_start_time;
+}
+
 void suspect_exchange::start() {
+    this->started_at = this->clock.now();
     this->fetch();
 }
 
@@ -39,7 +46,9 @@
     ++this->fetches;
     const net::endpoint peer = this->peers.random_peer([](const auto& /*peer*/) { return true; });
     const auto retry = [this] {
-        this->fetch_timer = this->loop.after(this->options.fetch_retry, [this] { this->fetch(); });
+        const base::milliseconds delay =
+            this->fetched == 0 ? this->options.initial_fetch_retry : this->options.fetch_retry;
+        this->fetch_timer = this->loop.after(delay, [this] { this->fetch(); });
     };
     if (peer.port == 0) {
         retry();
@@ -75,6 +84,20 @@
     this->add(report->suspects);
 }
 
+std::string suspect_exchange::correction_of(std::string_view payload) const {
+    const auto report = wire::decode<suspect_report>(payload);
+    suspect_report correction;
+    if (report.ok()) {
+        for (const suspect& reported : report->suspects) {
+            auto known = this->known.find(reported.digest, this->clock.now());
+            if (known.has_value() && known->ends.size() > reported.ends.size()) {
+                correction.suspects.push_back(*std::move(known));
+            }
+        }
+    }
+    return correction.suspects.empty() ? std::string() : wire::encode(correction);
+}
+
 std::vector<std::string> suspect_exchange::add(const std::vector<suspect>& observed) {
     const base::instant now = this->clock.now();
     std::vector<std::string> blocked;
--- a/src/pearbarrow/suspects/suspect_exchange.h
+++ b/src/pearbarrow/suspects/suspect_exchange.h
@@ -1,8 +1,9 @@
 /// Keeps the suspects of all nodes the same: tells every node of new ends, and fetches what is
 /// known when a node starts.
 ///
-/// Reports state all ends of a suspect that their sender knows, so a node that has missed earlier
-/// reports knows them from the next one. A node that no report reaches does not block the request.
+/// Reports state all ends of a suspect that their sender knows, and receivers that know more reply
+/// with it, so a node that has missed earlier reports learns of them with the next one. A node that
+/// no report reaches does not block the request.
 #pragma once
 
 #include <cstdint>
@@ -25,10 +26,14 @@
     net::endpoint self;
     suspect_options table;
     base::milliseconds fetch_timeout{500};
+    /// Delay before the next fetch, before and after the first reply.
+    base::milliseconds initial_fetch_retry{20};
     base::milliseconds fetch_retry{100};
+    /// Time after the start from which on a node without a reply counts as current.
+    base::milliseconds max_start_time{500};
     /// Number of peers that a node asks when it starts, and of replies after which it stops. A peer
     /// may have started just before.
-    std::uint32_t max_fetches = 20;
+    std::uint32_t max_fetches = 30;
     std::uint32_t wanted_fetches = 3;
     base::milliseconds expiry_interval{5'000};
 };
@@ -43,6 +48,8 @@
     /// Starts to fetch what the peers know. Call it once the links between nodes are open.
     void start();
     const suspect_table& table() const { return this->known; }
+    /// Whether the node knows what its peers knew when it started, or none of them has replied.
+    bool is_current() const;
     /// Adds ends that this node has observed. Returns the digests of requests that are now blocked.
     std::vector<std::string> add(const std::vector<suspect>& observed);
     /// Records that a suspect is sent to the back end, and tells all nodes.
@@ -55,6 +62,8 @@
 
   private:
     void merge(std::string_view payload);
+    /// Returns the suspects of a report of which this node knows further ends.
+    std::string correction_of(std::string_view payload) const;
     void fetch();
     std::vector<net::endpoint> storage_members() const;
     /// Expires suspects as long as there are any.
@@ -70,6 +79,7 @@
     std::unique_ptr<net::peer_call_handle> fetch_call;
     std::unique_ptr<net::timer_handle> fetch_timer;
     std::unique_ptr<net::timer_handle> expiry_timer;
+    base::instant started_at{};
     std::uint32_t fetches = 0;
     std::uint32_t fetched = 0;
 };
