The number of ends that block a request does not fall when the ends of others expire

Found by reading: a request that met three ends in a series of crashes could be blocked up to 10 s before it is forgotten, since the unrelated ends expire earlier than its own. A test of it failed before.

--- a/src/pearbarrow/suspects/suspect_table.cc
+++ b/src/pearbarrow/suspects/suspect_table.cc
@@ -146,12 +146,13 @@
 }
 
 void suspect_table::update_required_ends(entry& known) const {
-    known.required_ends = this->options.max_ends;
+    std::size_t required = this->options.max_ends;
     if (known.counted_ends() >= this->options.max_ends) {
         const std::size_t unit = this->options.unrelated_ends_per_end;
         const std::size_t more = (this->unrelated_ends(known) + unit / 2) / unit;
-        known.required_ends = std::min(known.required_ends + more, max_ends_kept);
+        required = std::min(required + more, max_ends_kept);
     }
+    known.required_ends = std::max(known.required_ends, required);
 }
 
 std::size_t suspect_table::unrelated_ends(const entry& known) const {
--- a/src/pearbarrow/suspects/suspect_table.h
+++ b/src/pearbarrow/suspects/suspect_table.h
@@ -108,7 +108,7 @@
         suspect description;
         std::vector<held_end> ends;
         base::instant trial_at{};
-        /// Ends that block the request.
+        /// Ends that block the request. Never decreases, since the ends of others expire earlier.
         std::size_t required_ends = 0;
 
         /// Number of ends from which the request is not excused.
--- a/tests/unit/suspects/suspect_table_test.cc
+++ b/tests/unit/suspects/suspect_table_test.cc
@@ -143,6 +143,20 @@
     cr_assert(known.merge(suspect_at("a", {"b4"})));
 }
 
+Test(suspect_table, request_is_not_blocked_once_the_ends_of_others_have_expired) {
+    table_fixture known;
+    for (int index = 0; index < 5; ++index) {
+        const std::string number = std::to_string(index);
+        known.merge(suspect_at("other" + number, {"x" + number}));
+    }
+    known.now += milliseconds{5'000};
+    known.merge(suspect_at("a", {"b1", "b2", "b3"}));
+    known.now += milliseconds{56'000};
+    known.merge(suspect_at("new", {"y1"}));
+    cr_assert(known.table.size() == 2);
+    cr_assert(!known.status("a").is_blocked);
+}
+
 Test(suspect_table, ends_of_other_lethal_requests_are_no_series) {
     table_fixture known;
     for (int index = 0; index < 5; ++index) {
