A node is not current because of a peer that has just started itself

An edge that had restarted was ready 40 ms after its configuration and sent the sixth try of a blocked request, since the peer from which it had fetched had just started too and knew nothing.

Now the reply to a fetch states whether its sender is current, and only such replies count.

Evidence: reply_of_a_node_that_has_just_started_does_not_make_current fails without the check, as the first reply arrives within milliseconds.

--- a/src/pearbarrow/suspects/suspect_exchange.cc
+++ b/src/pearbarrow/suspects/suspect_exchange.cc
@@ -15,6 +15,7 @@
       peers(peers),
       options(std::move(options)),
       known(this->options.table),
+      started_at(clock.now()),
       multicast(
           loop, rpc, clock, {.self = this->options.self, .method = wire::suspect_report},
           [this] { return this->peers.confirmed_peers(); },
@@ -22,8 +23,8 @@
           [this](std::string_view payload) { this->merge(payload); },
           [this](std::string_view payload) { return this->correction_of(payload); }) {
     rpc.register_method(wire::suspect_fetch, [this](std::string_view /*payload*/, auto responder) {
-        responder->finish(
-            wire::encode(suspect_report{.suspects = this->known.all(this->clock.now())}));
+        responder->finish(wire::encode(suspect_report{
+            .suspects = this->known.all(this->clock.now()), .is_current = this->is_current()}));
     });
 }
 
@@ -33,7 +34,6 @@
 }
 
 void suspect_exchange::start() {
-    this->started_at = this->clock.now();
     this->fetch();
 }
 
@@ -57,9 +57,11 @@
     this->fetch_call = this->rpc.call(
         base::node_id(), peer, wire::suspect_fetch, "", this->options.fetch_timeout,
         {.on_part = nullptr, .on_done = [this, retry](const absl::StatusOr<std::string>& reply) {
-             if (reply.ok()) {
-                 this->merge(*reply);
-                 ++this->fetched;
+             const auto report = reply.ok() ? wire::decode<suspect_report>(*reply)
+                                            : absl::StatusOr<suspect_report>(reply.status());
+             if (report.ok()) {
+                 this->add(report->suspects);
+                 this->fetched += report->is_current ? 1 : 0;
              }
              retry();
          }});
--- a/src/pearbarrow/suspects/suspect_exchange.h
+++ b/src/pearbarrow/suspects/suspect_exchange.h
@@ -48,7 +48,7 @@
     /// Starts to fetch what the peers know. Call it once the links between nodes are open.
     void start();
     const suspect_table& table() const { return this->known; }
-    /// Whether the node knows what its peers knew when it started, or none of them has replied.
+    /// Whether the node knows what its peers knew when it started, or none that knows has replied.
     bool is_current() const;
     /// Adds ends that this node has observed. Returns the digests of requests that are now blocked.
     std::vector<std::string> add(const std::vector<suspect>& observed);
@@ -75,11 +75,11 @@
     directory::directory_exchange& peers;
     suspect_exchange_options options;
     suspect_table known;
+    base::instant started_at;
     directory::peer_multicast multicast;
     std::unique_ptr<net::peer_call_handle> fetch_call;
     std::unique_ptr<net::timer_handle> fetch_timer;
     std::unique_ptr<net::timer_handle> expiry_timer;
-    base::instant started_at{};
     std::uint32_t fetches = 0;
     std::uint32_t fetched = 0;
 };
--- a/src/pearbarrow/suspects/suspect_messages.h
+++ b/src/pearbarrow/suspects/suspect_messages.h
@@ -60,8 +60,10 @@
 /// Sent to all nodes, and in reply to a node that has started.
 struct suspect_report {
     std::vector<suspect> suspects;
+    /// Whether the sender knows what its peers knew when it started.
+    bool is_current = true;
 
-    MSGPACK_DEFINE(suspects);
+    MSGPACK_DEFINE(suspects, is_current);
 };
 
 /// Returns the ends of a suspect as log fields.
--- a/tests/unit/suspects/suspect_exchange_test.cc
+++ b/tests/unit/suspects/suspect_exchange_test.cc
@@ -98,6 +98,16 @@
     cr_assert(nodes.second.status().is_blocked);
 }
 
+Test(suspect_exchange, reply_of_a_node_that_has_just_started_does_not_make_current) {
+    two_nodes nodes;
+    nodes.first.exchange->start();
+    nodes.second.exchange->start();
+    cr_assert(!nodes.first.exchange->is_current());
+    net::testing::run_for(nodes.loop, base::milliseconds{200});
+    cr_assert(!nodes.second.exchange->is_current());
+    cr_assert(run_until(nodes.loop, [&] { return nodes.second.exchange->is_current(); }));
+}
+
 Test(suspect_exchange, node_without_peers_is_current_after_a_while) {
     net::event_loop loop;
     const suspects_node alone(loop, "alone", {});
