--- a/src/pearbarrow/suspects/suspect_exchange.cc
+++ b/src/pearbarrow/suspects/suspect_exchange.cc
@@ -29,7 +29,7 @@
 }
 
 bool suspect_exchange::is_current() const {
-    return this->fetched > 0 ||
+    return this->fetched > 0 || this->peers.peer_count() == 0 ||
            this->clock.now() - this->started_at >= this->options.max_start_time;
 }
 
--- a/src/pearbarrow/suspects/suspect_exchange.h
+++ b/src/pearbarrow/suspects/suspect_exchange.h
@@ -49,6 +49,7 @@
     void start();
     const suspect_table& table() const { return this->known; }
     /// Whether the node knows what its peers knew when it started, or none that knows has replied.
+    /// A node without peers and seeds is current.
     bool is_current() const;
     /// Adds ends that this node has observed. Returns the digests of requests that are now blocked.
     std::vector<std::string> add(const std::vector<suspect>& observed);
