--- a/tests/unit/fleet/lethal_soak_test.cc
+++ b/tests/unit/fleet/lethal_soak_test.cc
@@ -96,7 +96,7 @@
     }
 
     void log_counts(std::uint64_t seed) const {
-        cr_log_warn(
+        cr_log_info(
             "seed %lu: %d faults, %zu requests, %d lethal, %u ends, at most %d under one, "
             "%d tries refused, %d tries of killed edges",
             seed, faults, requests_.size(), lethal, callers_.ended(), most_ends, refused,
--- a/tests/unit/suspects/isolation_simulation_test.cc
+++ b/tests/unit/suspects/isolation_simulation_test.cc
@@ -207,7 +207,7 @@
 }
 
 void log(const char* name, const outcome& sum) {
-    cr_log_warn(
+    cr_log_info(
         "%s: %d lethal requests, %d ends, at most %zu under one, %d innocents struck twice, "
         "%d three times, %d refused",
         name, sum.lethal_requests, sum.ends, sum.most_ends_of_a_request, sum.innocents_struck_twice,
