--- a/src/pearbarrow/suspects/request_fingerprint.h
+++ b/src/pearbarrow/suspects/request_fingerprint.h
@@ -1,9 +1,10 @@
 /// Identifies the content of a request over all its attempts.
 ///
-/// A caller gives each attempt an id of its own, so ids do not show that two attempts carry the same
-/// request. The fingerprint covers what stays the same from one attempt to the next, and begins with
-/// the tenant and the program: requests of another tenant or program never share it, whatever they
-/// contain. Deadlines, the request id and the position in a resumed stream are not part of it.
+/// A caller gives each attempt an id of its own, so ids do not show that two attempts carry the
+/// same request. The fingerprint covers what stays the same from one attempt to the next, and
+/// begins with the tenant and the program: requests of another tenant or program never share it,
+/// whatever they contain. Deadlines, the request id and the position in a resumed stream are not
+/// part of it.
 #pragma once
 
 #include <cstdint>
