--- a/src/pearbarrow/forward/forwarded_request.h
+++ b/src/pearbarrow/forward/forwarded_request.h
@@ -176,14 +176,16 @@
     void end_attempt(attempt_result result);
     /// Result recorded for the back end if the caller leaves now.
     attempt_result result_if_caller_leaves() const;
-    /// Ends an attempt that has been silent for too long if a retry is allowed.
-    void start_silence_timer();
-    void on_silence();
     bool may_retry(bool ran) const;
     void on_response_end(const net::response_end& end);
     /// Returns whether the body of a response with these headers consists of events.
     bool carries_events(const net::http_headers& headers) const;
 
+    // Silent back ends, forwarded_silence.cc.
+    /// Ends an attempt that has been silent for too long if a retry is allowed.
+    void start_silence_timer();
+    void on_silence();
+
     // Response bytes to the caller, forwarded_response.cc.
     void on_chunk(std::string_view bytes);
     /// Ends the attempt because its response cannot be passed on.
--- a/tests/unit/fleet/lethal_requests_test.cc
+++ b/tests/unit/fleet/lethal_requests_test.cc
@@ -102,9 +102,9 @@
     int sent = 0;
     const auto traffic = callers.fleet.loop.every(base::milliseconds{3}, [&] {
         const std::string id = "i" + std::to_string(++sent);
-        const repeated_request innocent{.target = "/turn/x", .program = id, .body = "input"};
-        callers.fleet.start_call(static_cast<std::size_t>(sent) % 3, innocent.target, id,
-                                 callers.headers_of(innocent), innocent.body,
+        const repeated_request harmless{.target = "/turn/x", .program = id, .body = "input"};
+        callers.fleet.start_call(static_cast<std::size_t>(sent) % 3, harmless.target, id,
+                                 callers.headers_of(harmless), harmless.body,
                                  responses.emplace_back());
     });
     for (int index = 0; index < 4; ++index) {
--- a/tests/unit/fleet/lethal_soak_test.cc
+++ b/tests/unit/fleet/lethal_soak_test.cc
@@ -1,4 +1,4 @@
-// Random soak of requests that end their back ends, beside innocent requests, while edges, storage
+// Random soak of requests that end their back ends, beside harmless requests, while edges, storage
 // members, the directory service and back ends fail. The seed and the time are set by
 // PEARBARROW_SOAK_SEED, PEARBARROW_SOAK_SECONDS and PEARBARROW_SOAK_EDGES.
 #include <list>
@@ -187,7 +187,7 @@
         const client_response& response = *request.response;
         if (response.body.find(blocked_reason) != std::string::npos) {
             ++refused;
-            cr_assert(request.is_lethal, "innocent request %s was blocked", request.id.c_str());
+            cr_assert(request.is_lethal, "harmless request %s was blocked", request.id.c_str());
             cr_assert(response.status == 502 || runs_of_try(request, request.tries) == 0,
                       "try %d of %s was refused but executed", request.tries, request.id.c_str());
         }
@@ -350,7 +350,7 @@
 
 }  // namespace
 
-Test(lethal_soak, lethal_requests_are_stopped_and_innocent_ones_pass, .timeout = 900) {
+Test(lethal_soak, lethal_requests_are_stopped_and_harmless_ones_pass, .timeout = 900) {
     const std::uint64_t seed = number_from("PEARBARROW_SOAK_SEED", 1);
     const std::uint64_t time = number_from("PEARBARROW_SOAK_SECONDS", 40);
     lethal_soak soak(seed, number_from("PEARBARROW_SOAK_EDGES", 4));
--- a/tests/unit/suspects/isolation_simulation_test.cc
+++ b/tests/unit/suspects/isolation_simulation_test.cc
@@ -43,9 +43,9 @@
     int lethal_requests = 0;
     int ends = 0;
     std::size_t most_ends_of_a_request = 0;
-    int innocents_refused = 0;
-    int innocents_struck_twice = 0;
-    int innocents_struck_three_times = 0;
+    int harmless_refused = 0;
+    int harmless_with_two_ends = 0;
+    int harmless_with_three_ends = 0;
 };
 
 class simulation {
@@ -128,7 +128,7 @@
         const suspect_status status = this->table.status_of(sent.digest, this->now);
         if (status.is_blocked || sent.tries == max_tries) {
             sent.is_over = true;
-            this->result.innocents_refused += status.is_blocked && !sent.is_lethal ? 1 : 0;
+            this->result.harmless_refused += status.is_blocked && !sent.is_lethal ? 1 : 0;
             return;
         }
         std::vector<std::string> fit = this->running();
@@ -170,8 +170,8 @@
             each.next_at =
                 this->now + milliseconds{static_cast<std::int64_t>(this->random.below(400))};
             ++each.ends;
-            this->result.innocents_struck_twice += !each.is_lethal && each.ends == 2 ? 1 : 0;
-            this->result.innocents_struck_three_times += !each.is_lethal && each.ends == 3 ? 1 : 0;
+            this->result.harmless_with_two_ends += !each.is_lethal && each.ends == 2 ? 1 : 0;
+            this->result.harmless_with_three_ends += !each.is_lethal && each.ends == 3 ? 1 : 0;
             if (each.is_lethal) {
                 this->result.most_ends_of_a_request =
                     std::max(this->result.most_ends_of_a_request, each.ends);
@@ -199,41 +199,41 @@
         sum.ends += day.ends;
         sum.most_ends_of_a_request =
             std::max(sum.most_ends_of_a_request, day.most_ends_of_a_request);
-        sum.innocents_refused += day.innocents_refused;
-        sum.innocents_struck_twice += day.innocents_struck_twice;
-        sum.innocents_struck_three_times += day.innocents_struck_three_times;
+        sum.harmless_refused += day.harmless_refused;
+        sum.harmless_with_two_ends += day.harmless_with_two_ends;
+        sum.harmless_with_three_ends += day.harmless_with_three_ends;
     }
     return sum;
 }
 
 void log(const char* name, const outcome& sum) {
     cr_log_info(
-        "%s: %d lethal requests, %d ends, at most %zu under one, %d innocents struck twice, "
-        "%d three times, %d refused",
-        name, sum.lethal_requests, sum.ends, sum.most_ends_of_a_request, sum.innocents_struck_twice,
-        sum.innocents_struck_three_times, sum.innocents_refused);
+        "%s: %d lethal requests, %d ends, at most %zu under one, %d harmless ones with two ends, "
+        "%d with three, %d refused",
+        name, sum.lethal_requests, sum.ends, sum.most_ends_of_a_request, sum.harmless_with_two_ends,
+        sum.harmless_with_three_ends, sum.harmless_refused);
 }
 
 }  // namespace
 
-Test(isolation_simulation, lethal_requests_end_three_back_ends_and_innocents_pass) {
+Test(isolation_simulation, lethal_requests_end_three_back_ends_and_harmless_ones_pass) {
     const outcome sum = sum_of(few_lethal_requests, 240);
     log("three ends", sum);
     cr_assert(sum.lethal_requests > 200);
     cr_assert(sum.most_ends_of_a_request <= 3);
-    cr_assert(sum.innocents_refused == 0, "%d", sum.innocents_refused);
+    cr_assert(sum.harmless_refused == 0, "%d", sum.harmless_refused);
 }
 
 Test(isolation_simulation, crashes_in_series_refuse_nobody) {
     for (const int interval_ms : {500, 1'000, 2'000, 4'000}) {
         const outcome sum = sum_of({.crash_interval = milliseconds{interval_ms}}, 240);
         log(("crashes, interval " + std::to_string(interval_ms) + " ms").c_str(), sum);
-        cr_assert(sum.innocents_refused == 0, "%d", sum.innocents_refused);
+        cr_assert(sum.harmless_refused == 0, "%d", sum.harmless_refused);
     }
 }
 
 // Measures other policies for docs/design/lethal-requests.md.
-Test(isolation_simulation, lower_limit_ends_fewer_back_ends_and_refuses_innocents) {
+Test(isolation_simulation, lower_limit_ends_fewer_back_ends_and_refuses_harmless_requests) {
     scenario two = few_lethal_requests;
     two.table.max_ends = 2;
     scenario shared = few_lethal_requests;
@@ -247,5 +247,5 @@
     log("three ends, many lethal requests", sum_of({.lethal_share = 0.005}, 24));
     log("three ends, four crashes per second", sum_of({.crash_interval = milliseconds{250}}, 240));
     cr_assert(of_two.ends < sum_of(few_lethal_requests, 240).ends);
-    cr_assert(of_two_in_crashes.innocents_refused > 0);
+    cr_assert(of_two_in_crashes.harmless_refused > 0);
 }
--- a/tests/unit/suspects/suspect_table_test.cc
+++ b/tests/unit/suspects/suspect_table_test.cc
@@ -130,7 +130,7 @@
     }
 }
 
-Test(suspect_table, request_struck_three_times_in_a_series_of_crashes_is_not_blocked) {
+Test(suspect_table, request_with_three_ends_in_a_series_of_crashes_is_not_blocked) {
     table_fixture known;
     for (int index = 0; index < 5; ++index) {
         const std::string number = std::to_string(index);
