--- a/review/3/case.py
+++ b/review/3/case.py
@@ -11,7 +11,7 @@
 import stand_ins  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-ANSWER_BYTES = 480_000
+ANSWER_BYTES = 500_000
 READ_BYTES_PER_S = 90_000
 READ_INTERVAL_S = 0.05
 DEADLINE_MS = 6_000
