--- a/review/2/case.py
+++ b/review/2/case.py
@@ -102,9 +102,4 @@
 
 
 if __name__ == "__main__":
-    try:
-        code = asyncio.run(main())
-    except Exception as error:  # The case could not run.
-        print(f"the case could not run: {error}", file=sys.stderr)
-        code = 2
-    sys.exit(code)
+    stand_ins.run_case(main)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -84,7 +84,10 @@
             headers["Resumes"] = self.began_as
         self.record(f"client: sends {identity} to {node.name}, after event "
                     f"{self.events[-1][0] if self.events else 0}")
-        reader, writer = await asyncio.open_connection("127.0.0.1", node.caller)
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", node.caller)
+        except ConnectionError:
+            return "no connection"
         try:
             lines = ["POST /agent/turn HTTP/1.1", "Host: shop.example", "Content-Length: 6"]
             lines += [f"{name}: {value}" for name, value in headers.items()]
@@ -168,9 +171,4 @@
 
 
 if __name__ == "__main__":
-    try:
-        code = asyncio.run(main())
-    except Exception as error:  # The case could not run.
-        print(f"the case could not run: {error!r}", file=sys.stderr)
-        code = 2
-    sys.exit(code)
+    stand_ins.run_case(main)
--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -9,9 +9,11 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
+import sys
 import tempfile
 import time
 import urllib.parse
@@ -25,10 +27,21 @@
            421: "Misdirected Request", 503: "Service Unavailable"}
 
 
+FIRST_PORT, PORT_COUNT = 12_000, 20_000
+next_port = random.randrange(PORT_COUNT)
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A free port below the ephemeral range, so that no connection takes it before its use."""
+    global next_port
+    while True:
+        next_port = (next_port + 1) % PORT_COUNT
+        try:
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", FIRST_PORT + next_port))
+            return FIRST_PORT + next_port
+        except OSError:
+            continue
 
 
 class Record:
@@ -408,3 +421,24 @@
         return Answer(0, {}, b"", False)
     finally:
         writer.close()
+
+
+MAX_CASE_S = 115
+
+
+def run_case(main):
+    """Runs the case and exits with its code, or with 2 if it could not run. All processes that it
+    started are ended in each case, also on SIGTERM."""
+
+    async def bounded():
+        task = asyncio.create_task(main())
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        return await asyncio.wait_for(task, MAX_CASE_S)
+
+    try:
+        code = asyncio.run(bounded())
+    except (Exception, asyncio.CancelledError) as error:
+        print(f"the case could not run: {error!r}", file=sys.stderr)
+        code = 2
+    sys.exit(code)
