--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 # they compile and that the program under review is built.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 - <<'CHECK'
+"$(command -v /usr/bin/python3 || command -v python3)" - <<'CHECK'
 import pathlib
 for file in sorted(pathlib.Path(".").glob("*/*.py")):
     compile(file.read_text(encoding="utf-8"), str(file), "exec")
