--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves
 # the disruption out.
-exec "$(command -v /usr/bin/python3 || command -v python3)" "$(dirname "$0")/case.py"
+exec "$(command -v /usr/bin/python3 || command -v python3)" -B "$(dirname "$0")/case.py"
