Logs name the attempts under which a back end may have ended

Operators could not tell an end that was probed without proof from one at an edge that was lost: neither left a line that names the request. end_suspected names request, fingerprint, back end and evidence of each attempt whose probe proves nothing; attempt_abandoned the same of an attempt whose caller leaves a back end that has been silent for 100 ms or longer. No decision changes.

--- a/src/pearbarrow/forward/forwarded_request.cc
+++ b/src/pearbarrow/forward/forwarded_request.cc
@@ -181,6 +181,7 @@
     permit_retry_timer_.reset();
     release_slot();
     if (attempt_open_) {
+        log_abandoned_attempt();
         end_attempt(result_if_caller_leaves());
     }
     if (facts_.turn.has_value()) {
--- a/src/pearbarrow/forward/forwarded_request.h
+++ b/src/pearbarrow/forward/forwarded_request.h
@@ -146,6 +146,10 @@
     void isolate(choice_request& request) const;
     /// Tells all nodes at which back end the suspect is tried.
     void begin_trial();
+    /// Logs an attempt whose caller leaves while its back end is silent.
+    void log_abandoned_attempt();
+    /// Returns the time since the back end was last heard in this attempt.
+    base::microseconds silence_of_attempt() const;
     /// Returns whether the end of its back end can have broken the attempt.
     bool may_have_ended_backend(const base::error_details& details) const;
     /// Finds out whether the back end has ended, and then concludes the failed attempt.
--- a/src/pearbarrow/forward/forwarded_suspect.cc
+++ b/src/pearbarrow/forward/forwarded_suspect.cc
@@ -1,4 +1,5 @@
 // Requests under which back ends have ended (docs/design/lethal-requests.md).
+#include <algorithm>
 #include <utility>
 
 #include "pearbarrow/base/status.h"
@@ -99,6 +100,31 @@
                                            {"placement", to_string(placed_->reason)}});
 }
 
+/// The line of an attempt that began moments ago tells nothing.
+void forwarded_request::log_abandoned_attempt() {
+    constexpr base::milliseconds min_logged_silence{100};
+    const base::microseconds silence = silence_of_attempt();
+    if (context_.suspects == nullptr || silence < min_logged_silence) {
+        return;
+    }
+    context_.log.notable("attempt_abandoned", {{"request", facts_.request_id},
+                                               {"fingerprint", fingerprint().digest},
+                                               {"backend", target_.id},
+                                               {"events", event_count_},
+                                               {"silent_ms", silence.count() / 1000}});
+}
+
+base::microseconds forwarded_request::silence_of_attempt() const {
+    base::instant last_sign = attempt_started_at_;
+    if (head_received_) {
+        last_sign = std::max(last_sign, head_at_);
+    }
+    if (event_count_ > 0) {
+        last_sign = std::max(last_sign, last_event_);
+    }
+    return context_.clock.now() - last_sign;
+}
+
 bool forwarded_request::may_have_ended_backend(const base::error_details& details) const {
     if (context_.suspects == nullptr || details.was_executed == base::executed::no) {
         return false;
--- a/src/pearbarrow/suspects/end_monitor.cc
+++ b/src/pearbarrow/suspects/end_monitor.cc
@@ -39,6 +39,17 @@
     return "unknown";
 }
 
+/// The back end may have ended under the attempt, which is not proved.
+void log_suspected(const broken_attempt& attempt, std::string_view evidence) {
+    base::log(base::log_level::warning, "end_suspected",
+              {{"request", attempt.request},
+               {"fingerprint", attempt.fingerprint.digest},
+               {"tenant", attempt.tenant},
+               {"route", attempt.route},
+               {"backend", attempt.target.id},
+               {"evidence", evidence}});
+}
+
 suspect suspect_of(const broken_attempt& attempt, const std::string& node, end_evidence evidence) {
     return {.scope = attempt.fingerprint.scope,
             .digest = attempt.fingerprint.digest,
@@ -110,6 +121,7 @@
         return;
     }
     for (waiting_attempt& waiting : probed.waiting) {
+        log_suspected(waiting.attempt, text_of(result));
         this->keep_unresolved(std::move(waiting.attempt));
     }
     for (const waiting_attempt& waiting : probed.waiting) {
