--- a/src/pearbarrow/directory/snapshot.h
+++ b/src/pearbarrow/directory/snapshot.h
@@ -100,8 +100,10 @@
     std::uint32_t cold_start_ms = 0;
     /// Requests per second that a cold back end accepts from all callers together; 0: no limit.
     double cold_rate = 0;
+    /// Path at which a back end responds to a GET with its id; empty: it cannot be asked.
+    std::string health_path;
 
-    MSGPACK_DEFINE(name, max_connections, tokens_per_event, cold_start_ms, cold_rate);
+    MSGPACK_DEFINE(name, max_connections, tokens_per_event, cold_start_ms, cold_rate, health_path);
 };
 
 /// Limits on the size and duration of requests.
--- a/src/pearbarrow/emulator/runner.cc
+++ b/src/pearbarrow/emulator/runner.cc
@@ -16,6 +16,7 @@
 constexpr char not_executed_header[] = "Pearbarrow-Not-Executed";
 constexpr char usage_header[] = "Pearbarrow-Token-Usage";
 constexpr char last_event_header[] = "Last-Event-Id";
+constexpr char id_header[] = "Pearbarrow-Instance-Id";
 
 /// Time in which an event reaches the caller before the connection breaks.
 constexpr base::milliseconds time_before_cut{20};
@@ -56,6 +57,12 @@
     held_.clear();
 }
 
+std::size_t runner::held_requests() const {
+    return static_cast<std::size_t>(std::count_if(
+        held_.begin(), held_.end(),
+        [](const exchange_pointer& exchange) { return !exchange->request().body.empty(); }));
+}
+
 bool runner::is_lethal(const net::http_request& request) const {
     return lethal_.has_value() && (request.body.find(lethal_->marker) != std::string::npos ||
                                    request.target.find(lethal_->marker) != std::string::npos);
@@ -111,6 +118,14 @@
         exchange->respond({.status = 421, .headers = {}, .body = {}});
         return;
     }
+    if (fault_ == runner_fault::unresponsive) {
+        held_.push_back(exchange);
+        return;
+    }
+    if (request.target == runner::health_path) {
+        exchange->respond({.status = 200, .headers = {{id_header, options_.id}}, .body = {}});
+        return;
+    }
     if (fault_ == runner_fault::refuse) {
         exchange->respond({.status = 503, .headers = {{not_executed_header, "1"}}, .body = {}});
         return;
--- a/src/pearbarrow/emulator/runner.h
+++ b/src/pearbarrow/emulator/runner.h
@@ -28,6 +28,8 @@
     lose_answer,
     /// Runs and never answers.
     hang,
+    /// Accepts everything and answers nothing, health checks included.
+    unresponsive,
     /// Answers with the id of another request.
     foreign_answer,
     /// Breaks the connection in the middle of a stream.
@@ -110,6 +112,9 @@
 
 class runner {
   public:
+    /// Path of its health check.
+    static constexpr char health_path[] = "/healthz";
+
     runner(net::event_loop& loop, runner_options options);
     ~runner();
     runner(const runner&) = delete;
@@ -136,6 +141,8 @@
     void set_first_line(std::string line) { options_.first_line = std::move(line); }
     /// Body of a stream that is not broken off.
     std::string stream_text() const;
+    /// Number of requests with a body that it has accepted and does not answer.
+    std::size_t held_requests() const;
     const std::deque<run_record>& runs() const { return runs_; }
     const std::string& id() const { return options_.id; }
     const std::string& zone() const { return options_.zone; }
--- a/src/pearbarrow/fleet/edge_node.cc
+++ b/src/pearbarrow/fleet/edge_node.cc
@@ -87,7 +87,9 @@
       quotas_(loop, clock, members_, {}),
       permit_client_(loop, clock, members_, slowstart::permit_client_options()),
       permits_(loop, clock, parts_.random(), permit_client_),
-      end_monitor_(loop, clock, parts_.metrics(), parts_.suspects(),
+      identities_(*client_, options.headers,
+                  [this](const std::string& service) { return health_path_of(service); }),
+      end_monitor_(loop, clock, parts_.metrics(), parts_.suspects(), identities_,
                    {.node = settings.node.value()}),
       isolation_(clock, end_monitor_.table(),
                  [this](const std::string& service) { return pool_.open_backends(service); }),
@@ -158,6 +160,18 @@
     exchange->respond({.status = is_ready() ? 200 : 503, .headers = {}, .body = {}});
 }
 
+std::string edge_node::health_path_of(const std::string& service) const {
+    if (context_.active == nullptr) {
+        return {};
+    }
+    for (const directory::service& each : context_.active->config.services) {
+        if (each.name == service) {
+            return each.health_path;
+        }
+    }
+    return {};
+}
+
 void edge_node::apply_changes(const directory::directory_state::changes& changed) {
     const directory::snapshot& known = parts_.directory().state().current();
     if (changed.config) {
--- a/src/pearbarrow/fleet/edge_node.h
+++ b/src/pearbarrow/fleet/edge_node.h
@@ -7,6 +7,7 @@
 #include <absl/status/status.h>
 
 #include "pearbarrow/fleet/node_parts.h"
+#include "pearbarrow/forward/backend_identity.h"
 #include "pearbarrow/forward/forward_service.h"
 #include "pearbarrow/forward/load_reporter.h"
 #include "pearbarrow/places/zone_rules.h"
@@ -36,6 +37,8 @@
 
   private:
     void apply_changes(const directory::directory_state::changes& changed);
+    /// Returns the path of the health check of the service; empty if it is unknown.
+    std::string health_path_of(const std::string& service) const;
     void respond_readiness(const std::shared_ptr<net::http_exchange>& exchange) const;
     void finish_when_idle();
     void collect(base::metrics_registry& registry) const;
@@ -64,6 +67,7 @@
     tenants::quota_client quotas_;
     tenants::quota_client permit_client_;
     slowstart::start_quota permits_;
+    forward::backend_identity identities_;
     suspects::end_monitor end_monitor_;
     suspects::isolation_plans isolation_;
     forward::forward_context context_;
--- a/src/pearbarrow/forward/backend_pool.h
+++ b/src/pearbarrow/forward/backend_pool.h
@@ -161,6 +161,11 @@
     /// Records the response head of an attempt that started at `started_at`.
     void on_response_head(const directory::backend_incarnation& incarnation,
                           base::instant started_at);
+    /// Records that a response head or event of the back end has arrived.
+    void on_heard(const directory::backend_incarnation& incarnation, base::instant now);
+    /// Returns whether a response head or event of the back end has arrived since.
+    bool was_heard_since(const directory::backend_incarnation& incarnation,
+                         base::instant since) const;
     /// Returns whether an attempt that has waited this long for the response head causes the
     /// exclusion of the back end.
     bool is_long_silence(const directory::backend_incarnation& incarnation,
--- a/src/pearbarrow/forward/cost_inputs.cc
+++ b/src/pearbarrow/forward/cost_inputs.cc
@@ -116,6 +116,7 @@
     entry.mean_gap =
         entry.mean_gap == 0 ? time : entry.mean_gap + newest_gap_weight * (time - entry.mean_gap);
     entry.last_event = now;
+    entry.last_heard = now;
     if (const auto streams = streams_.find(entry.backend.service); streams != streams_.end()) {
         ++streams->second.events;
     }
--- a/src/pearbarrow/forward/forward_log.cc
+++ b/src/pearbarrow/forward/forward_log.cc
@@ -117,6 +117,14 @@
         .increment();
 }
 
+void forward_log::count_held(std::string_view tenant) {
+    metrics_
+        .add_counter("pearbarrow_suspects_held_total",
+                     "Requests refused until it is known whether back ends ended under them",
+                     {{"tenant", counted_name(tenant)}})
+        .increment();
+}
+
 void forward_log::count_quota(std::string_view tenant, std::string_view verdict) {
     metrics_
         .add_counter("pearbarrow_tenant_quota_total",
--- a/src/pearbarrow/forward/forward_log.h
+++ b/src/pearbarrow/forward/forward_log.h
@@ -58,6 +58,8 @@
     void count_resumed(std::string_view outcome);
     /// Counts a rejection of a blocked request. The number of distinct tenants is limited.
     void count_blocked(std::string_view tenant);
+    /// Counts a rejection of a request whose attempts are still being examined.
+    void count_held(std::string_view tenant);
     /// Counts the result of a quota request. The number of distinct tenants is limited.
     void count_quota(std::string_view tenant, std::string_view verdict);
     /// Counts the result of a permit request for a cold back end.
--- a/src/pearbarrow/forward/forwarded_attempt.cc
+++ b/src/pearbarrow/forward/forwarded_attempt.cc
@@ -59,7 +59,7 @@
                              "the key does not belong to its tenant any more", std::nullopt);
         return;
     }
-    if (reject_if_blocked()) {
+    if (stop_if_suspected()) {
         return;
     }
     if (!holds_grant()) {
@@ -122,16 +122,19 @@
 
 void forwarded_request::begin_attempt() {
     if (!may_go_to_target()) {
+        conclude_trial();
         withdraw_choice();
         select_backend();
         return;
     }
+    if (suspected_ends_ > 0 && !is_trial_) {
+        announce_trial();
+        return;
+    }
     if (is_resumed()) {
         log_resumed();
     }
-    if (suspected_ends_ > 0) {
-        begin_trial();
-    }
+    held_since_.reset();
     tried_backends_.insert(target_.id);
     ++attempts_;
     attempt_open_ = true;
@@ -206,6 +209,7 @@
     head_at_ = context_.clock.now();
     steps_.to_head = head_at_ - attempt_started_at_;
     context_.pool.on_response_head(target_.incarnation(), attempt_started_at_);
+    context_.pool.on_heard(target_.incarnation(), head_at_);
     const auto echoed = headers.find(names.request_id);
     // This is a late response to an earlier request on the same connection.
     is_foreign_ = echoed.has_value() && *echoed != facts_.request_id;
@@ -300,6 +304,7 @@
 
 void forwarded_request::on_response_complete() {
     excuse_if_suspect();
+    is_trial_ = false;
     if (status_ >= 500 && may_retry(true)) {
         end_attempt(attempt_result::failed);
         context_.log.notable("attempt_failed", {{"request", facts_.request_id},
@@ -315,6 +320,7 @@
 
 void forwarded_request::on_rejected() {
     end_attempt(status_ == 421 ? attempt_result::not_there : attempt_result::refused);
+    conclude_trial();
     context_.log.notable("attempt_refused", {{"request", facts_.request_id},
                                              {"backend", target_.id},
                                              {"status", status_},
@@ -358,6 +364,7 @@
         examine_end(details);
         return;
     }
+    conclude_trial();
     conclude_failed_attempt(ran, details.reason);
 }
 
--- a/src/pearbarrow/forward/forwarded_request.cc
+++ b/src/pearbarrow/forward/forwarded_request.cc
@@ -69,7 +69,7 @@
 /// the budget of its program is never executed and must not use up the quota of its tenant. Under
 /// normal load, this is 2,566 of 52,000 attempted turns, mostly of programs that loop forever.
 void forwarded_request::advance() {
-    if (reject_if_blocked() || reject_program_if_full()) {
+    if (stop_if_suspected() || reject_program_if_full()) {
         return;
     }
     if (facts_.turn.has_value() && !prepared_) {
@@ -158,6 +158,7 @@
     call_.reset();
     if (attempt_open_) {
         end_attempt(attempt_result::abandoned);
+        examine_silence();
     }
     if (facts_.turn.has_value()) {
         settle(spent_tokens());
@@ -183,6 +184,7 @@
     if (attempt_open_) {
         log_abandoned_attempt();
         end_attempt(result_if_caller_leaves());
+        examine_silence();
     }
     if (facts_.turn.has_value()) {
         settle(spent_tokens());
@@ -206,6 +208,7 @@
     if (attempt_open_) {
         record_turn(event_count_ > 0);
         end_attempt(attempt_result::broken);
+        examine_silence();
     }
     if (was_sent) {
         respond_with_problem(504, "time_up", "the back end did not answer in time", std::nullopt);
@@ -221,6 +224,8 @@
     }
     timeout_timer_.reset();
     silence_timer_.reset();
+    hold_timer_.reset();
+    conclude_trial();
     examination_.reset();
     log_end(status, reason);
     on_finished_();
@@ -286,6 +291,7 @@
     if (event_count_ == 0) {
         first_event_ = now;
         steps_.to_first_event = now - head_at_;
+        context_.pool.on_heard(target_.incarnation(), now);
         if (placed_.has_value()) {
             context_.pool.on_prompt_read(*placed_, now - attempt_started_at_, now);
         }
--- a/src/pearbarrow/forward/forwarded_request.h
+++ b/src/pearbarrow/forward/forwarded_request.h
@@ -138,14 +138,24 @@
     /// Returns the fingerprint, which is computed once.
     const suspects::request_fingerprint& fingerprint();
     suspects::suspect_status suspect_status();
-    /// Returns true if the request is blocked and the response has been sent.
-    bool reject_if_blocked();
+    /// Returns true if the request is blocked or held back. It has then been rejected, or goes on
+    /// later.
+    bool stop_if_suspected();
+    void reject_blocked(const suspects::suspect_status& status);
+    /// Waits until the attempts under which back ends may have ended are resolved, or rejects the
+    /// request if that takes too long.
+    void hold(const suspects::suspect_status& status);
+    void log_stopped(std::string_view reason, const suspects::suspect_status& status);
     /// Excuses the request from earlier ends after a back end has completed it.
     void excuse_if_suspect();
     /// Keeps suspects at back ends of their own.
     void isolate(choice_request& request) const;
-    /// Tells all nodes at which back end the suspect is tried.
-    void begin_trial();
+    /// Tells all nodes at which back end the suspect is tried, and then sends it.
+    void announce_trial();
+    void on_trial_announced();
+    /// Ends a trial whose back end goes on.
+    void conclude_trial();
+    suspects::backend_attempt current_attempt();
     /// Logs an attempt whose caller leaves while its back end is silent.
     void log_abandoned_attempt();
     /// Returns the time since the back end was last heard in this attempt.
@@ -154,6 +164,10 @@
     bool may_have_ended_backend(const base::error_details& details) const;
     /// Finds out whether the back end has ended, and then concludes the failed attempt.
     void examine_end(const base::error_details& details);
+    /// Finds out whether the back end of an attempt that is given up has fallen silent.
+    void examine_silence();
+    /// Returns whether the back end was heard so recently that it has not fallen silent.
+    bool was_backend_heard() const;
 
     // Attempts at back ends, forwarded_attempt.cc.
     /// Checks conditions that may have changed while the request waited, then selects a back end.
@@ -293,8 +307,14 @@
     bool attempt_open_ = false;
 
     std::optional<suspects::request_fingerprint> fingerprint_;
-    /// Ends under earlier attempts of this request, at any node, when it was last checked.
+    /// Ends and possible ends under earlier attempts of this request, at any node, when it was last
+    /// checked.
     std::size_t suspected_ends_ = 0;
+    /// Whether the current attempt has been announced to all nodes, and not concluded.
+    bool is_trial_ = false;
+    /// Since when the request has been held back.
+    std::optional<base::instant> held_since_;
+    std::unique_ptr<net::timer_handle> hold_timer_;
     std::unique_ptr<suspects::examination> examination_;
 
     /// Response of the current attempt. `is_rejection_`: reported by the back end as not executed.
--- a/src/pearbarrow/forward/forwarded_suspect.cc
+++ b/src/pearbarrow/forward/forwarded_suspect.cc
@@ -10,6 +10,15 @@
 
 /// Reason of the rejection of a blocked request.
 constexpr std::string_view blocked_reason = "request_ends_back_ends";
+/// Reason of the rejection of a request that may be sent again once its attempts are resolved.
+constexpr std::string_view held_reason = "request_may_end_back_ends";
+/// Reason of an attempt that was given up because its back end was silent.
+constexpr std::string_view silent_reason = "silent";
+/// How long a request is held back before it is rejected, and how often it is checked meanwhile.
+constexpr base::milliseconds max_hold_time{300};
+constexpr base::milliseconds hold_interval{20};
+/// A back end that was heard within this time has not fallen silent.
+constexpr base::milliseconds max_time_between_signs{100};
 
 }  // namespace
 
@@ -42,29 +51,69 @@
     return table.status_of(fingerprint().digest, context_.clock.now());
 }
 
-bool forwarded_request::reject_if_blocked() {
+bool forwarded_request::stop_if_suspected() {
     const suspects::suspect_status status = suspect_status();
-    suspected_ends_ = status.ends;
-    if (!status.is_blocked) {
-        return false;
+    suspected_ends_ = status.possible_ends;
+    if (status.is_blocked) {
+        reject_blocked(status);
+        return true;
+    }
+    if (status.is_held) {
+        hold(status);
+        return true;
     }
+    return false;
+}
+
+void forwarded_request::log_stopped(std::string_view reason,
+                                    const suspects::suspect_status& status) {
     const auto known = context_.suspects->table().find(fingerprint().digest, context_.clock.now());
-    context_.log.notable("suspect_refused", {{"request", facts_.request_id},
-                                             {"fingerprint", fingerprint().digest},
-                                             {"program", facts_.program},
-                                             {"tenant", facts_.tenant},
-                                             {"route", route_.name},
-                                             {"reason", blocked_reason},
-                                             {"blocked_for_ms", status.blocked_for.count()},
-                                             {"ends", suspects::to_json(*known)}});
+    context_.log.notable(
+        "suspect_refused",
+        {{"request", facts_.request_id},
+         {"fingerprint", fingerprint().digest},
+         {"program", facts_.program},
+         {"tenant", facts_.tenant},
+         {"route", route_.name},
+         {"reason", reason},
+         {"retry_after_ms", status.retry_after.count()},
+         {"ends", status.ends},
+         {"possible_ends", status.possible_ends},
+         {"attempts", known.has_value() ? suspects::to_json(*known) : nlohmann::json::array()}});
+}
+
+void forwarded_request::reject_blocked(const suspects::suspect_status& status) {
+    log_stopped(blocked_reason, status);
     context_.log.count_blocked(facts_.tenant);
     constexpr std::string_view detail = "back ends have ended under earlier tries of this request";
     if (may_have_run_) {
         respond_with_problem(502, blocked_reason, detail, std::nullopt);
     } else {
-        respond_with_problem(503, blocked_reason, detail, status.blocked_for);
+        respond_with_problem(503, blocked_reason, detail, status.retry_after);
+    }
+}
+
+/// Attempts under way are over soon, so the request waits for them. The examination of a lost
+/// connection takes longer than callers should wait for without an answer.
+void forwarded_request::hold(const suspects::suspect_status& status) {
+    const base::instant now = context_.clock.now();
+    if (!held_since_.has_value()) {
+        held_since_ = now;
+    }
+    const bool may_wait = now - *held_since_ < max_hold_time && time_left() > 2 * hold_interval;
+    if (may_wait) {
+        hold_timer_ = context_.loop.after(hold_interval, [this] { advance(); });
+        return;
+    }
+    log_stopped(held_reason, status);
+    context_.log.count_held(facts_.tenant);
+    constexpr std::string_view detail =
+        "back ends may have ended under earlier tries of this request, which are being examined";
+    if (may_have_run_) {
+        respond_with_problem(502, held_reason, detail, std::nullopt);
+    } else {
+        respond_with_problem(503, held_reason, detail, status.retry_after);
     }
-    return true;
 }
 
 void forwarded_request::excuse_if_suspect() {
@@ -91,13 +140,45 @@
     }
 }
 
-void forwarded_request::begin_trial() {
-    context_.suspects->on_trial(fingerprint(), target_.id);
+suspects::backend_attempt forwarded_request::current_attempt() {
+    return {.target = target_,
+            .fingerprint = fingerprint(),
+            .request = facts_.request_id,
+            .tenant = facts_.tenant,
+            .route = route_.name,
+            .sent_at = attempt_started_at_};
+}
+
+void forwarded_request::announce_trial() {
+    is_trial_ = true;
+    holds_slot_ = true;
     context_.log.notable("suspect_tried", {{"request", facts_.request_id},
                                            {"fingerprint", fingerprint().digest},
                                            {"backend", target_.id},
-                                           {"ends", suspected_ends_},
+                                           {"possible_ends", suspected_ends_},
                                            {"placement", to_string(placed_->reason)}});
+    examination_ = context_.suspects->announce(current_attempt(), [this] { on_trial_announced(); });
+}
+
+/// Two tries of one request may have been announced at the same time. The bound holds if each of
+/// them counts the other.
+void forwarded_request::on_trial_announced() {
+    const suspects::suspect_status status = suspect_status();
+    const std::size_t max_ends = context_.suspects->table().max_ends();
+    if (status.is_blocked || (max_ends > 0 && status.possible_ends > max_ends)) {
+        release_slot();
+        conclude_trial();
+        send();
+        return;
+    }
+    holds_slot_ = false;
+    begin_attempt();
+}
+
+void forwarded_request::conclude_trial() {
+    if (std::exchange(is_trial_, false)) {
+        context_.suspects->conclude(fingerprint(), facts_.request_id, target_.id);
+    }
 }
 
 /// The line of an attempt that began moments ago tells nothing.
@@ -129,20 +210,43 @@
     if (context_.suspects == nullptr || details.was_executed == base::executed::no) {
         return false;
     }
+    if (context_.pool.is_leaving(target_.incarnation())) {
+        return false;
+    }
+    if (details.reason == silent_reason) {
+        return !was_backend_heard();
+    }
     const bool is_closed =
         has_response_ended_ && response_end_.connection == net::connection_end::closed;
-    const bool is_lost = details.reason == "connection_lost" || details.reason == "connect_failed";
-    return (is_closed || is_lost) && !context_.pool.is_leaving(target_.incarnation());
+    return is_closed || details.reason == "connection_lost" || details.reason == "connect_failed";
 }
 
 void forwarded_request::examine_end(const base::error_details& details) {
+    is_trial_ = false;
+    const auto kind = details.reason == silent_reason ? suspects::break_kind::silent
+                                                      : suspects::break_kind::connection_lost;
     examination_ = context_.suspects->examine(
-        {.target = target_,
-         .fingerprint = fingerprint(),
-         .request = facts_.request_id,
-         .tenant = facts_.tenant,
-         .route = route_.name},
+        current_attempt(), kind,
         [this, reason = details.reason] { conclude_failed_attempt(true, reason); });
 }
 
+bool forwarded_request::was_backend_heard() const {
+    const base::instant since =
+        std::max(attempt_started_at_, context_.clock.now() - max_time_between_signs);
+    return context_.pool.was_heard_since(target_.incarnation(), since);
+}
+
+void forwarded_request::examine_silence() {
+    if (context_.suspects == nullptr || context_.pool.is_leaving(target_.incarnation())) {
+        return;
+    }
+    if (was_backend_heard()) {
+        conclude_trial();
+        return;
+    }
+    is_trial_ = false;
+    // The examination continues without its handle.
+    (void)context_.suspects->examine(current_attempt(), suspects::break_kind::silent, nullptr);
+}
+
 }  // namespace pearbarrow::forward
--- a/src/pearbarrow/forward/header_names.h
+++ b/src/pearbarrow/forward/header_names.h
@@ -16,6 +16,8 @@
     std::string deadline = "X-Request-Deadline-Ms";
     /// Id of the only back end that may execute the request.
     std::string target_backend = "X-Target-Backend";
+    /// On a response to a health check: id of the back end.
+    std::string responding_backend = "X-Backend-Id";
     /// On a response: the back end did not execute the request.
     std::string not_executed = "X-Not-Executed";
     /// On a response: signature with which the back end proves that the body is its own.
--- a/src/pearbarrow/forward/pool_entry.h
+++ b/src/pearbarrow/forward/pool_entry.h
@@ -34,6 +34,8 @@
     /// Mean time between events of recent streams in microseconds, or 0 if there are none.
     double mean_gap = 0;
     base::instant last_event{};
+    /// When a response head or event of the back end last arrived.
+    base::instant last_heard{};
     /// Prompt tokens of this node for which no first event has been received.
     double unread_tokens = 0;
     std::optional<base::instant> last_connected;
--- a/src/pearbarrow/forward/pool_results.cc
+++ b/src/pearbarrow/forward/pool_results.cc
@@ -42,6 +42,19 @@
     }
 }
 
+void backend_pool::on_heard(const directory::backend_incarnation& incarnation, base::instant now) {
+    if (const auto found = find(incarnation); found != entries_.end()) {
+        found->second.last_heard = now;
+    }
+}
+
+bool backend_pool::was_heard_since(const directory::backend_incarnation& incarnation,
+                                   base::instant since) const {
+    const auto found = entries_.find(incarnation.id);
+    return found != entries_.end() && found->second.backend.incarnation() == incarnation &&
+           found->second.last_heard >= since;
+}
+
 void backend_pool::record_service_time(const directory::backend_incarnation& incarnation,
                                        base::microseconds service_time) {
     const auto found = find(incarnation);
--- /dev/null
+++ b/src/pearbarrow/suspects/end_inquiry.cc
@@ -0,0 +1,123 @@
+#include "pearbarrow/suspects/end_inquiry.h"
+
+#include <array>
+#include <utility>
+
+namespace pearbarrow::suspects {
+namespace {
+
+/// Delays between the probes after a lost connection.
+constexpr std::array<base::milliseconds, 9> probe_delays{
+    base::milliseconds{50},  base::milliseconds{100},   base::milliseconds{150},
+    base::milliseconds{300}, base::milliseconds{500},   base::milliseconds{500},
+    base::milliseconds{500}, base::milliseconds{2'000}, base::milliseconds{4'000}};
+
+}  // namespace
+
+end_inquiry::end_inquiry(net::event_loop& loop, const base::clock& clock,
+                         identity_source& identities, directory::backend target, break_kind kind,
+                         inquiry_options options, std::function<void(inquiry_verdict)> on_verdict)
+    : loop(loop),
+      clock(clock),
+      identities(identities),
+      target(std::move(target)),
+      kind(kind),
+      options(options),
+      on_verdict(std::move(on_verdict)),
+      broken_at(clock.now()),
+      ended_probes(loop),
+      ended_questions(loop) {
+    if (this->kind == break_kind::connection_lost) {
+        this->probe();
+        return;
+    }
+    this->ask(this->options.silence_time);
+    this->timer = this->loop.after(this->options.response_time, [this] { this->report_unknown(); });
+}
+
+void end_inquiry::extend() {
+    this->broken_at = this->clock.now();
+    this->step = 0;
+}
+
+void end_inquiry::probe() {
+    this->timer.reset();
+    this->open_probe =
+        net::probe_connection(this->loop, this->target.address, this->options.probe_timeout,
+                              [this](net::probe_result result) { this->on_probed(result); });
+}
+
+void end_inquiry::on_probed(net::probe_result result) {
+    this->ended_probes.add(std::move(this->open_probe));
+    if (result == net::probe_result::refused) {
+        this->give(inquiry_verdict::refused);
+        return;
+    }
+    this->report_unknown();
+    if (this->was_unanswered) {
+        // It was silent for too long to tell a suspended process from one that has restarted.
+        this->has_ended = true;
+        return;
+    }
+    const bool has_settled = this->clock.now() - this->broken_at >= this->options.settle_time;
+    if (has_settled && result == net::probe_result::accepted) {
+        this->ask(this->options.response_time);
+    } else {
+        this->continue_later();
+    }
+}
+
+void end_inquiry::ask(base::milliseconds timeout) {
+    this->question = this->identities.ask(this->target, timeout, [this](identity_reply reply) {
+        this->ended_questions.add(std::move(this->question));
+        this->on_identified(reply);
+    });
+    if (this->question != nullptr) {
+        return;
+    }
+    if (this->kind == break_kind::connection_lost) {
+        // It has accepted all connections since.
+        this->give(inquiry_verdict::went_on);
+    } else {
+        this->was_unanswered = true;
+    }
+}
+
+void end_inquiry::on_identified(identity_reply reply) {
+    if (reply == identity_reply::same) {
+        this->give(inquiry_verdict::went_on);
+    } else if (reply == identity_reply::other) {
+        this->give(inquiry_verdict::replaced);
+    } else if (this->kind == break_kind::connection_lost) {
+        this->continue_later();
+    } else {
+        const bool was_prompt = !this->has_verdict;
+        this->was_unanswered = !was_prompt;
+        this->kind = was_prompt ? break_kind::connection_lost : this->kind;
+        this->probe();
+    }
+}
+
+void end_inquiry::continue_later() {
+    if (this->step == probe_delays.size()) {
+        this->has_ended = true;
+        return;
+    }
+    this->timer = this->loop.after(probe_delays[this->step], [this] { this->probe(); });
+    ++this->step;
+}
+
+void end_inquiry::report_unknown() {
+    if (!std::exchange(this->has_verdict, true)) {
+        this->on_verdict(inquiry_verdict::unknown);
+    }
+}
+
+void end_inquiry::give(inquiry_verdict verdict) {
+    this->timer.reset();
+    this->has_verdict = true;
+    this->has_ended = true;
+    this->on_verdict(verdict);
+}
+
+}  // namespace pearbarrow::suspects
--- a/src/pearbarrow/suspects/end_monitor.cc
+++ b/src/pearbarrow/suspects/end_monitor.cc
@@ -27,138 +27,216 @@
     }
 }
 
-const char* text_of(net::probe_result result) {
-    switch (result) {
-        case net::probe_result::accepted:
-            return "connection_accepted";
-        case net::probe_result::refused:
+const char* text_of(inquiry_verdict verdict) {
+    switch (verdict) {
+        case inquiry_verdict::refused:
             return "connection_refused";
-        case net::probe_result::no_reply:
-            return "no_reply";
+        case inquiry_verdict::replaced:
+            return "replaced";
+        case inquiry_verdict::went_on:
+            return "went_on";
+        case inquiry_verdict::unknown:
+            return "unknown";
     }
     return "unknown";
 }
 
-/// The back end may have ended under the attempt, which is not proved.
-void log_suspected(const broken_attempt& attempt, std::string_view evidence) {
-    base::log(base::log_level::warning, "end_suspected",
-              {{"request", attempt.request},
-               {"fingerprint", attempt.fingerprint.digest},
-               {"tenant", attempt.tenant},
-               {"route", attempt.route},
-               {"backend", attempt.target.id},
-               {"evidence", evidence}});
+end_evidence doubt_of(break_kind kind) {
+    return kind == break_kind::silent ? end_evidence::silent : end_evidence::connection_lost;
 }
 
-suspect suspect_of(const broken_attempt& attempt, const std::string& node, end_evidence evidence) {
-    return {.scope = attempt.fingerprint.scope,
-            .digest = attempt.fingerprint.digest,
-            .tenant = attempt.tenant,
-            .route = attempt.route,
-            .service = attempt.target.service,
-            .ends = {{.backend = attempt.target.id,
-                      .started_at = attempt.target.started_at,
-                      .request = attempt.request,
-                      .node = node,
-                      .evidence = evidence}}};
+std::uint64_t age_ms_of(base::microseconds age) {
+    return static_cast<std::uint64_t>(
+        std::max<std::int64_t>(0, std::chrono::floor<base::milliseconds>(age).count()));
 }
 
 }  // namespace
 
 end_monitor::end_monitor(net::event_loop& loop, const base::clock& clock,
                          base::metrics_registry& metrics, suspect_exchange& exchange,
-                         end_monitor_options options)
+                         identity_source& identities, end_monitor_options options)
     : loop(loop),
       clock(clock),
       metrics(metrics),
       exchange(exchange),
+      identities(identities),
       options(std::move(options)),
-      ended_probes(loop) {}
+      ended_inquiries(loop) {}
 
 end_monitor::~end_monitor() = default;
 
-std::unique_ptr<examination> end_monitor::examine(broken_attempt attempt,
+std::unique_ptr<examination> end_monitor::announce(const backend_attempt& attempt,
+                                                   std::function<void()> done) {
+    auto callback = std::make_shared<std::function<void()>>(std::move(done));
+    suspect trial = this->suspect_of(
+        {.attempt = attempt, .broken_at = this->clock.now(), .done = nullptr}, end_evidence::sent);
+    trial.trial = attempt.target.id;
+    this->exchange.announce(
+        trial, [this, callback] { this->loop.post([callback] { run_once(callback); }); });
+    return std::make_unique<detachable_callback>(std::move(callback));
+}
+
+void end_monitor::conclude(const request_fingerprint& fingerprint, const std::string& request,
+                           const std::string& backend) {
+    this->exchange.conclude(fingerprint.digest, request, backend);
+}
+
+std::unique_ptr<examination> end_monitor::examine(backend_attempt attempt, break_kind kind,
                                                   std::function<void()> done) {
     this->forget_expired();
-    const incarnation_key key{attempt.target.id, attempt.target.started_at};
+    this->remove_ended_inquiries();
+    const incarnation_key key = key_of(attempt.target);
     auto callback = std::make_shared<std::function<void()>>(std::move(done));
-    if (const auto known = this->ends.find(key); known != this->ends.end()) {
-        this->loop.post([this, alive = std::weak_ptr(callback), attempt = std::move(attempt),
-                         evidence = known->second.evidence] {
-            if (const auto held = alive.lock(); held != nullptr) {
-                this->report_end({{.attempt = attempt, .done = held}}, evidence);
-            }
-        });
+    waiting_attempt added{.attempt = std::move(attempt),
+                          .kind = kind,
+                          .broken_at = this->clock.now(),
+                          .done = callback};
+    const auto known = this->ends.find(key);
+    if (known != this->ends.end() && added.attempt.sent_at <= known->second.at) {
+        this->loop.post(
+            [this, held = std::weak_ptr(this->alive), added, evidence = known->second.evidence] {
+                if (!held.expired()) {
+                    this->report_end({added}, evidence);
+                }
+            });
         return std::make_unique<detachable_callback>(std::move(callback));
     }
-    const auto [at, is_new] = this->probes.try_emplace(key);
-    open_probe& probe = at->second;
-    probe.waiting.push_back({.attempt = std::move(attempt), .done = callback});
-    if (is_new) {
-        probe.started_at = this->clock.now();
-        probe.probe = net::probe_connection(
-            this->loop, probe.waiting.front().attempt.target.address, this->options.probe_timeout,
-            [this, key](net::probe_result result) { this->on_probed(key, result); });
+    if (this->waiting.size() == this->options.max_unresolved) {
+        run_once(this->waiting.front().done);
+        this->waiting.pop_front();
+    }
+    this->waiting.push_back(added);
+    const auto inquiry = this->inquiries.find({key, kind});
+    if (inquiry == this->inquiries.end()) {
+        this->start_inquiry(added);
+    } else if (inquiry->second->is_new()) {
+        inquiry->second->extend();
+    } else {
+        inquiry->second->extend();
+        this->loop.post([this, held = std::weak_ptr(this->alive), key, kind] {
+            if (!held.expired()) {
+                this->report_doubt({key, kind});
+            }
+        });
     }
     return std::make_unique<detachable_callback>(std::move(callback));
 }
 
-void end_monitor::on_probed(const incarnation_key& key, net::probe_result result) {
-    auto node = this->probes.extract(key);
-    open_probe& probed = node.mapped();
-    this->ended_probes.add(std::move(probed.probe));
-    const auto took = this->clock.now() - probed.started_at;
-    base::log(base::log_level::info, "back_end_probed",
-              {{"backend", key.first},
-               {"address", net::to_string(probed.waiting.front().attempt.target.address)},
-               {"result", text_of(result)},
-               {"requests", probed.waiting.size()},
-               {"microseconds", took.count()}});
-    this->count_examination(text_of(result));
-    if (result == net::probe_result::refused) {
-        this->ends[key] = {.evidence = end_evidence::connection_refused, .at = this->clock.now()};
-        this->report_end(probed.waiting, end_evidence::connection_refused);
-        return;
+void end_monitor::start_inquiry(const waiting_attempt& first) {
+    const inquiry_key key{key_of(first.attempt.target), first.kind};
+    this->inquiries[key] = std::make_unique<end_inquiry>(
+        this->loop, this->clock, this->identities, first.attempt.target, first.kind,
+        this->options.inquiry,
+        [this, key](inquiry_verdict verdict) { this->on_verdict(key, verdict); });
+}
+
+void end_monitor::on_verdict(const inquiry_key& key, inquiry_verdict verdict) {
+    base::log(base::log_level::info, "back_end_examined",
+              {{"backend", key.first.first},
+               {"break", to_string(doubt_of(key.second))},
+               {"verdict", text_of(verdict)}});
+    this->count_inquiry(text_of(verdict));
+    if (verdict != inquiry_verdict::unknown) {
+        auto node = this->inquiries.extract(key);
+        this->ended_inquiries.add(std::move(node.mapped()));
+    }
+    switch (verdict) {
+        case inquiry_verdict::refused:
+            this->resolve(key.first, end_evidence::connection_refused);
+            return;
+        case inquiry_verdict::replaced:
+            this->resolve(key.first, end_evidence::replaced);
+            return;
+        case inquiry_verdict::went_on:
+            this->report_going_on(key);
+            return;
+        case inquiry_verdict::unknown:
+            this->report_doubt(key);
+            return;
+    }
+}
+
+std::vector<end_monitor::waiting_attempt> end_monitor::take_waiting(
+    const incarnation_key& key, std::optional<break_kind> kind) {
+    std::vector<waiting_attempt> taken;
+    for (auto at = this->waiting.begin(); at != this->waiting.end();) {
+        const bool is_meant =
+            key_of(at->attempt.target) == key && (!kind.has_value() || at->kind == *kind);
+        if (is_meant) {
+            taken.push_back(std::move(*at));
+            at = this->waiting.erase(at);
+        } else {
+            ++at;
+        }
+    }
+    return taken;
+}
+
+void end_monitor::resolve(const incarnation_key& key, end_evidence evidence) {
+    this->forget_expired();
+    std::vector<waiting_attempt> ended = this->take_waiting(key, std::nullopt);
+    if (!ended.empty()) {
+        this->ends[key] = {.evidence = evidence, .at = this->clock.now()};
+        this->report_end(std::move(ended), evidence);
+    }
+}
+
+void end_monitor::report_end(std::vector<waiting_attempt> ended, end_evidence evidence) {
+    this->metrics
+        .add_counter("pearbarrow_suspects_ends_total",
+                     "Requests under which this node saw a back end end",
+                     {{"evidence", std::string(to_string(evidence))}})
+        .increment(static_cast<double>(ended.size()));
+    this->report(ended, evidence);
+}
+
+void end_monitor::report_doubt(const inquiry_key& key) {
+    std::vector<waiting_attempt> in_doubt;
+    for (waiting_attempt& each : this->waiting) {
+        if (key_of(each.attempt.target) == key.first && each.kind == key.second &&
+            !each.is_reported) {
+            in_doubt.push_back(each);
+            each.is_reported = true;
+            // The callback runs with the report, not with the proof that may follow.
+            each.done = std::make_shared<std::function<void()>>();
+        }
     }
-    for (waiting_attempt& waiting : probed.waiting) {
-        log_suspected(waiting.attempt, text_of(result));
-        this->keep_unresolved(std::move(waiting.attempt));
+    if (!in_doubt.empty()) {
+        this->report(in_doubt, doubt_of(key.second));
     }
-    for (const waiting_attempt& waiting : probed.waiting) {
-        run_once(waiting.done);
+}
+
+void end_monitor::report_going_on(const inquiry_key& key) {
+    for (const waiting_attempt& each : this->take_waiting(key.first, key.second)) {
+        this->log_attempt("back_end_went_on", each, to_string(doubt_of(each.kind)));
+        this->conclude(each.attempt.fingerprint, each.attempt.request, each.attempt.target.id);
+        run_once(each.done);
     }
 }
 
-void end_monitor::report_end(const std::vector<waiting_attempt>& ended, end_evidence evidence) {
+void end_monitor::report(const std::vector<waiting_attempt>& attempts, end_evidence evidence) {
     std::vector<suspect> observed;
     std::vector<std::string> digests;
-    for (const waiting_attempt& each : ended) {
-        observed.push_back(suspect_of(each.attempt, this->options.node, evidence));
+    for (const waiting_attempt& each : attempts) {
+        observed.push_back(this->suspect_of(each, evidence));
         digests.push_back(each.attempt.fingerprint.digest);
     }
     for (const std::string& digest : this->exchange.add(observed)) {
         this->log_blocked(digest);
     }
-    for (const waiting_attempt& each : ended) {
-        const auto status =
-            this->table().status_of(each.attempt.fingerprint.digest, this->clock.now());
-        base::log(base::log_level::warning, "back_end_ended",
-                  {{"request", each.attempt.request},
-                   {"fingerprint", each.attempt.fingerprint.digest},
-                   {"tenant", each.attempt.tenant},
-                   {"route", each.attempt.route},
-                   {"backend", each.attempt.target.id},
-                   {"evidence", to_string(evidence)},
-                   {"ends", status.ends},
-                   {"blocked", status.is_blocked}});
+    if (!is_proof(evidence)) {
+        this->metrics
+            .add_counter("pearbarrow_suspects_doubts_total",
+                         "Requests under which a back end may have ended",
+                         {{"evidence", std::string(to_string(evidence))}})
+            .increment(static_cast<double>(attempts.size()));
     }
-    this->metrics
-        .add_counter("pearbarrow_suspects_ends_total",
-                     "Requests under which this node saw a back end end",
-                     {{"evidence", std::string(to_string(evidence))}})
-        .increment(static_cast<double>(ended.size()));
-    this->exchange.report(digests, [ended] {
-        for (const waiting_attempt& each : ended) {
+    const char* event = is_proof(evidence) ? "back_end_ended" : "end_suspected";
+    for (const waiting_attempt& each : attempts) {
+        this->log_attempt(event, each, to_string(evidence));
+    }
+    this->exchange.report(digests, [attempts] {
+        for (const waiting_attempt& each : attempts) {
             run_once(each.done);
         }
     });
@@ -169,37 +247,18 @@
 }
 
 void end_monitor::apply(const directory::backend_changes& changes) {
-    if (this->unresolved.empty()) {
+    if (this->waiting.empty()) {
         return;
     }
     for (const directory::backend& present : changes.present) {
         const auto earlier = std::find_if(
-            this->unresolved.begin(), this->unresolved.end(), [&](const unresolved_attempt& each) {
+            this->waiting.begin(), this->waiting.end(), [&](const waiting_attempt& each) {
                 return each.attempt.target.id == present.id &&
                        each.attempt.target.started_at != present.started_at;
             });
-        if (earlier != this->unresolved.end()) {
-            this->resolve({present.id, earlier->attempt.target.started_at}, end_evidence::replaced);
-        }
-    }
-}
-
-void end_monitor::resolve(const incarnation_key& key, end_evidence evidence) {
-    this->forget_expired();
-    std::vector<waiting_attempt> ended;
-    for (auto at = this->unresolved.begin(); at != this->unresolved.end();) {
-        const directory::backend& target = at->attempt.target;
-        if (incarnation_key{target.id, target.started_at} != key) {
-            ++at;
-            continue;
+        if (earlier != this->waiting.end()) {
+            this->resolve(key_of(earlier->attempt.target), end_evidence::replaced);
         }
-        ended.push_back(
-            {.attempt = std::move(at->attempt), .done = std::make_shared<std::function<void()>>()});
-        at = this->unresolved.erase(at);
-    }
-    if (!ended.empty()) {
-        this->ends[key] = {.evidence = evidence, .at = this->clock.now()};
-        this->report_end(ended, evidence);
     }
 }
 
@@ -211,24 +270,60 @@
     }
 }
 
-void end_monitor::keep_unresolved(broken_attempt attempt) {
-    if (this->unresolved.size() == this->options.max_unresolved) {
-        this->unresolved.pop_front();
+void end_monitor::remove_ended_inquiries() {
+    for (auto at = this->inquiries.begin(); at != this->inquiries.end();) {
+        at = at->second->is_over() ? this->inquiries.erase(at) : std::next(at);
     }
-    this->unresolved.push_back({.attempt = std::move(attempt), .broken_at = this->clock.now()});
 }
 
 void end_monitor::forget_expired() {
     const base::instant now = this->clock.now();
-    while (!this->unresolved.empty() &&
-           now - this->unresolved.front().broken_at >= this->options.late_evidence_time) {
-        this->unresolved.pop_front();
-    }
+    this->waiting.remove_if([this, now](const waiting_attempt& each) {
+        return each.is_reported && now - each.broken_at >= this->options.late_evidence_time;
+    });
     for (auto at = this->ends.begin(); at != this->ends.end();) {
         at = now - at->second.at >= this->options.end_memory ? this->ends.erase(at) : std::next(at);
     }
 }
 
+suspect end_monitor::suspect_of(const waiting_attempt& waited, end_evidence evidence) const {
+    const backend_attempt& attempt = waited.attempt;
+    const base::instant now = this->clock.now();
+    const bool is_sent_known = attempt.sent_at != base::instant{};
+    suspected_end end{
+        .backend = attempt.target.id,
+        .started_at = attempt.target.started_at,
+        .request = attempt.request,
+        .node = this->options.node,
+        .evidence = evidence,
+        .age_ms = age_ms_of(now - waited.broken_at),
+        .sent_age_ms =
+            is_sent_known ? std::max<std::uint64_t>(1, age_ms_of(now - attempt.sent_at)) : 0};
+    suspect reported{.scope = attempt.fingerprint.scope,
+                     .digest = attempt.fingerprint.digest,
+                     .tenant = attempt.tenant,
+                     .route = attempt.route,
+                     .service = attempt.target.service};
+    (is_proof(evidence) ? reported.ends : reported.unproved).push_back(std::move(end));
+    return reported;
+}
+
+void end_monitor::log_attempt(const char* event, const waiting_attempt& attempt,
+                              std::string_view evidence) const {
+    const auto status =
+        this->table().status_of(attempt.attempt.fingerprint.digest, this->clock.now());
+    base::log(base::log_level::warning, event,
+              {{"request", attempt.attempt.request},
+               {"fingerprint", attempt.attempt.fingerprint.digest},
+               {"tenant", attempt.attempt.tenant},
+               {"route", attempt.attempt.route},
+               {"backend", attempt.attempt.target.id},
+               {"evidence", evidence},
+               {"ends", status.ends},
+               {"possible_ends", status.possible_ends},
+               {"blocked", status.is_blocked}});
+}
+
 void end_monitor::log_blocked(const std::string& digest) const {
     const auto found = this->table().find(digest, this->clock.now());
     if (!found.has_value()) {
@@ -246,11 +341,11 @@
         .increment();
 }
 
-void end_monitor::count_examination(const char* result) const {
+void end_monitor::count_inquiry(const char* result) const {
     this->metrics
-        .add_counter("pearbarrow_suspects_probes_total",
-                     "Back ends probed after the connection of an attempt was lost",
-                     {{"result", result}})
+        .add_counter("pearbarrow_suspects_inquiries_total",
+                     "Verdicts about back ends at which an attempt broke off",
+                     {{"verdict", result}})
         .increment();
 }
 
--- a/src/pearbarrow/suspects/end_monitor.h
+++ b/src/pearbarrow/suspects/end_monitor.h
@@ -1,28 +1,30 @@
 /// Finds out, on an edge, whether a back end has ended under its requests, and reports it.
 ///
 /// A broken connection is no proof of an end: back ends break responses off, reset connections and
-/// are cut off while they go on. After the connection of an attempt is lost, the monitor probes the
-/// address once for all attempts at the back end. A refused connection proves the end. If the
-/// connection is accepted or there is no reply, the end counts only if another process is found
-/// there soon: a request is rejected with 421, or the directory lists a later incarnation.
+/// are cut off while they go on. Nor is silence. Each attempt that broke off without a sign of life
+/// is therefore reported as one under which the back end may have ended, before the failed response
+/// goes to the caller, and examined (`end_inquiry`). It is excused once the back end has shown that
+/// it goes on.
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
 #include "pearbarrow/base/clock.h"
 #include "pearbarrow/base/metrics.h"
 #include "pearbarrow/directory/snapshot.h"
-#include "pearbarrow/net/connect_probe.h"
 #include "pearbarrow/net/ended_objects.h"
 #include "pearbarrow/net/event_loop.h"
+#include "pearbarrow/suspects/end_inquiry.h"
+#include "pearbarrow/suspects/identity_source.h"
 #include "pearbarrow/suspects/request_fingerprint.h"
 #include "pearbarrow/suspects/suspect_exchange.h"
 
@@ -30,23 +32,23 @@
 
 struct end_monitor_options {
     std::string node;
-    /// Time for the machine of the back end to accept or refuse a connection.
-    base::milliseconds probe_timeout{60};
-    /// How long after a lost connection another process at the address proves an end.
-    base::milliseconds late_evidence_time{5'000};
+    inquiry_options inquiry;
+    /// How long after an attempt broke off another process at the address proves an end.
+    base::milliseconds late_evidence_time{12'000};
     /// How long an end is remembered for further attempts that it broke.
     base::milliseconds end_memory{10'000};
-    /// Limit for the attempts that wait for late evidence.
+    /// Limit for the attempts that wait for proof, and for inquiries.
     std::size_t max_unresolved = 1'024;
 };
 
-/// An attempt whose connection was lost after the request was sent.
-struct broken_attempt {
+/// An attempt at a back end.
+struct backend_attempt {
     directory::backend target;
     request_fingerprint fingerprint;
     std::string request;
     std::string tenant;
     std::string route;
+    base::instant sent_at{};
 };
 
 /// An examination in progress. Destroying it prevents the callback; the examination continues.
@@ -58,23 +60,28 @@
 class end_monitor {
   public:
     end_monitor(net::event_loop& loop, const base::clock& clock, base::metrics_registry& metrics,
-                suspect_exchange& exchange, end_monitor_options options);
+                suspect_exchange& exchange, identity_source& identities,
+                end_monitor_options options);
     ~end_monitor();
     end_monitor(const end_monitor&) = delete;
     end_monitor& operator=(const end_monitor&) = delete;
 
-    /// Examines whether the back end has ended. `done` runs once, never inside this call: when all
-    /// nodes know of the end, or when it cannot be shown now.
-    [[nodiscard]] std::unique_ptr<examination> examine(broken_attempt attempt,
+    /// Announces that a suspect is about to be sent to a back end. `done` runs once, never inside
+    /// this call, when all nodes know.
+    [[nodiscard]] std::unique_ptr<examination> announce(const backend_attempt& attempt,
+                                                        std::function<void()> done);
+    /// Examines whether the back end has ended under an attempt that broke off. `done` runs once,
+    /// never inside this call: when all nodes know of the end or that it is possible, or when the
+    /// back end has shown that it goes on.
+    [[nodiscard]] std::unique_ptr<examination> examine(backend_attempt attempt, break_kind kind,
                                                        std::function<void()> done);
+    /// The attempt ended without a doubt about its back end.
+    void conclude(const request_fingerprint& fingerprint, const std::string& request,
+                  const std::string& backend);
     /// Another process responded at the address of the back end.
     void on_replaced(const directory::backend_incarnation& incarnation);
     /// Applies changes of the list of back ends, which may show later incarnations.
     void apply(const directory::backend_changes& changes);
-    /// A suspect is sent to the back end.
-    void on_trial(const request_fingerprint& fingerprint, const std::string& backend) {
-        this->exchange.set_trial(fingerprint.digest, backend);
-    }
     /// The request was completed, so it does not end its back ends.
     void on_completed(const request_fingerprint& fingerprint);
 
@@ -83,44 +90,58 @@
   private:
     /// Start times distinguish the incarnations of one id.
     using incarnation_key = std::pair<std::string, std::uint64_t>;
+    using inquiry_key = std::pair<incarnation_key, break_kind>;
 
     struct waiting_attempt {
-        broken_attempt attempt;
+        backend_attempt attempt;
+        break_kind kind = break_kind::connection_lost;
+        base::instant broken_at{};
         /// Shared with the handle, which clears it.
         std::shared_ptr<std::function<void()>> done;
-    };
-    struct open_probe {
-        std::unique_ptr<net::connect_probe> probe;
-        base::instant started_at;
-        std::vector<waiting_attempt> waiting;
-    };
-    struct unresolved_attempt {
-        broken_attempt attempt;
-        base::instant broken_at;
+        /// Whether the possible end has been reported.
+        bool is_reported = false;
     };
     struct known_end {
         end_evidence evidence;
         base::instant at;
     };
 
-    void on_probed(const incarnation_key& key, net::probe_result result);
+    static incarnation_key key_of(const directory::backend& target) {
+        return {target.id, target.started_at};
+    }
+    void start_inquiry(const waiting_attempt& first);
+    void on_verdict(const inquiry_key& key, inquiry_verdict verdict);
+    /// Removes the waiting attempts of the incarnation, of one kind if it is given.
+    std::vector<waiting_attempt> take_waiting(const incarnation_key& key,
+                                              std::optional<break_kind> kind);
     /// Reports the end for the attempts, and then runs their callbacks.
-    void report_end(const std::vector<waiting_attempt>& ended, end_evidence evidence);
+    void report_end(std::vector<waiting_attempt> ended, end_evidence evidence);
+    /// Reports that the back end may have ended under the attempts, and then runs their callbacks.
+    void report_doubt(const inquiry_key& key);
+    void report_going_on(const inquiry_key& key);
+    void report(const std::vector<waiting_attempt>& attempts, end_evidence evidence);
     void resolve(const incarnation_key& key, end_evidence evidence);
-    void keep_unresolved(broken_attempt attempt);
+    void remove_ended_inquiries();
     void forget_expired();
+    suspect suspect_of(const waiting_attempt& attempt, end_evidence evidence) const;
+    void log_attempt(const char* event, const waiting_attempt& attempt,
+                     std::string_view evidence) const;
     void log_blocked(const std::string& digest) const;
-    void count_examination(const char* result) const;
+    void count_inquiry(const char* result) const;
 
     net::event_loop& loop;
     const base::clock& clock;
     base::metrics_registry& metrics;
     suspect_exchange& exchange;
+    identity_source& identities;
     end_monitor_options options;
-    std::map<incarnation_key, open_probe> probes;
-    net::ended_objects<std::unique_ptr<net::connect_probe>> ended_probes;
+    std::map<inquiry_key, std::unique_ptr<end_inquiry>> inquiries;
+    net::ended_objects<std::unique_ptr<end_inquiry>> ended_inquiries;
     std::map<incarnation_key, known_end> ends;
-    std::deque<unresolved_attempt> unresolved;
+    /// Attempts that wait for a verdict, or for proof after one, by the time at which they broke.
+    std::list<waiting_attempt> waiting;
+    /// Tasks on the loop hold it weakly and do nothing once the monitor is gone.
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
 }  // namespace pearbarrow::suspects
--- a/src/pearbarrow/suspects/suspect_exchange.cc
+++ b/src/pearbarrow/suspects/suspect_exchange.cc
@@ -92,7 +92,10 @@
     if (report.ok()) {
         for (const suspect& reported : report->suspects) {
             auto known = this->known.find(reported.digest, this->clock.now());
-            if (known.has_value() && known->ends.size() > reported.ends.size()) {
+            const bool knows_more =
+                known.has_value() && (known->ends.size() > reported.ends.size() ||
+                                      known->unproved.size() > reported.unproved.size());
+            if (knows_more) {
                 correction.suspects.push_back(*std::move(known));
             }
         }
@@ -123,9 +126,17 @@
     });
 }
 
-void suspect_exchange::set_trial(const std::string& digest, const std::string& backend) {
-    this->known.set_trial(digest, backend, this->clock.now());
-    this->report({digest}, nullptr);
+void suspect_exchange::announce(const suspect& trial, std::function<void()> done) {
+    this->add({trial});
+    this->known.set_trial(trial.digest, trial.trial, this->clock.now());
+    this->report({trial.digest}, std::move(done));
+}
+
+void suspect_exchange::conclude(const std::string& digest, const std::string& request,
+                                const std::string& backend) {
+    if (this->known.excuse_attempt(digest, request, backend)) {
+        this->report({digest}, nullptr);
+    }
 }
 
 bool suspect_exchange::excuse(const std::string& digest) {
--- a/src/pearbarrow/suspects/suspect_exchange.h
+++ b/src/pearbarrow/suspects/suspect_exchange.h
@@ -53,12 +53,17 @@
     bool is_current() const;
     /// Adds ends that this node has observed. Returns the digests of requests that are now blocked.
     std::vector<std::string> add(const std::vector<suspect>& observed);
-    /// Records that a suspect is sent to the back end, and tells all nodes.
-    void set_trial(const std::string& digest, const std::string& backend);
-    /// Excuses a request from its ends. Returns whether it was a suspect.
+    /// Records that a suspect is about to be sent to a back end, and tells all nodes. `done` runs
+    /// once, as that of `report`.
+    void announce(const suspect& trial, std::function<void()> done);
+    /// Excuses a request from one attempt that ended no back end, and tells all nodes if it
+    /// counted.
+    void conclude(const std::string& digest, const std::string& request,
+                  const std::string& backend);
+    /// Excuses a request from its attempts. Returns whether it was a suspect.
     bool excuse(const std::string& digest);
     /// Sends what is known of the requests to all nodes. `done` runs once, when they have confirmed
-    /// or the time is up.
+    /// or the time is up; with no peers, inside this call.
     void report(const std::vector<std::string>& digests, std::function<void()> done);
 
   private:
--- a/src/pearbarrow/suspects/suspect_messages.cc
+++ b/src/pearbarrow/suspects/suspect_messages.cc
@@ -8,21 +8,35 @@
             return "connection_refused";
         case end_evidence::replaced:
             return "replaced";
+        case end_evidence::sent:
+            return "sent";
+        case end_evidence::connection_lost:
+            return "connection_lost";
+        case end_evidence::silent:
+            return "silent";
+        case end_evidence::node_unreachable:
+            return "node_unreachable";
     }
     return "unknown";
 }
 
+bool is_proof(end_evidence evidence) {
+    return evidence == end_evidence::connection_refused || evidence == end_evidence::replaced;
+}
+
 nlohmann::json to_json(const suspect& known) {
-    nlohmann::json ends = nlohmann::json::array();
-    for (const suspected_end& end : known.ends) {
-        ends.push_back({{"backend", end.backend},
-                        {"request", end.request},
-                        {"node", end.node},
-                        {"evidence", to_string(end.evidence)},
-                        {"age_ms", end.age_ms},
-                        {"excused", end.is_excused}});
+    nlohmann::json attempts = nlohmann::json::array();
+    for (const std::vector<suspected_end>* list : {&known.ends, &known.unproved}) {
+        for (const suspected_end& end : *list) {
+            attempts.push_back({{"backend", end.backend},
+                                {"request", end.request},
+                                {"node", end.node},
+                                {"evidence", to_string(end.evidence)},
+                                {"age_ms", end.age_ms},
+                                {"excused", end.is_excused}});
+        }
     }
-    return ends;
+    return attempts;
 }
 
 }  // namespace pearbarrow::suspects
--- a/src/pearbarrow/suspects/suspect_messages.h
+++ b/src/pearbarrow/suspects/suspect_messages.h
@@ -11,18 +11,26 @@
 
 namespace pearbarrow::suspects {
 
-/// How a node found out that the process of a back end has ended.
+/// What a node knows of the end of a back end under an attempt. The first two prove the end.
 enum class end_evidence : std::uint8_t {
     /// After the connection of an attempt was lost, a new connection was refused.
-    connection_refused,
-    /// After the connection of an attempt was lost, another process responded at the address, or
-    /// the directory listed a later incarnation.
-    replaced,
+    connection_refused = 0,
+    /// Another process responded at the address, or the directory listed a later incarnation.
+    replaced = 1,
+    /// The request was sent, and no result is known.
+    sent = 2,
+    /// The connection of the attempt was lost, and a process still listened.
+    connection_lost = 3,
+    /// The back end sent nothing, and did not answer when it was asked.
+    silent = 4,
+    /// A node that may have had an attempt did not confirm a report.
+    node_unreachable = 5,
 };
 
 std::string_view to_string(end_evidence evidence);
+bool is_proof(end_evidence evidence);
 
-/// A back end that ended while it had the request.
+/// An attempt under which a back end has ended, or may have ended.
 struct suspected_end {
     /// Id and start time of the back end (`directory::backend_incarnation`).
     std::string backend;
@@ -34,13 +42,15 @@
     end_evidence evidence = end_evidence::connection_refused;
     /// Time since the end when the message was sent. Milliseconds.
     std::uint64_t age_ms = 0;
-    /// The request did not cause the end: it was completed later, or an operator released it.
+    /// The back end went on, the request was completed later, or an operator released it.
     bool is_excused = false;
+    /// Time since the request was sent to the back end. Milliseconds; 0: unknown.
+    std::uint64_t sent_age_ms = 0;
 
-    MSGPACK_DEFINE(backend, started_at, request, node, evidence, age_ms, is_excused);
+    MSGPACK_DEFINE(backend, started_at, request, node, evidence, age_ms, is_excused, sent_age_ms);
 };
 
-/// A request under which back ends have ended, and these ends.
+/// A request under which back ends have ended, or may have ended.
 struct suspect {
     /// See `request_fingerprint`.
     std::uint64_t scope = 0;
@@ -48,13 +58,17 @@
     std::string tenant;
     std::string route;
     std::string service;
+    /// Proved ends.
     std::vector<suspected_end> ends;
     /// Back end that the request was last sent to while it was a suspect; empty if there is none.
     std::string trial;
     /// Time since then when the message was sent. Milliseconds.
     std::uint64_t trial_age_ms = 0;
+    /// Attempts without proof. Separate from `ends`, which older builds count without a look at the
+    /// evidence.
+    std::vector<suspected_end> unproved;
 
-    MSGPACK_DEFINE(scope, digest, tenant, route, service, ends, trial, trial_age_ms);
+    MSGPACK_DEFINE(scope, digest, tenant, route, service, ends, trial, trial_age_ms, unproved);
 };
 
 /// Sent to all nodes, and in reply to a node that has started.
@@ -66,7 +80,7 @@
     MSGPACK_DEFINE(suspects, is_current);
 };
 
-/// Returns the ends of a suspect as log fields.
+/// Returns the attempts of a suspect as log fields.
 nlohmann::json to_json(const suspect& known);
 
 }  // namespace pearbarrow::suspects
--- a/src/pearbarrow/suspects/suspect_table.cc
+++ b/src/pearbarrow/suspects/suspect_table.cc
@@ -9,50 +9,100 @@
 namespace {
 
 constexpr std::size_t digest_length = 32;
-constexpr std::size_t max_ends_kept = 8;
-/// Two lethal requests may share one back end.
-constexpr std::size_t max_explained_ends = 1;
+constexpr std::size_t max_attempts_kept = 16;
 /// One in so many back ends may be reserved. More would crowd all other requests together, and the
 /// next end would strike many of them.
 constexpr std::size_t backends_per_reservation = 5;
 /// A blocked request is remembered this many times as long as it is blocked.
 constexpr int block_times_remembered = 2;
+/// Retry delay of a request that is held back because of attempts under way.
+constexpr base::milliseconds open_attempt_retry{200};
 
 std::uint64_t age_in_milliseconds(base::microseconds age) {
     return static_cast<std::uint64_t>(
         std::max<std::int64_t>(0, std::chrono::floor<base::milliseconds>(age).count()));
 }
 
-}  // namespace
+base::milliseconds milliseconds_of(std::uint64_t count) {
+    return base::milliseconds{static_cast<std::int64_t>(count)};
+}
 
-std::size_t suspect_table::entry::counted_ends() const {
-    return static_cast<std::size_t>(
-        std::count_if(this->ends.begin(), this->ends.end(),
-                      [](const held_end& held) { return !held.end.is_excused; }));
+/// Evidence that a later report replaces has a lower strength.
+int strength_of(end_evidence evidence) {
+    if (is_proof(evidence)) {
+        return 2;
+    }
+    return evidence == end_evidence::sent ? 0 : 1;
 }
 
-std::size_t suspect_table::entry::unexplained_ends() const {
-    return static_cast<std::size_t>(std::count_if(
-        this->ends.begin(), this->ends.end(),
-        [](const held_end& held) { return !held.end.is_excused && !held.is_explained; }));
+bool is_same_attempt(const suspected_end& left, const suspected_end& right) {
+    return left.request == right.request && left.backend == right.backend &&
+           left.started_at == right.started_at;
 }
 
+bool is_same_process(const suspected_end& left, const suspected_end& right) {
+    return left.backend == right.backend && left.started_at == right.started_at;
+}
+
+}  // namespace
+
 base::instant suspect_table::entry::last_end() const {
     base::instant last{};
-    for (const held_end& held : this->ends) {
-        last = std::max(last, held.at);
+    for (const held_attempt& held : this->attempts) {
+        last = std::max(last, held.ended_at);
     }
     return last;
 }
 
-bool suspect_table::entry::has(const suspected_end& end) const {
-    return std::any_of(this->ends.begin(), this->ends.end(), [&](const held_end& held) {
-        return held.end.backend == end.backend && held.end.started_at == end.started_at;
-    });
+/// A process that restarts under its id without a start time is told apart by time: an attempt that
+/// was sent after another one had broken off met another process.
+template <typename Predicate>
+std::size_t suspect_table::count_ends(const entry& known, Predicate counts) {
+    std::vector<const held_attempt*> counted;
+    for (const held_attempt& held : known.attempts) {
+        if (!held.end.is_excused && counts(held)) {
+            counted.push_back(&held);
+        }
+    }
+    std::sort(counted.begin(), counted.end(),
+              [](const held_attempt* left, const held_attempt* right) {
+                  return std::tie(left->end.backend, left->end.started_at, left->sent_at) <
+                         std::tie(right->end.backend, right->end.started_at, right->sent_at);
+              });
+    std::size_t count = 0;
+    const held_attempt* previous = nullptr;
+    base::instant process_end{};
+    for (const held_attempt* held : counted) {
+        const bool is_open = held->end.evidence == end_evidence::sent;
+        const base::instant ended_at = is_open ? base::instant::max() : held->ended_at;
+        const bool is_other_process = previous == nullptr ||
+                                      !is_same_process(previous->end, held->end) ||
+                                      held->sent_at > process_end;
+        count += is_other_process ? 1 : 0;
+        process_end = is_other_process ? ended_at : std::min(process_end, ended_at);
+        previous = held;
+    }
+    return count;
+}
+
+std::size_t suspect_table::possible_ends(const entry& known) {
+    return count_ends(known, [](const held_attempt& /*held*/) { return true; });
+}
+
+std::size_t suspect_table::ends(const entry& known, base::instant now) const {
+    return count_ends(known,
+                      [this, now](const held_attempt& held) { return this->is_end(held, now); });
+}
+
+bool suspect_table::is_end(const held_attempt& attempt, base::instant now) const {
+    const end_evidence evidence = attempt.end.evidence;
+    return is_proof(evidence) || (evidence != end_evidence::sent &&
+                                  now - attempt.ended_at >= this->options.resolution_time);
 }
 
 bool suspect_table::is_well_formed(const suspect& reported) {
-    return reported.digest.size() == digest_length && !reported.ends.empty();
+    return reported.digest.size() == digest_length &&
+           !(reported.ends.empty() && reported.unproved.empty());
 }
 
 bool suspect_table::merge(const suspect& reported, base::instant now) {
@@ -68,54 +118,66 @@
     if (is_new) {
         known.description = reported;
         known.description.ends.clear();
+        known.description.unproved.clear();
         known.description.trial.clear();
         ++this->scopes[reported.scope];
     }
     const bool was_blocked = this->is_blocked(known, now);
     for (const suspected_end& end : reported.ends) {
-        add_end(known, end, now);
+        add_attempt(known, end, now);
+    }
+    for (const suspected_end& end : reported.unproved) {
+        add_attempt(known, end, now);
     }
     add_trial(known, reported, now);
     ++this->changes;
-    for (auto& [digest, other] : this->entries) {
-        this->update_required_ends(other);
-    }
-    if (was_blocked) {
-        return false;
-    }
-    this->mark_explained(known, now);
-    if (!this->is_blocked(known, now)) {
-        return false;
-    }
-    for (auto& [digest, other] : this->entries) {
-        if (!this->is_blocked(other, now)) {
-            this->mark_explained(other, now);
-        }
-    }
-    return true;
+    return !was_blocked && this->is_blocked(known, now);
 }
 
-void suspect_table::add_end(entry& known, const suspected_end& end, base::instant now) {
-    for (held_end& held : known.ends) {
-        if (held.end.backend == end.backend && held.end.started_at == end.started_at) {
+void suspect_table::add_attempt(entry& known, const suspected_end& end, base::instant now) {
+    const held_attempt added{
+        .end = end,
+        .sent_at = end.sent_age_ms == 0 ? base::instant{} : now - milliseconds_of(end.sent_age_ms),
+        .ended_at = now - milliseconds_of(end.age_ms)};
+    const auto strengthen = [&added](held_attempt& held) {
+        if (strength_of(added.end.evidence) > strength_of(held.end.evidence)) {
+            held.end.evidence = added.end.evidence;
+            held.end.node = added.end.node;
+            held.ended_at = added.ended_at;
+        }
+    };
+    for (held_attempt& held : known.attempts) {
+        if (is_same_attempt(held.end, end)) {
+            strengthen(held);
             held.end.is_excused = held.end.is_excused || end.is_excused;
             return;
         }
     }
-    const auto age = base::milliseconds{static_cast<std::int64_t>(end.age_ms)};
-    known.ends.push_back({.end = end, .at = now - age});
-    if (known.ends.size() > max_ends_kept) {
-        known.ends.erase(std::min_element(known.ends.begin(), known.ends.end(),
-                                          [](const held_end& left, const held_end& right) {
-                                              return std::tuple(!left.end.is_excused, left.at) <
-                                                     std::tuple(!right.end.is_excused, right.at);
-                                          }));
+    // Attempts that one end broke off are kept once, so that they do not displace other ends.
+    const bool has_broken_off = !end.is_excused && end.evidence != end_evidence::sent;
+    for (held_attempt& held : known.attempts) {
+        const bool is_same_end = has_broken_off && !held.end.is_excused &&
+                                 held.end.evidence != end_evidence::sent &&
+                                 is_same_process(held.end, end) && added.sent_at <= held.ended_at &&
+                                 held.sent_at <= added.ended_at;
+        if (is_same_end) {
+            strengthen(held);
+            return;
+        }
+    }
+    known.attempts.push_back(added);
+    if (known.attempts.size() > max_attempts_kept) {
+        known.attempts.erase(
+            std::min_element(known.attempts.begin(), known.attempts.end(),
+                             [](const held_attempt& left, const held_attempt& right) {
+                                 return std::tuple(!left.end.is_excused, left.ended_at) <
+                                        std::tuple(!right.end.is_excused, right.ended_at);
+                             }));
     }
 }
 
 void suspect_table::add_trial(entry& known, const suspect& reported, base::instant now) {
-    const base::instant at =
-        now - base::milliseconds{static_cast<std::int64_t>(reported.trial_age_ms)};
+    const base::instant at = now - milliseconds_of(reported.trial_age_ms);
     if (!reported.trial.empty() && at > known.trial_at) {
         known.description.trial = reported.trial;
         known.trial_at = at;
@@ -134,10 +196,10 @@
 
 bool suspect_table::excuse(const std::string& digest, base::instant now) {
     const auto found = this->entries.find(digest);
-    if (found == this->entries.end() || found->second.counted_ends() == 0) {
+    if (found == this->entries.end() || possible_ends(found->second) == 0) {
         return false;
     }
-    for (held_end& held : found->second.ends) {
+    for (held_attempt& held : found->second.attempts) {
         held.end.is_excused = true;
     }
     ++this->changes;
@@ -145,82 +207,70 @@
     return true;
 }
 
-void suspect_table::update_required_ends(entry& known) const {
-    std::size_t required = this->options.max_ends;
-    if (known.counted_ends() >= this->options.max_ends) {
-        const std::size_t unit = this->options.unrelated_ends_per_end;
-        const std::size_t more = (this->unrelated_ends(known) + unit / 2) / unit;
-        required = std::min(required + more, max_ends_kept);
-    }
-    known.required_ends = std::max(known.required_ends, required);
-}
-
-std::size_t suspect_table::unrelated_ends(const entry& known) const {
-    const base::instant last = known.last_end();
-    // Whether some request had this back end and another one that ended.
-    std::map<std::pair<std::string, std::uint64_t>, bool> is_repeated;
-    for (const auto& [digest, other] : this->entries) {
-        if (other.description.service != known.description.service) {
-            continue;
-        }
-        for (const held_end& held : other.ends) {
-            const bool is_recent = held.at <= last && last - held.at < this->options.series_time;
-            if (is_recent && !known.has(held.end)) {
-                bool& repeated = is_repeated[{held.end.backend, held.end.started_at}];
-                repeated = repeated || other.counted_ends() > 1;
-            }
-        }
+bool suspect_table::excuse_attempt(const std::string& digest, const std::string& request,
+                                   const std::string& backend) {
+    const auto found = this->entries.find(digest);
+    if (found == this->entries.end()) {
+        return false;
     }
-    return static_cast<std::size_t>(std::count_if(is_repeated.begin(), is_repeated.end(),
-                                                  [](const auto& item) { return !item.second; }));
-}
-
-/// Two requests that had exactly the same back ends cannot be told apart, so neither explains the
-/// ends of the other.
-bool suspect_table::entry::explains(const entry& other) const {
-    return this->counted_ends() > other.counted_ends() ||
-           std::any_of(this->ends.begin(), this->ends.end(),
-                       [&](const held_end& held) { return !other.has(held.end); });
-}
-
-void suspect_table::mark_explained(entry& other, base::instant now) const {
-    for (const auto& [digest, blocked] : this->entries) {
-        if (&blocked == &other || !this->is_blocked(blocked, now) || !blocked.explains(other)) {
-            continue;
-        }
-        for (held_end& held : other.ends) {
-            held.is_explained = held.is_explained || blocked.has(held.end);
-        }
+    bool has_counted = false;
+    for (held_attempt& held : found->second.attempts) {
+        const bool is_meant = held.end.request == request && held.end.backend == backend &&
+                              !is_proof(held.end.evidence);
+        has_counted = has_counted || (is_meant && !held.end.is_excused);
+        held.end.is_excused = held.end.is_excused || is_meant;
     }
-}
-
-bool suspect_table::may_be_blocked(const entry& known) const {
-    return this->options.max_ends > 0 && known.counted_ends() >= known.required_ends &&
-           known.unexplained_ends() + max_explained_ends >= known.required_ends;
+    this->changes += has_counted ? 1 : 0;
+    return has_counted;
 }
 
 bool suspect_table::is_blocked(const entry& known, base::instant now) const {
-    return this->may_be_blocked(known) && now - known.last_end() < this->options.block_time;
+    return this->options.max_ends > 0 && this->ends(known, now) >= this->options.max_ends &&
+           now - known.last_end() < this->options.block_time;
 }
 
 bool suspect_table::is_expired(const entry& known, base::instant now) const {
-    const base::milliseconds kept = this->may_be_blocked(known)
+    const bool may_be_blocked =
+        this->options.max_ends > 0 && possible_ends(known) >= this->options.max_ends;
+    const base::milliseconds kept = may_be_blocked
                                         ? this->options.block_time * block_times_remembered
                                         : this->options.suspicion_time;
     return now - known.last_end() >= kept;
 }
 
+base::milliseconds suspect_table::time_to_resolve(const entry& known, base::instant now) const {
+    base::milliseconds shortest = this->options.settle_time;
+    for (const held_attempt& held : known.attempts) {
+        if (held.end.is_excused || is_proof(held.end.evidence)) {
+            continue;
+        }
+        const bool is_open = held.end.evidence == end_evidence::sent;
+        const auto left = is_open ? open_attempt_retry
+                                  : std::chrono::ceil<base::milliseconds>(
+                                        held.ended_at + this->options.settle_time - now);
+        shortest = std::min(shortest, std::max(left, open_attempt_retry));
+    }
+    return shortest;
+}
+
 suspect_status suspect_table::status_of(const std::string& digest, base::instant now) const {
     const auto found = this->entries.find(digest);
     if (found == this->entries.end() || this->is_expired(found->second, now)) {
         return {};
     }
     const entry& known = found->second;
-    suspect_status status{.ends = known.counted_ends()};
+    suspect_status status{.ends = this->ends(known, now), .possible_ends = possible_ends(known)};
     status.is_blocked = this->is_blocked(known, now);
     if (status.is_blocked) {
-        status.blocked_for = std::chrono::ceil<base::milliseconds>(known.last_end() +
+        status.retry_after = std::chrono::ceil<base::milliseconds>(known.last_end() +
                                                                    this->options.block_time - now);
+        return status;
+    }
+    const bool has_doubt = status.possible_ends > status.ends;
+    status.is_held =
+        this->options.max_ends > 0 && has_doubt && status.possible_ends >= this->options.max_ends;
+    if (status.is_held) {
+        status.retry_after = this->time_to_resolve(known, now);
     }
     return status;
 }
@@ -228,9 +278,13 @@
 suspect suspect_table::described(const entry& known, base::instant now) {
     suspect description = known.description;
     description.trial_age_ms = age_in_milliseconds(now - known.trial_at);
-    for (const held_end& held : known.ends) {
-        suspected_end& end = description.ends.emplace_back(held.end);
-        end.age_ms = age_in_milliseconds(now - held.at);
+    for (const held_attempt& held : known.attempts) {
+        auto& list = is_proof(held.end.evidence) ? description.ends : description.unproved;
+        suspected_end& end = list.emplace_back(held.end);
+        end.age_ms = age_in_milliseconds(now - held.ended_at);
+        const bool is_sent_known = held.sent_at != base::instant{};
+        end.sent_age_ms =
+            is_sent_known ? std::max<std::uint64_t>(1, age_in_milliseconds(now - held.sent_at)) : 0;
     }
     return description;
 }
@@ -244,7 +298,7 @@
 std::vector<suspect> suspect_table::all(base::instant now) const {
     std::vector<suspect> found;
     for (const auto& [digest, known] : this->entries) {
-        if (known.counted_ends() > 0 && !this->is_expired(known, now)) {
+        if (possible_ends(known) > 0 && !this->is_expired(known, now)) {
             found.push_back(described(known, now));
         }
     }
@@ -258,7 +312,7 @@
                                                                         base::instant now) const {
     std::vector<const entry*> active;
     for (const auto& [digest, known] : this->entries) {
-        const bool is_active = known.description.service == service && known.counted_ends() > 0 &&
+        const bool is_active = known.description.service == service && possible_ends(known) > 0 &&
                                now - known.last_end() < this->options.isolation_time;
         if (is_active && !this->is_blocked(known, now)) {
             active.push_back(&known);
@@ -267,7 +321,7 @@
     const bool are_too_many = active.size() > backend_count;
     std::sort(active.begin(), active.end(), [are_too_many](const entry* left, const entry* right) {
         const auto rank = [are_too_many](const entry& known) {
-            return std::tuple(are_too_many ? max_ends_kept - known.counted_ends() : 0,
+            return std::tuple(are_too_many ? max_attempts_kept - possible_ends(known) : 0,
                               known.trial_at < known.last_end(), known.last_end(),
                               known.description.digest);
         };
@@ -281,8 +335,10 @@
                                    base::instant now) const {
     std::set<std::string> unavailable;
     for (const auto& [digest, known] : this->entries) {
-        for (const held_end& held : known.ends) {
-            unavailable.insert(held.end.backend);
+        for (const held_attempt& held : known.attempts) {
+            if (!held.end.is_excused && held.end.evidence != end_evidence::sent) {
+                unavailable.insert(held.end.backend);
+            }
         }
     }
     // On a ring, back ends that come and go change the places of few suspects.
@@ -309,7 +365,7 @@
                 continue;
             }
             plan.trials[digest] = backend;
-            const bool is_last_trial = known->counted_ends() + 1 >= this->options.max_ends;
+            const bool is_last_trial = possible_ends(*known) + 1 >= this->options.max_ends;
             if (is_last_trial && plan.reserved.size() < max_reserved) {
                 plan.reserved.insert(backend);
             }
--- a/tests/unit/fleet/fleet_fixture.h
+++ b/tests/unit/fleet/fleet_fixture.h
@@ -170,7 +170,10 @@
              {route("/plain/", "idempotent", "tool", 2),
               route("/once/", "non_idempotent", "tool", 2), turn, stream}},
             {"services",
-             {{{"name", "tool"}}, {{"name", "model"}, {"engine", {{"chunk_tokens", 10}}}}}}};
+             {{{"name", "tool"}, {"health_path", emulator::runner::health_path}},
+              {{"name", "model"},
+               {"health_path", emulator::runner::health_path},
+               {"engine", {{"chunk_tokens", 10}}}}}}};
         store.put("op/config", config.dump());
     }
     emulator::runner& add_runner(const std::string& service, const std::string& id,
--- a/tests/unit/fleet/lethal_requests_test.cc
+++ b/tests/unit/fleet/lethal_requests_test.cc
@@ -14,10 +14,16 @@
 constexpr std::uint32_t max_ends = 3;
 constexpr char blocked_reason[] = "request_ends_back_ends";
 
+constexpr char held_reason[] = "request_may_end_back_ends";
+
 bool is_blocked(const client_response& response) {
     return response.body.find(blocked_reason) != std::string::npos;
 }
 
+bool is_held(const client_response& response) {
+    return response.body.find(held_reason) != std::string::npos;
+}
+
 const repeated_request lethal_turn{.target = "/turn/x", .program = "p", .body = lethal_marker};
 
 }  // namespace
@@ -120,11 +126,74 @@
 
 Test(lethal_requests, responses_broken_off_without_an_end_block_nothing) {
     lethal_fixture callers(3);
+    // The first back end has shown that it goes on before the fourth try.
+    callers.pause = base::milliseconds{800};
+    for (emulator::runner& runner : callers.fleet.runners) {
+        runner.set_fault(emulator::runner_fault::cut_after_event);
+    }
+    const auto result = callers.repeat(lethal_turn, "a");
+    cr_assert(result.tries == 6 && result.rejected == 0, "%d tries, %d rejected", result.tries,
+              result.rejected);
+    cr_assert(callers.runs_of("a") == 6, "%zu", callers.runs_of("a"));
+}
+
+Test(lethal_requests, request_whose_responses_break_off_quickly_is_held_back_and_passes_soon) {
+    lethal_fixture callers(5);
     for (emulator::runner& runner : callers.fleet.runners) {
         runner.set_fault(emulator::runner_fault::cut_after_event);
     }
     const auto result = callers.repeat(lethal_turn, "a");
-    cr_assert(result.tries == 6 && result.rejected == 0);
+    cr_assert(callers.runs_of("a") == max_ends, "%zu", callers.runs_of("a"));
+    cr_assert(result.last.status == 503 && !is_blocked(result.last));
+    cr_assert(is_held(result.last), "%s", result.last.body.c_str());
+    const double retry_after = std::stod(result.last.headers.find("Retry-After").value_or("0"));
+    cr_assert(retry_after > 0 && retry_after <= 2, "%f", retry_after);
+    for (emulator::runner& runner : callers.fleet.runners) {
+        runner.set_fault(emulator::runner_fault::none);
+    }
+    run_for(callers.fleet.loop, base::milliseconds{2'500});
+    const auto later = callers.repeat(lethal_turn, "b");
+    cr_assert(later.tries == 1 && later.last.status == 200, "%s", later.last.body.c_str());
+}
+
+Test(lethal_requests, request_whose_back_ends_fall_silent_is_sent_to_at_most_three) {
+    lethal_fixture callers(9);
+    for (emulator::runner& runner : callers.fleet.runners) {
+        runner.set_fault(emulator::runner_fault::unresponsive);
+    }
+    std::list<std::optional<client_response>> responses;
+    for (int index = 0; index < 6; ++index) {
+        const std::string id = "a" + std::to_string(index);
+        callers.fleet.start_call(static_cast<std::size_t>(index) % 3, "/turn/x", id,
+                                 callers.headers_of(lethal_turn), lethal_marker,
+                                 responses.emplace_back());
+        run_for(callers.fleet.loop, base::milliseconds{500});
+        // The caller leaves.
+        callers.fleet.calls.back().reset();
+        run_for(callers.fleet.loop, base::milliseconds{200});
+    }
+    std::size_t held = 0;
+    for (emulator::runner& runner : callers.fleet.runners) {
+        held += runner.held_requests();
+    }
+    cr_assert(held <= max_ends, "%zu", held);
+}
+
+Test(lethal_requests, silent_request_at_a_running_back_end_is_not_suspected) {
+    lethal_fixture callers(5);
+    for (emulator::runner& runner : callers.fleet.runners) {
+        runner.set_fault(emulator::runner_fault::hang);
+    }
+    std::list<std::optional<client_response>> responses;
+    for (int index = 0; index < 6; ++index) {
+        const std::string id = "a" + std::to_string(index);
+        callers.fleet.start_call(static_cast<std::size_t>(index) % 3, "/turn/x", id,
+                                 callers.headers_of(lethal_turn), lethal_marker,
+                                 responses.emplace_back());
+        run_for(callers.fleet.loop, base::milliseconds{300});
+        callers.fleet.calls.back().reset();
+        run_for(callers.fleet.loop, base::milliseconds{100});
+    }
     cr_assert(callers.runs_of("a") == 6, "%zu", callers.runs_of("a"));
 }
 
@@ -267,7 +336,10 @@
             callers.fleet.call(0, "/once/y", "b", {}, "other");
         }
         const auto& table = callers.fleet.edges[1]->node.parts().suspects().table();
-        cr_assert(run_until(callers.fleet.loop, [&] { return !table.is_empty(); }));
+        cr_assert(run_until(callers.fleet.loop, [&] {
+            const auto all = table.all(callers.fleet.clock.now());
+            return !all.empty() && !all[0].ends.empty();
+        }));
         const auto known = table.all(callers.fleet.clock.now());
         cr_assert(known.size() == 1 && known[0].ends.size() == 1);
         cr_assert(known[0].ends[0].request == "a");
--- a/tests/unit/fleet/tenants_fixture.h
+++ b/tests/unit/fleet/tenants_fixture.h
@@ -37,7 +37,9 @@
             "op/config",
             nlohmann::json{{"version", version},
                            {"routes", {route("/plain/", "idempotent", "tool"), turn, open}},
-                           {"services", {{{"name", "tool"}}, {{"name", "model"}}}},
+                           {"services",
+                            {{{"name", "tool"}, {"health_path", emulator::runner::health_path}},
+                             {{"name", "model"}, {"health_path", emulator::runner::health_path}}}},
                            {"tenants", this->tenants}}
                 .dump());
     }
--- a/tests/unit/suspects/suspect_table_test.cc
+++ b/tests/unit/suspects/suspect_table_test.cc
@@ -2,6 +2,7 @@
 
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <criterion/criterion.h>
@@ -26,6 +27,18 @@
     return reported;
 }
 
+suspect unproved(const std::string& name,
+                 const std::vector<std::pair<std::string, end_evidence>>& attempts) {
+    suspect reported = suspect_at(name, {});
+    for (const auto& [backend, evidence] : attempts) {
+        reported.unproved.push_back({.backend = backend,
+                                     .request = name + " at " + backend,
+                                     .evidence = evidence,
+                                     .sent_age_ms = 10});
+    }
+    return reported;
+}
+
 struct table_fixture {
     explicit table_fixture(suspect_options options = {}) : table(options) {}
 
@@ -47,7 +60,7 @@
     cr_assert(!known.status("a").is_blocked && known.status("a").ends == 2);
     cr_assert(known.merge(suspect_at("a", {"b3"})));
     cr_assert(known.status("a").is_blocked);
-    cr_assert(known.status("a").blocked_for == milliseconds{600'000});
+    cr_assert(known.status("a").retry_after == milliseconds{600'000});
     cr_assert(known.table.blocked_count(known.now) == 1);
 }
 
@@ -96,17 +109,13 @@
     cr_assert(!second.status("a").is_blocked);
 }
 
-Test(suspect_table, blocked_request_explains_the_ends_of_those_beside_it) {
+Test(suspect_table, request_with_three_ends_is_blocked_although_others_shared_them) {
     table_fixture known;
-    known.merge(suspect_at("beside", {"b1", "b2"}));
-    known.merge(suspect_at("lethal", {"b1", "b2"}));
-    known.merge(suspect_at("lethal", {"b3"}));
-    cr_assert(known.status("lethal").is_blocked);
-    // Both of its ends are explained, so a third one does not block it.
-    cr_assert(!known.merge(suspect_at("beside", {"b4"})));
-    cr_assert(!known.status("beside").is_blocked);
-    // The same holds for ends that are reported later.
-    cr_assert(!known.merge(suspect_at("late", {"b2", "b3", "b5"})));
+    known.merge(suspect_at("first", {"b1", "b2"}));
+    known.merge(suspect_at("second", {"b1", "b2"}));
+    cr_assert(known.merge(suspect_at("first", {"b3"})));
+    cr_assert(known.merge(suspect_at("second", {"b3"})));
+    cr_assert(known.merge(suspect_at("late", {"b2", "b3", "b5"})));
 }
 
 Test(suspect_table, one_explained_end_does_not_excuse_a_second_lethal_request) {
@@ -125,36 +134,22 @@
             known.merge(reports[(first + index) % reports.size()]);
         }
         cr_assert(known.status("lethal").is_blocked);
-        cr_assert(!known.merge(suspect_at("beside", {"b4"})));
+        cr_assert(!known.status("beside").is_blocked && known.status("beside").ends == 2);
         cr_assert(known.status("other").ends == 1);
     }
 }
 
-Test(suspect_table, request_with_three_ends_in_a_series_of_crashes_is_not_blocked) {
+Test(suspect_table, request_with_three_ends_is_blocked_in_a_series_of_crashes) {
     table_fixture known;
     for (int index = 0; index < 5; ++index) {
         const std::string number = std::to_string(index);
         known.merge(suspect_at("other" + number, {"x" + number}));
-        // That the others are completed does not make their ends unseen.
         known.table.excuse(digest_of("other" + number), known.now);
     }
-    cr_assert(!known.merge(suspect_at("a", {"b1", "b2", "b3"})));
-    cr_assert(!known.status("a").is_blocked);
-    cr_assert(known.merge(suspect_at("a", {"b4"})));
-}
-
-Test(suspect_table, request_is_not_blocked_once_the_ends_of_others_have_expired) {
-    table_fixture known;
-    for (int index = 0; index < 5; ++index) {
-        const std::string number = std::to_string(index);
-        known.merge(suspect_at("other" + number, {"x" + number}));
-    }
-    known.now += milliseconds{5'000};
-    known.merge(suspect_at("a", {"b1", "b2", "b3"}));
+    cr_assert(known.merge(suspect_at("a", {"b1", "b2", "b3"})));
     known.now += milliseconds{56'000};
     known.merge(suspect_at("new", {"y1"}));
-    cr_assert(known.table.size() == 2);
-    cr_assert(!known.status("a").is_blocked);
+    cr_assert(known.status("a").is_blocked);
 }
 
 Test(suspect_table, ends_of_other_lethal_requests_are_no_series) {
@@ -202,7 +197,7 @@
     first.now += milliseconds{100'000};
     table_fixture second;
     second.merge(first.table.all(first.now).front());
-    cr_assert(second.status("a").blocked_for == milliseconds{500'000});
+    cr_assert(second.status("a").retry_after == milliseconds{500'000});
 }
 
 Test(suspect_table, tenant_with_many_suspects_displaces_its_own) {
@@ -266,3 +261,94 @@
     cr_assert(plan.trials.size() == 2);
     cr_assert(plan.trials.count(digest_of("e")) == 1);
 }
+
+Test(suspect_table, request_with_unproved_ends_is_held_back) {
+    table_fixture known;
+    known.merge(unproved("a", {{"b1", end_evidence::connection_lost}}));
+    known.merge(unproved("a", {{"b2", end_evidence::silent}}));
+    cr_assert(!known.status("a").is_held && known.status("a").possible_ends == 2);
+    cr_assert(!known.merge(unproved("a", {{"b3", end_evidence::connection_lost}})));
+    cr_assert(known.status("a").is_held && !known.status("a").is_blocked);
+    cr_assert(known.status("a").ends == 0);
+    cr_assert(known.status("a").retry_after <= milliseconds{2'000});
+    cr_assert(known.status("a").retry_after > milliseconds{0});
+}
+
+Test(suspect_table, back_end_that_went_on_no_longer_counts) {
+    table_fixture known;
+    known.merge(suspect_at("a", {"b1", "b2"}));
+    known.merge(unproved("a", {{"b3", end_evidence::connection_lost}}));
+    cr_assert(known.table.excuse_attempt(digest_of("a"), "a at b3", "b3"));
+    cr_assert(!known.table.excuse_attempt(digest_of("a"), "a at b3", "b3"));
+    cr_assert(!known.status("a").is_held && known.status("a").possible_ends == 2);
+    // A proved end stays.
+    cr_assert(!known.table.excuse_attempt(digest_of("a"), "a at b1", "b1"));
+    cr_assert(known.status("a").ends == 2);
+}
+
+Test(suspect_table, proof_replaces_doubt) {
+    table_fixture known;
+    known.merge(unproved("a", {{"b1", end_evidence::sent}}));
+    known.merge(unproved("a", {{"b1", end_evidence::connection_lost}}));
+    cr_assert(known.status("a").ends == 0 && known.status("a").possible_ends == 1);
+    known.merge(suspect_at("a", {"b1"}));
+    known.merge(unproved("a", {{"b1", end_evidence::sent}}));
+    cr_assert(known.status("a").ends == 1 && known.status("a").possible_ends == 1);
+}
+
+Test(suspect_table, doubt_that_is_not_resolved_counts_as_an_end) {
+    table_fixture known;
+    known.merge(unproved("a", {{"b1", end_evidence::silent},
+                               {"b2", end_evidence::silent},
+                               {"b3", end_evidence::connection_lost}}));
+    known.now += milliseconds{10'000};
+    cr_assert(known.status("a").is_blocked && known.status("a").ends == 3);
+    cr_assert(known.status("a").retry_after > milliseconds{500'000});
+}
+
+Test(suspect_table, attempts_under_way_count_and_are_not_blocked_for_long) {
+    table_fixture known;
+    known.merge(suspect_at("a", {"b1"}));
+    known.merge(unproved("a", {{"b2", end_evidence::sent}, {"b3", end_evidence::sent}}));
+    cr_assert(known.status("a").is_held);
+    known.now += milliseconds{20'000};
+    cr_assert(known.status("a").is_held && known.status("a").retry_after < milliseconds{1'000});
+}
+
+Test(suspect_table, two_ends_of_one_id_count_twice_if_the_second_was_sent_after_the_first) {
+    table_fixture known;
+    suspect first = suspect_at("a", {"b1"});
+    first.ends[0].request = "first";
+    first.ends[0].sent_age_ms = 50;
+    known.merge(first);
+    known.now += milliseconds{3'000};
+    suspect second = first;
+    second.ends[0].request = "second";
+    known.merge(second);
+    cr_assert(known.status("a").ends == 2);
+}
+
+Test(suspect_table, tries_that_one_end_broke_off_count_once) {
+    table_fixture known;
+    for (int index = 0; index < 40; ++index) {
+        suspect reported = suspect_at("a", {"b1"});
+        reported.ends[0].request = "try " + std::to_string(index);
+        reported.ends[0].sent_age_ms = 50;
+        known.now += milliseconds{1};
+        known.merge(reported);
+    }
+    cr_assert(known.status("a").ends == 1);
+    cr_assert(known.table.find(digest_of("a"), known.now)->ends.size() == 1);
+}
+
+Test(suspect_table, doubt_is_kept_between_nodes) {
+    table_fixture first;
+    first.merge(suspect_at("a", {"b1"}));
+    first.merge(unproved("a", {{"b2", end_evidence::silent}, {"b3", end_evidence::sent}}));
+    table_fixture second;
+    second.merge(*first.table.find(digest_of("a"), first.now));
+    cr_assert(second.status("a").is_held && second.status("a").ends == 1);
+    first.table.excuse_attempt(digest_of("a"), "a at b2", "b2");
+    second.merge(*first.table.find(digest_of("a"), first.now));
+    cr_assert(!second.status("a").is_held && second.status("a").possible_ends == 2);
+}
