The first try of a request counts if its edge has been lost

Callers: when the edge that had the first try was killed or frozen as the back end ended, one more back end ended.

Cause: a try that is not announced is known to its edge alone. A request that never failed pays for no message, so its first try cannot be announced.

Why the fix works: the first report of a suspect goes to all nodes. An edge that does not confirm it and has been lost within the last 5 s may have had that first try, so it counts as one that may have ended; the nodes that pass the report on name those they could not reach.

--- a/src/pearbarrow/directory/peer_multicast.cc
+++ b/src/pearbarrow/directory/peer_multicast.cc
@@ -121,6 +121,7 @@
         if (answer.ok()) {
             this->owner.unresponsive_until.erase(peer);
             this->result.reached += answer->reached;
+            this->add_unreached(answer->unreached);
             if (!answer->correction.empty()) {
                 this->owner.receive(answer->correction);
             }
@@ -129,6 +130,7 @@
             this->owner.unresponsive_until[peer] =
                 this->owner.clock.now() + this->owner.options.unresponsive_penalty;
             ++this->result.failed;
+            this->add_unreached({peer});
             ++target.head;
             target.is_over = target.head == target.peers.size();
         }
@@ -153,8 +155,22 @@
         }
     }
 
+    void add_unreached(const std::vector<net::endpoint>& peers) {
+        auto& unreached = this->result.unreached;
+        for (const net::endpoint& peer : peers) {
+            if (std::find(unreached.begin(), unreached.end(), peer) == unreached.end()) {
+                unreached.push_back(peer);
+            }
+        }
+    }
+
     void report() {
         this->timer.reset();
+        for (const arc& each : this->arcs) {
+            if (!each.is_over) {
+                this->add_unreached({each.peers[each.head].address});
+            }
+        }
         if (const auto callback = std::exchange(this->done, nullptr); callback) {
             callback(this->result);
         }
@@ -225,18 +241,19 @@
             targets.push_back({.position = 0, .address = peer});
         }
     }
-    const auto reply = [this, responder, received = message->payload](std::uint32_t reached) {
-        responder->finish(wire::encode(
-            multicast_reply{.reached = reached, .correction = this->correct(received)}));
+    const auto reply = [this, responder,
+                        received = message->payload](const multicast_result& result) {
+        responder->finish(wire::encode(multicast_reply{.reached = result.reached + 1,
+                                                       .correction = this->correct(received),
+                                                       .unreached = result.unreached}));
     };
     if (targets.empty()) {
-        reply(1);
+        reply({});
         return;
     }
     const base::milliseconds timeout{
         std::min<std::int64_t>(message->timeout_ms, this->options.timeout.count())};
-    this->start(targets, message->payload, timeout, false,
-                [reply](const multicast_result& result) { reply(result.reached + 1); });
+    this->start(targets, message->payload, timeout, false, reply);
 }
 
 std::vector<peer_multicast::ring_peer> peer_multicast::peers_after_self() const {
--- a/src/pearbarrow/directory/peer_multicast.h
+++ b/src/pearbarrow/directory/peer_multicast.h
@@ -59,14 +59,18 @@
     std::uint32_t reached = 0;
     /// Message to the sender; empty if there is none.
     std::string correction;
+    /// Peers among those that the message was to be passed on to that did not reply.
+    std::vector<net::endpoint> unreached;
 
-    MSGPACK_DEFINE(reached, correction);
+    MSGPACK_DEFINE(reached, correction, unreached);
 };
 
 struct multicast_result {
     std::uint32_t reached = 0;
-    /// Peers that did not reply.
+    /// Number of peers that did not reply to this node.
     std::uint32_t failed = 0;
+    /// Peers that did not reply, to this node or to one that passed the message on.
+    std::vector<net::endpoint> unreached;
 };
 
 class peer_multicast {
--- a/src/pearbarrow/suspects/suspect_exchange.cc
+++ b/src/pearbarrow/suspects/suspect_exchange.cc
@@ -1,7 +1,9 @@
 #include "pearbarrow/suspects/suspect_exchange.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "pearbarrow/base/log.h"
 #include "pearbarrow/wire/codec.h"
 
 namespace pearbarrow::suspects {
@@ -144,18 +146,82 @@
 }
 
 void suspect_exchange::report(const std::vector<std::string>& digests, std::function<void()> done) {
+    this->send_report(digests, true, std::move(done));
+}
+
+void suspect_exchange::send_report(const std::vector<std::string>& digests, bool may_repeat,
+                                   std::function<void()> done) {
     suspect_report message;
     for (const std::string& digest : digests) {
         if (auto found = this->known.find(digest, this->clock.now()); found.has_value()) {
             message.suspects.push_back(*std::move(found));
         }
     }
-    this->multicast.send(wire::encode(message),
-                         [done = std::move(done)](const directory::multicast_result& /*result*/) {
-                             if (done) {
-                                 done();
-                             }
-                         });
+    this->multicast.send(
+        wire::encode(message), [this, digests, may_repeat, done = std::move(done)](
+                                   const directory::multicast_result& result) mutable {
+            this->update_lost_nodes(result.unreached);
+            const auto changed =
+                may_repeat ? this->add_unreachable_nodes(digests) : std::vector<std::string>();
+            if (!changed.empty()) {
+                // The multicast is still inside this callback.
+                this->loop.post([this, held = std::weak_ptr(this->alive), changed,
+                                 done = std::move(done)]() mutable {
+                    if (!held.expired()) {
+                        this->send_report(changed, false, std::move(done));
+                    }
+                });
+            } else if (done) {
+                done();
+            }
+        });
+}
+
+void suspect_exchange::update_lost_nodes(const std::vector<net::endpoint>& unreached) {
+    std::map<net::endpoint, base::instant> lost;
+    for (const net::endpoint& node : unreached) {
+        const auto known_loss = this->lost_since.find(node);
+        lost[node] = known_loss == this->lost_since.end() ? this->clock.now() : known_loss->second;
+    }
+    this->lost_since = std::move(lost);
+}
+
+net::endpoint suspect_exchange::recently_lost_edge() const {
+    const std::vector<net::endpoint> members = this->storage_members();
+    for (const auto& [node, since] : this->lost_since) {
+        const bool is_member = std::find(members.begin(), members.end(), node) != members.end();
+        if (!is_member && this->clock.now() - since < this->options.lost_node_time) {
+            return node;
+        }
+    }
+    return {};
+}
+
+std::vector<std::string> suspect_exchange::add_unreachable_nodes(
+    const std::vector<std::string>& digests) {
+    std::vector<std::string> changed;
+    const net::endpoint lost = this->recently_lost_edge();
+    if (lost.port == 0) {
+        return changed;
+    }
+    for (const std::string& digest : digests) {
+        auto known = this->known.find(digest, this->clock.now());
+        const bool is_first_attempt =
+            known.has_value() && known->ends.size() + known->unproved.size() == 1 &&
+            this->known.status_of(digest, this->clock.now()).possible_ends == 1;
+        if (!is_first_attempt) {
+            continue;
+        }
+        const std::string node = net::to_string(lost);
+        known->ends.clear();
+        known->unproved = {
+            {.request = "unknown", .node = node, .evidence = end_evidence::node_unreachable}};
+        this->add({*known});
+        changed.push_back(digest);
+        base::log(base::log_level::warning, "attempt_of_lost_node_suspected",
+                  {{"fingerprint", digest}, {"lost_node", node}});
+    }
+    return changed;
 }
 
 }  // namespace pearbarrow::suspects
--- a/src/pearbarrow/suspects/suspect_exchange.h
+++ b/src/pearbarrow/suspects/suspect_exchange.h
@@ -4,10 +4,15 @@
 /// Reports state all ends of a suspect that their sender knows, and receivers that know more reply
 /// with it, so a node that has missed earlier reports learns of them with the next one. A node that
 /// no report reaches does not block the request.
+///
+/// An edge that has just been lost may have had the first attempt of a request, of which nobody
+/// knows. If an edge does not confirm the first report of a suspect and was reachable shortly
+/// before, one more back end counts as one that may have ended.
 #pragma once
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -36,6 +41,8 @@
     std::uint32_t max_fetches = 30;
     std::uint32_t wanted_fetches = 3;
     base::milliseconds expiry_interval{5'000};
+    /// How long before the first report of a suspect the loss of a node may explain it.
+    base::milliseconds lost_node_time{5'000};
 };
 
 class suspect_exchange {
@@ -70,6 +77,16 @@
     void merge(std::string_view payload);
     /// Returns the suspects of a report of which this node knows further ends.
     std::string correction_of(std::string_view payload) const;
+    /// Sends the report. `may_repeat`: it is sent again if it has to state a lost edge.
+    void send_report(const std::vector<std::string>& digests, bool may_repeat,
+                     std::function<void()> done);
+    /// Keeps the times since when nodes do not confirm.
+    void update_lost_nodes(const std::vector<net::endpoint>& unreached);
+    /// Adds the attempt that a lost edge may have had to those of the requests of which one
+    /// attempt is known. Returns the requests.
+    std::vector<std::string> add_unreachable_nodes(const std::vector<std::string>& digests);
+    /// Returns an edge that was lost recently; port 0 if there is none.
+    net::endpoint recently_lost_edge() const;
     void fetch();
     std::vector<net::endpoint> storage_members() const;
     /// Expires suspects as long as there are any.
@@ -86,8 +103,11 @@
     std::unique_ptr<net::peer_call_handle> fetch_call;
     std::unique_ptr<net::timer_handle> fetch_timer;
     std::unique_ptr<net::timer_handle> expiry_timer;
+    std::map<net::endpoint, base::instant> lost_since;
     std::uint32_t fetches = 0;
     std::uint32_t fetched = 0;
+    /// Tasks on the loop hold it weakly and do nothing once the exchange is gone.
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
 }  // namespace pearbarrow::suspects
--- a/tests/unit/fleet/lethal_requests_test.cc
+++ b/tests/unit/fleet/lethal_requests_test.cc
@@ -197,6 +197,23 @@
     cr_assert(callers.runs_of("a") == 6, "%zu", callers.runs_of("a"));
 }
 
+Test(lethal_requests, first_attempt_at_an_edge_that_is_killed_counts) {
+    lethal_fixture callers(11, 1, 4);
+    callers.set_lethal(crash_moment::after_first_event);
+    std::optional<client_response> response;
+    callers.fleet.start_call(0, "/turn/x", "a0", callers.headers_of(lethal_turn), lethal_marker,
+                             response);
+    cr_assert(run_until(callers.fleet.loop, [&] { return callers.runs_of("a0") == 1; }));
+    callers.fleet.edges[0].reset();
+    for (int index = 1; index < 7; ++index) {
+        callers.fleet.call(1 + static_cast<std::size_t>(index) % 3, "/turn/x",
+                           "a" + std::to_string(index), callers.headers_of(lethal_turn),
+                           lethal_marker);
+        run_for(callers.fleet.loop, base::milliseconds{100});
+    }
+    cr_assert(callers.ended() <= max_ends, "%u back ends ended", callers.ended());
+}
+
 Test(lethal_requests, ends_that_back_ends_announced_block_nothing) {
     lethal_fixture callers(4);
     callers.downtime = base::milliseconds{60'000};
