Suspects wait while their trials have ended too many back ends

Callers: with six lethal requests at once a third of the harmless requests got no_backend.

Cause: every suspect is tried again at once, so six requests end twelve to eighteen of eleven back ends within a second.

Only proved ends and silent back ends count, so broken streams stop nobody.

--- a/src/pearbarrow/forward/forward_context.h
+++ b/src/pearbarrow/forward/forward_context.h
@@ -44,6 +44,8 @@
     /// Time after a permit request within which a permit for a cold back end must be used. Members
     /// extend their windows by this value and by a margin for the connection (`start_quota.h`).
     base::milliseconds permit_lifetime{150};
+    /// Retry delay of a suspect that waits because trials have ended too many back ends.
+    base::milliseconds paused_trial_retry{1'000};
     /// Whether requests to engines carry a priority (`engine_priority.h`).
     bool sends_priority = false;
 };
--- a/src/pearbarrow/forward/forwarded_attempt.cc
+++ b/src/pearbarrow/forward/forwarded_attempt.cc
@@ -78,6 +78,12 @@
         return;
     }
     service_ = software_.has_value() ? software_->service : choose_service();
+    if (suspected_ends_ > 0 && are_trials_paused()) {
+        suspects::suspect_status status = suspect_status();
+        status.retry_after = context_.options.paused_trial_retry;
+        hold(status);
+        return;
+    }
     placed_ = context_.pool.choose(placement_request(), attempt_started_at_);
     if (!placed_.has_value()) {
         on_no_backend();
--- a/src/pearbarrow/forward/forwarded_request.h
+++ b/src/pearbarrow/forward/forwarded_request.h
@@ -150,6 +150,8 @@
     void excuse_if_suspect();
     /// Keeps suspects at back ends of their own.
     void isolate(choice_request& request) const;
+    /// Returns whether trials have ended too many back ends of the service.
+    bool are_trials_paused() const;
     /// Tells all nodes at which back end the suspect is tried, and then sends it.
     void announce_trial();
     void on_trial_announced();
--- a/src/pearbarrow/forward/forwarded_suspect.cc
+++ b/src/pearbarrow/forward/forwarded_suspect.cc
@@ -79,6 +79,7 @@
          {"retry_after_ms", status.retry_after.count()},
          {"ends", status.ends},
          {"possible_ends", status.possible_ends},
+         {"trials_paused", are_trials_paused()},
          {"attempts", known.has_value() ? suspects::to_json(*known) : nlohmann::json::array()}});
 }
 
@@ -140,6 +141,10 @@
     }
 }
 
+bool forwarded_request::are_trials_paused() const {
+    return context_.isolation != nullptr && context_.isolation->of(service_).is_paused;
+}
+
 suspects::backend_attempt forwarded_request::current_attempt() {
     return {.target = target_,
             .fingerprint = fingerprint(),
--- a/src/pearbarrow/suspects/suspect_table.cc
+++ b/src/pearbarrow/suspects/suspect_table.cc
@@ -13,6 +13,8 @@
 /// One in so many back ends may be reserved. More would crowd all other requests together, and the
 /// next end would strike many of them.
 constexpr std::size_t backends_per_reservation = 5;
+/// One in so many back ends may end under suspects within `trial_pause`.
+constexpr std::size_t backends_per_trial_end = 5;
 /// A blocked request is remembered this many times as long as it is blocked.
 constexpr int block_times_remembered = 2;
 /// Retry delay of a request that is held back because of attempts under way.
@@ -372,9 +374,30 @@
             break;
         }
     }
+    const std::size_t recent_ends = this->recent_trial_ends(service, now);
+    plan.is_paused = recent_ends > 0 && recent_ends * backends_per_trial_end >= backends.size();
     return plan;
 }
 
+std::size_t suspect_table::recent_trial_ends(const std::string& service, base::instant now) const {
+    std::size_t count = 0;
+    for (const auto& [digest, known] : this->entries) {
+        if (known.description.service != service) {
+            continue;
+        }
+        const auto has_ended = [this, now](const held_attempt& held) {
+            return held.end.evidence == end_evidence::silent || this->is_end(held, now);
+        };
+        const std::size_t recent = count_ends(known, [&](const held_attempt& held) {
+            return has_ended(held) && now - held.ended_at < this->options.trial_pause;
+        });
+        // The first end of a request was not a trial.
+        const bool has_first = recent > 0 && recent == count_ends(known, has_ended);
+        count += recent - (has_first ? 1 : 0);
+    }
+    return count;
+}
+
 void suspect_table::expire(base::instant now) {
     for (auto at = this->entries.begin(); at != this->entries.end();) {
         const auto current = at++;
--- a/src/pearbarrow/suspects/suspect_table.h
+++ b/src/pearbarrow/suspects/suspect_table.h
@@ -43,6 +43,9 @@
     base::milliseconds resolution_time{10'000};
     /// How long after its last end a suspect keeps a back end to itself.
     base::milliseconds isolation_time{3'000};
+    /// Further trials of the service wait while the back ends that trials ended within this time
+    /// are too many (`max_trial_ends`).
+    base::milliseconds trial_pause{2'000};
     std::size_t max_suspects = 2'048;
     /// Bounds what one tenant can displace.
     std::size_t max_suspects_of_tenant = 1'024;
@@ -66,6 +69,8 @@
     std::map<std::string, std::string> trials;
     /// Back ends of suspects that one more end blocks. Other requests avoid them.
     std::set<std::string> reserved;
+    /// Whether trials have ended so many back ends that no suspect is sent now.
+    bool is_paused = false;
 };
 
 class suspect_table {
@@ -139,6 +144,9 @@
     base::milliseconds time_to_resolve(const entry& known, base::instant now) const;
     std::vector<const entry*> active_suspects(const std::string& service, std::size_t backend_count,
                                               base::instant now) const;
+    /// Returns the number of back ends of the service that ended shortly before under requests that
+    /// were suspects already.
+    std::size_t recent_trial_ends(const std::string& service, base::instant now) const;
     void make_room(const std::string& tenant, base::instant now);
     /// Erases the least recent suspect of the tenant, or of any; one that is not blocked if
     /// possible.
--- a/tests/unit/suspects/suspect_table_test.cc
+++ b/tests/unit/suspects/suspect_table_test.cc
@@ -352,3 +352,21 @@
     second.merge(*first.table.find(digest_of("a"), first.now));
     cr_assert(!second.status("a").is_held && second.status("a").possible_ends == 2);
 }
+
+Test(suspect_table, trials_pause_while_they_have_ended_too_many_back_ends) {
+    table_fixture known;
+    const std::vector<std::string> backends{"b1", "b2", "b3", "b4", "b5",
+                                            "b6", "b7", "b8", "b9", "b10"};
+    for (const std::string name : {"a", "b", "c", "d"}) {
+        known.merge(suspect_at(name, {"x of " + name}));
+    }
+    cr_assert(!known.table.plan("model", backends, known.now).is_paused);
+    known.merge(suspect_at("a", {"b1"}));
+    known.merge(unproved("b", {{"b2", end_evidence::connection_lost}}));
+    cr_assert(!known.table.plan("model", backends, known.now).is_paused);
+    known.merge(suspect_at("b", {"b2"}));
+    cr_assert(known.table.plan("model", backends, known.now).is_paused);
+    cr_assert(!known.table.plan("tool", backends, known.now).is_paused);
+    known.now += milliseconds{2'000};
+    cr_assert(!known.table.plan("model", backends, known.now).is_paused);
+}
