pearbarrowctl trace names back ends that may have ended, and those that went on

The tries of a request showed proved ends only. The last line about each try now says whether its back end ended, may have ended or went on, by what evidence and at which node.

--- a/src/pearbarrow/operator/trace.cc
+++ b/src/pearbarrow/operator/trace.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
 #include <utility>
 
 #include <spdlog/fmt/fmt.h>
@@ -42,6 +43,17 @@
     return std::find(list.begin(), list.end(), text) != list.end();
 }
 
+/// Events that tell what became of the back end of an attempt that broke off.
+constexpr std::array<std::string_view, 3> end_events{"back_end_ended", "end_suspected",
+                                                     "back_end_went_on"};
+
+std::string_view outcome_text(std::string_view end_event) {
+    if (end_event == "back_end_ended") {
+        return "ended";
+    }
+    return end_event == "end_suspected" ? "may have ended" : "went on";
+}
+
 /// The time up to the second; lines near each other share it or follow it.
 std::string second_of(const std::string& time) {
     return time.substr(0, std::min<std::size_t>(time.size(), 19));
@@ -181,23 +193,38 @@
 }
 
 std::optional<std::string> ends_text(const request_trace& trace) {
-    std::string text;
-    std::size_t count = 0;
+    // The last line about an attempt tells what became of its back end.
+    std::map<std::pair<std::string, std::string>, const trace_line*> last_of_attempt;
+    std::size_t refused = 0;
     for (const trace_line& line : trace.lines) {
-        if (line.event == "back_end_ended") {
-            ++count;
-            text += fmt::format(
-                "   back end {} ended under try {} at {}: {}\n", text_field(line.fields, "backend"),
-                text_field(line.fields, "request"), line.node, text_field(line.fields, "evidence"));
+        refused += line.event == "suspect_refused" ? 1 : 0;
+        if (contains(end_events, line.event)) {
+            last_of_attempt[{text_field(line.fields, "request"),
+                             text_field(line.fields, "backend")}] = &line;
         }
     }
-    if (count == 0) {
+    if (last_of_attempt.empty()) {
         return std::nullopt;
     }
-    const auto refused =
-        std::count_if(trace.lines.begin(), trace.lines.end(),
-                      [](const trace_line& line) { return line.event == "suspect_refused"; });
-    text += fmt::format("   {} back ends ended; {} tries refused for it\n", count, refused);
+    std::string text;
+    std::size_t ended = 0;
+    std::size_t in_doubt = 0;
+    for (const trace_line& line : trace.lines) {
+        const std::string request = text_field(line.fields, "request");
+        const std::string backend = text_field(line.fields, "backend");
+        const auto last = last_of_attempt.find({request, backend});
+        if (last == last_of_attempt.end() || last->second != &line) {
+            continue;
+        }
+        ended += line.event == "back_end_ended" ? 1 : 0;
+        in_doubt += line.event == "end_suspected" ? 1 : 0;
+        text += fmt::format("   back end {} {} under try {} at {}: {}\n", backend,
+                            outcome_text(line.event), request, line.node,
+                            text_field(line.fields, "evidence"));
+    }
+    const std::string doubts = in_doubt > 0 ? fmt::format(", {} may have ended", in_doubt) : "";
+    text +=
+        fmt::format("   {} back ends ended{}; {} tries refused for it\n", ended, doubts, refused);
     return text;
 }
 
