Back ends that end after an error response, or after their caller has left, count

Cause: any response excused a suspect, and an attempt that was given up while its back end was heard was not looked at again.

Why the fix works: only a response below 500 excuses. After an error the back end is probed as after a lost connection; the attempt counts at once if the request is a suspect already, otherwise when an end is proved. An attempt that was given up counts when its back end is found to have ended within 3 s, by any other attempt. A lost connection is examined for 4 s instead of 2 s before the back end counts as going on, so that a listener that outlives its connections by 3 s is found.

--- a/src/pearbarrow/forward/forwarded_attempt.cc
+++ b/src/pearbarrow/forward/forwarded_attempt.cc
@@ -309,7 +309,7 @@
 }
 
 void forwarded_request::on_response_complete() {
-    excuse_if_suspect();
+    judge_completion();
     is_trial_ = false;
     if (status_ >= 500 && may_retry(true)) {
         end_attempt(attempt_result::failed);
--- a/src/pearbarrow/forward/forwarded_request.h
+++ b/src/pearbarrow/forward/forwarded_request.h
@@ -146,8 +146,9 @@
     /// request if that takes too long.
     void hold(const suspects::suspect_status& status);
     void log_stopped(std::string_view reason, const suspects::suspect_status& status);
-    /// Excuses the request from earlier ends after a back end has completed it.
-    void excuse_if_suspect();
+    /// Excuses the request from earlier ends after a back end has completed it. A back end that
+    /// responded with an error is examined instead.
+    void judge_completion();
     /// Keeps suspects at back ends of their own.
     void isolate(choice_request& request) const;
     /// Returns whether trials have ended too many back ends of the service.
--- a/src/pearbarrow/forward/forwarded_suspect.cc
+++ b/src/pearbarrow/forward/forwarded_suspect.cc
@@ -8,6 +8,7 @@
 namespace pearbarrow::forward {
 namespace {
 
+constexpr int server_error_status = 500;
 /// Reason of the rejection of a blocked request.
 constexpr std::string_view blocked_reason = "request_ends_back_ends";
 /// Reason of the rejection of a request that may be sent again once its attempts are resolved.
@@ -117,9 +118,21 @@
     }
 }
 
-void forwarded_request::excuse_if_suspect() {
-    if (suspect_status().ends > 0) {
-        context_.suspects->on_completed(fingerprint());
+void forwarded_request::judge_completion() {
+    if (context_.suspects == nullptr) {
+        return;
+    }
+    const bool is_suspect = suspect_status().possible_ends > 0;
+    if (status_ < server_error_status) {
+        if (is_suspect) {
+            context_.suspects->on_completed(fingerprint());
+        }
+    } else if (!context_.pool.is_leaving(target_.incarnation())) {
+        // The examination continues without its handle.
+        (void)context_.suspects->examine(current_attempt(),
+                                         is_suspect ? suspects::break_kind::connection_lost
+                                                    : suspects::break_kind::error_response,
+                                         nullptr);
     }
 }
 
@@ -245,13 +258,15 @@
     if (context_.suspects == nullptr || context_.pool.is_leaving(target_.incarnation())) {
         return;
     }
-    if (was_backend_heard()) {
+    const bool was_heard = was_backend_heard();
+    if (was_heard) {
         conclude_trial();
-        return;
     }
     is_trial_ = false;
     // The examination continues without its handle.
-    (void)context_.suspects->examine(current_attempt(), suspects::break_kind::silent, nullptr);
+    (void)context_.suspects->examine(
+        current_attempt(),
+        was_heard ? suspects::break_kind::given_up : suspects::break_kind::silent, nullptr);
 }
 
 }  // namespace pearbarrow::forward
--- a/src/pearbarrow/suspects/end_inquiry.cc
+++ b/src/pearbarrow/suspects/end_inquiry.cc
@@ -7,10 +7,11 @@
 namespace {
 
 /// Delays between the probes after a lost connection.
-constexpr std::array<base::milliseconds, 9> probe_delays{
-    base::milliseconds{50},  base::milliseconds{100},   base::milliseconds{150},
-    base::milliseconds{300}, base::milliseconds{500},   base::milliseconds{500},
-    base::milliseconds{500}, base::milliseconds{2'000}, base::milliseconds{4'000}};
+constexpr std::array<base::milliseconds, 11> probe_delays{
+    base::milliseconds{50},    base::milliseconds{100},   base::milliseconds{150},
+    base::milliseconds{300},   base::milliseconds{500},   base::milliseconds{500},
+    base::milliseconds{500},   base::milliseconds{1'000}, base::milliseconds{1'000},
+    base::milliseconds{2'000}, base::milliseconds{4'000}};
 
 }  // namespace
 
@@ -27,7 +28,7 @@
       broken_at(clock.now()),
       ended_probes(loop),
       ended_questions(loop) {
-    if (this->kind == break_kind::connection_lost) {
+    if (this->kind != break_kind::silent) {
         this->probe();
         return;
     }
@@ -75,7 +76,7 @@
     if (this->question != nullptr) {
         return;
     }
-    if (this->kind == break_kind::connection_lost) {
+    if (this->kind != break_kind::silent) {
         // It has accepted all connections since.
         this->give(inquiry_verdict::went_on);
     } else {
@@ -88,7 +89,7 @@
         this->give(inquiry_verdict::went_on);
     } else if (reply == identity_reply::other) {
         this->give(inquiry_verdict::replaced);
-    } else if (this->kind == break_kind::connection_lost) {
+    } else if (this->kind != break_kind::silent) {
         this->continue_later();
     } else {
         const bool was_prompt = !this->has_verdict;
--- a/src/pearbarrow/suspects/end_inquiry.h
+++ b/src/pearbarrow/suspects/end_inquiry.h
@@ -6,6 +6,8 @@
 /// connection proves the end. After `settle_time`, a process that responds as this back end shows
 /// that it goes on.
 ///
+/// An error response is examined like a lost connection.
+///
 /// Silence: the process is asked at once, and any response shows whether it goes on. The question
 /// stays open for `silence_time`: a process that was suspended still answers it, one that has
 /// restarted does not.
@@ -23,13 +25,22 @@
 
 namespace pearbarrow::suspects {
 
-/// How an attempt broke off.
+/// How an attempt ended.
 enum class break_kind {
     connection_lost,
     /// The attempt was given up while the back end was silent.
     silent,
+    /// The back end responded with an error. It may be about to end.
+    error_response,
+    /// The attempt was given up, and the back end was heard meanwhile. It is not examined for it.
+    given_up,
 };
 
+/// Whether an attempt that ended in this way counts before an end is proved.
+inline bool leaves_doubt(break_kind kind) {
+    return kind == break_kind::connection_lost || kind == break_kind::silent;
+}
+
 enum class inquiry_verdict {
     /// A new connection was refused.
     refused,
@@ -46,7 +57,7 @@
     /// Time within which a process that is not silent responds.
     base::milliseconds response_time{100};
     /// Same as `suspect_options::settle_time`.
-    base::milliseconds settle_time{2'000};
+    base::milliseconds settle_time{4'000};
     base::milliseconds silence_time{10'000};
 };
 
--- a/src/pearbarrow/suspects/end_monitor.cc
+++ b/src/pearbarrow/suspects/end_monitor.cc
@@ -45,6 +45,20 @@
     return kind == break_kind::silent ? end_evidence::silent : end_evidence::connection_lost;
 }
 
+const char* text_of(break_kind kind) {
+    switch (kind) {
+        case break_kind::connection_lost:
+            return "connection_lost";
+        case break_kind::silent:
+            return "silent";
+        case break_kind::error_response:
+            return "error_response";
+        case break_kind::given_up:
+            return "given_up";
+    }
+    return "unknown";
+}
+
 std::uint64_t age_ms_of(base::microseconds age) {
     return static_cast<std::uint64_t>(
         std::max<std::int64_t>(0, std::chrono::floor<base::milliseconds>(age).count()));
@@ -105,7 +119,16 @@
         run_once(this->waiting.front().done);
         this->waiting.pop_front();
     }
+    added.is_reported = !leaves_doubt(kind);
     this->waiting.push_back(added);
+    if (!leaves_doubt(kind)) {
+        // The callback runs now, not with a proof that may follow.
+        this->waiting.back().done = std::make_shared<std::function<void()>>();
+        this->loop.post([callback] { run_once(callback); });
+    }
+    if (kind == break_kind::given_up) {
+        return std::make_unique<detachable_callback>(std::move(callback));
+    }
     const auto inquiry = this->inquiries.find({key, kind});
     if (inquiry == this->inquiries.end()) {
         this->start_inquiry(added);
@@ -133,7 +156,7 @@
 void end_monitor::on_verdict(const inquiry_key& key, inquiry_verdict verdict) {
     base::log(base::log_level::info, "back_end_examined",
               {{"backend", key.first.first},
-               {"break", to_string(doubt_of(key.second))},
+               {"break", text_of(key.second)},
                {"verdict", text_of(verdict)}});
     this->count_inquiry(text_of(verdict));
     if (verdict != inquiry_verdict::unknown) {
@@ -208,7 +231,9 @@
 
 void end_monitor::report_going_on(const inquiry_key& key) {
     for (const waiting_attempt& each : this->take_waiting(key.first, key.second)) {
-        this->log_attempt("back_end_went_on", each, to_string(doubt_of(each.kind)));
+        if (leaves_doubt(each.kind)) {
+            this->log_attempt("back_end_went_on", each, text_of(each.kind));
+        }
         this->conclude(each.attempt.fingerprint, each.attempt.request, each.attempt.target.id);
         run_once(each.done);
     }
@@ -279,7 +304,10 @@
 void end_monitor::forget_expired() {
     const base::instant now = this->clock.now();
     this->waiting.remove_if([this, now](const waiting_attempt& each) {
-        return each.is_reported && now - each.broken_at >= this->options.late_evidence_time;
+        const base::milliseconds kept = each.kind == break_kind::given_up
+                                            ? this->options.watch_time
+                                            : this->options.late_evidence_time;
+        return each.is_reported && now - each.broken_at >= kept;
     });
     for (auto at = this->ends.begin(); at != this->ends.end();) {
         at = now - at->second.at >= this->options.end_memory ? this->ends.erase(at) : std::next(at);
--- a/src/pearbarrow/suspects/end_monitor.h
+++ b/src/pearbarrow/suspects/end_monitor.h
@@ -35,6 +35,8 @@
     inquiry_options inquiry;
     /// How long after an attempt broke off another process at the address proves an end.
     base::milliseconds late_evidence_time{12'000};
+    /// The same for an attempt that left no doubt.
+    base::milliseconds watch_time{3'000};
     /// How long an end is remembered for further attempts that it broke.
     base::milliseconds end_memory{10'000};
     /// Limit for the attempts that wait for proof, and for inquiries.
@@ -70,9 +72,10 @@
     /// this call, when all nodes know.
     [[nodiscard]] std::unique_ptr<examination> announce(const backend_attempt& attempt,
                                                         std::function<void()> done);
-    /// Examines whether the back end has ended under an attempt that broke off. `done` runs once,
-    /// never inside this call: when all nodes know of the end or that it is possible, or when the
-    /// back end has shown that it goes on.
+    /// Examines whether the back end has ended under an attempt that broke off or failed. `done`
+    /// runs once, never inside this call: when all nodes know of the end or that it is possible, or
+    /// when the back end has shown that it goes on. An attempt that leaves no doubt counts only if
+    /// its back end is found to have ended soon, by this or by another attempt.
     [[nodiscard]] std::unique_ptr<examination> examine(backend_attempt attempt, break_kind kind,
                                                        std::function<void()> done);
     /// The attempt ended without a doubt about its back end.
--- a/src/pearbarrow/suspects/suspect_table.h
+++ b/src/pearbarrow/suspects/suspect_table.h
@@ -38,7 +38,7 @@
     /// end blocks it again.
     base::milliseconds block_time{600'000};
     /// A lost connection is examined for this long before the back end counts as going on.
-    base::milliseconds settle_time{2'000};
+    base::milliseconds settle_time{4'000};
     /// An attempt that could not be resolved for this long counts as an end.
     base::milliseconds resolution_time{10'000};
     /// How long after its last end a suspect keeps a back end to itself.
