Attempts that were given up count once their request is a suspect

Cause: an answer to the health check settled the matter at once, and an attempt that had been heard was only watched by chance.

Why the fix works: a back end that was silent and answers is probed for some more seconds, less often. Once one end is known, the other attempts of the same request, at every edge, count as possible ends and are examined.

--- a/src/pearbarrow/forward/forwarded_request.h
+++ b/src/pearbarrow/forward/forwarded_request.h
@@ -169,6 +169,7 @@
     void examine_end(const base::error_details& details);
     /// Finds out whether the back end of an attempt that is given up has fallen silent.
     void examine_silence();
+    suspects::break_kind kind_of_given_up_attempt();
     /// Returns whether the back end was heard so recently that it has not fallen silent.
     bool was_backend_heard() const;
 
--- a/src/pearbarrow/forward/forwarded_suspect.cc
+++ b/src/pearbarrow/forward/forwarded_suspect.cc
@@ -129,10 +129,10 @@
         }
     } else if (!context_.pool.is_leaving(target_.incarnation())) {
         // The examination continues without its handle.
-        (void)context_.suspects->examine(current_attempt(),
-                                         is_suspect ? suspects::break_kind::connection_lost
-                                                    : suspects::break_kind::error_response,
-                                         nullptr);
+        (void)context_.suspects->examine(
+            current_attempt(),
+            is_suspect ? suspects::break_kind::connection_lost : suspects::break_kind::failed,
+            nullptr);
     }
 }
 
@@ -258,15 +258,20 @@
     if (context_.suspects == nullptr || context_.pool.is_leaving(target_.incarnation())) {
         return;
     }
-    const bool was_heard = was_backend_heard();
-    if (was_heard) {
-        conclude_trial();
-    }
-    is_trial_ = false;
     // The examination continues without its handle.
-    (void)context_.suspects->examine(
-        current_attempt(),
-        was_heard ? suspects::break_kind::given_up : suspects::break_kind::silent, nullptr);
+    (void)context_.suspects->examine(current_attempt(), kind_of_given_up_attempt(), nullptr);
+    is_trial_ = false;
+}
+
+suspects::break_kind forwarded_request::kind_of_given_up_attempt() {
+    if (!was_backend_heard()) {
+        return suspects::break_kind::silent;
+    }
+    if (suspect_status().possible_ends > 0) {
+        return suspects::break_kind::connection_lost;
+    }
+    return silence_of_attempt() >= max_time_between_signs ? suspects::break_kind::failed
+                                                          : suspects::break_kind::given_up;
 }
 
 }  // namespace pearbarrow::forward
--- a/src/pearbarrow/suspects/end_inquiry.cc
+++ b/src/pearbarrow/suspects/end_inquiry.cc
@@ -1,17 +1,25 @@
 #include "pearbarrow/suspects/end_inquiry.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
 namespace pearbarrow::suspects {
 namespace {
 
+using milliseconds = base::milliseconds;
+
 /// Delays between the probes after a lost connection.
-constexpr std::array<base::milliseconds, 11> probe_delays{
-    base::milliseconds{50},    base::milliseconds{100},   base::milliseconds{150},
-    base::milliseconds{300},   base::milliseconds{500},   base::milliseconds{500},
-    base::milliseconds{500},   base::milliseconds{1'000}, base::milliseconds{1'000},
-    base::milliseconds{2'000}, base::milliseconds{4'000}};
+constexpr std::array<milliseconds, 11> delays_after_loss{
+    milliseconds{50},    milliseconds{100},   milliseconds{150},  milliseconds{300},
+    milliseconds{500},   milliseconds{500},   milliseconds{500},  milliseconds{1'000},
+    milliseconds{1'000}, milliseconds{2'000}, milliseconds{4'000}};
+/// The same after a failed attempt.
+constexpr std::array<milliseconds, 7> delays_after_failure{
+    milliseconds{100},   milliseconds{300},   milliseconds{600},  milliseconds{1'000},
+    milliseconds{1'000}, milliseconds{1'000}, milliseconds{1'000}};
+/// Steps with the longer delays, to which an inquiry returns for a further attempt.
+constexpr std::size_t first_long_step = 3;
 
 }  // namespace
 
@@ -38,7 +46,7 @@
 
 void end_inquiry::extend() {
     this->broken_at = this->clock.now();
-    this->step = 0;
+    this->step = std::min(this->step, first_long_step);
 }
 
 void end_inquiry::probe() {
@@ -100,11 +108,15 @@
 }
 
 void end_inquiry::continue_later() {
-    if (this->step == probe_delays.size()) {
+    const bool is_failure = this->kind == break_kind::failed;
+    const std::size_t count = is_failure ? delays_after_failure.size() : delays_after_loss.size();
+    if (this->step == count) {
         this->has_ended = true;
         return;
     }
-    this->timer = this->loop.after(probe_delays[this->step], [this] { this->probe(); });
+    const milliseconds delay =
+        is_failure ? delays_after_failure[this->step] : delays_after_loss[this->step];
+    this->timer = this->loop.after(delay, [this] { this->probe(); });
     ++this->step;
 }
 
--- a/src/pearbarrow/suspects/end_inquiry.h
+++ b/src/pearbarrow/suspects/end_inquiry.h
@@ -6,7 +6,7 @@
 /// connection proves the end. After `settle_time`, a process that responds as this back end shows
 /// that it goes on.
 ///
-/// An error response is examined like a lost connection.
+/// A back end that may end soon is probed less often, for as long.
 ///
 /// Silence: the process is asked at once, and any response shows whether it goes on. The question
 /// stays open for `silence_time`: a process that was suspended still answers it, one that has
@@ -30,9 +30,10 @@
     connection_lost,
     /// The attempt was given up while the back end was silent.
     silent,
-    /// The back end responded with an error. It may be about to end.
-    error_response,
-    /// The attempt was given up, and the back end was heard meanwhile. It is not examined for it.
+    /// The back end responded with an error, or the attempt was given up while it sent nothing,
+    /// although the back end went on. It may end soon.
+    failed,
+    /// The attempt was given up while it received a response. It is not examined.
     given_up,
 };
 
--- a/src/pearbarrow/suspects/end_monitor.cc
+++ b/src/pearbarrow/suspects/end_monitor.cc
@@ -51,8 +51,8 @@
             return "connection_lost";
         case break_kind::silent:
             return "silent";
-        case break_kind::error_response:
-            return "error_response";
+        case break_kind::failed:
+            return "failed";
         case break_kind::given_up:
             return "given_up";
     }
@@ -75,9 +75,19 @@
       exchange(exchange),
       identities(identities),
       options(std::move(options)),
-      ended_inquiries(loop) {}
+      ended_inquiries(loop) {
+    this->exchange.on_new_suspect([this](const std::string& digest) {
+        this->loop.post([this, held = std::weak_ptr(this->alive), digest] {
+            if (!held.expired()) {
+                this->doubt_earlier_attempts(digest);
+            }
+        });
+    });
+}
 
-end_monitor::~end_monitor() = default;
+end_monitor::~end_monitor() {
+    this->exchange.on_new_suspect(nullptr);
+}
 
 std::unique_ptr<examination> end_monitor::announce(const backend_attempt& attempt,
                                                    std::function<void()> done) {
@@ -126,23 +136,43 @@
         this->waiting.back().done = std::make_shared<std::function<void()>>();
         this->loop.post([callback] { run_once(callback); });
     }
-    if (kind == break_kind::given_up) {
-        return std::make_unique<detachable_callback>(std::move(callback));
+    this->examine_waiting(added);
+    return std::make_unique<detachable_callback>(std::move(callback));
+}
+
+void end_monitor::examine_waiting(const waiting_attempt& added) {
+    if (added.kind == break_kind::given_up) {
+        return;
     }
-    const auto inquiry = this->inquiries.find({key, kind});
+    const inquiry_key key{key_of(added.attempt.target), added.kind};
+    const auto inquiry = this->inquiries.find(key);
     if (inquiry == this->inquiries.end()) {
         this->start_inquiry(added);
-    } else if (inquiry->second->is_new()) {
-        inquiry->second->extend();
-    } else {
-        inquiry->second->extend();
-        this->loop.post([this, held = std::weak_ptr(this->alive), key, kind] {
+        return;
+    }
+    inquiry->second->extend();
+    if (!inquiry->second->is_new()) {
+        this->loop.post([this, held = std::weak_ptr(this->alive), key] {
             if (!held.expired()) {
-                this->report_doubt({key, kind});
+                this->report_doubt(key);
             }
         });
     }
-    return std::make_unique<detachable_callback>(std::move(callback));
+}
+
+void end_monitor::doubt_earlier_attempts(const std::string& digest) {
+    this->remove_ended_inquiries();
+    std::vector<waiting_attempt> doubted;
+    for (waiting_attempt& each : this->waiting) {
+        if (each.attempt.fingerprint.digest == digest && !leaves_doubt(each.kind)) {
+            each.kind = break_kind::connection_lost;
+            each.is_reported = false;
+            doubted.push_back(each);
+        }
+    }
+    for (const waiting_attempt& each : doubted) {
+        this->examine_waiting(each);
+    }
 }
 
 void end_monitor::start_inquiry(const waiting_attempt& first) {
@@ -230,15 +260,30 @@
 }
 
 void end_monitor::report_going_on(const inquiry_key& key) {
-    for (const waiting_attempt& each : this->take_waiting(key.first, key.second)) {
+    for (waiting_attempt& each : this->take_waiting(key.first, key.second)) {
+        run_once(each.done);
+        if (each.kind == break_kind::silent) {
+            this->watch_responding(std::move(each));
+            continue;
+        }
         if (leaves_doubt(each.kind)) {
             this->log_attempt("back_end_went_on", each, text_of(each.kind));
         }
         this->conclude(each.attempt.fingerprint, each.attempt.request, each.attempt.target.id);
-        run_once(each.done);
     }
 }
 
+/// It responds now, and may end because of what it still works on.
+void end_monitor::watch_responding(waiting_attempt attempt) {
+    const std::string& digest = attempt.attempt.fingerprint.digest;
+    const bool is_suspect = this->table().status_of(digest, this->clock.now()).possible_ends > 0;
+    attempt.kind = is_suspect ? break_kind::connection_lost : break_kind::failed;
+    attempt.is_reported = !leaves_doubt(attempt.kind);
+    attempt.broken_at = this->clock.now();
+    this->waiting.push_back(attempt);
+    this->examine_waiting(attempt);
+}
+
 void end_monitor::report(const std::vector<waiting_attempt>& attempts, end_evidence evidence) {
     std::vector<suspect> observed;
     std::vector<std::string> digests;
@@ -304,9 +349,8 @@
 void end_monitor::forget_expired() {
     const base::instant now = this->clock.now();
     this->waiting.remove_if([this, now](const waiting_attempt& each) {
-        const base::milliseconds kept = each.kind == break_kind::given_up
-                                            ? this->options.watch_time
-                                            : this->options.late_evidence_time;
+        const base::milliseconds kept =
+            leaves_doubt(each.kind) ? this->options.late_evidence_time : this->options.watch_time;
         return each.is_reported && now - each.broken_at >= kept;
     });
     for (auto at = this->ends.begin(); at != this->ends.end();) {
--- a/src/pearbarrow/suspects/end_monitor.h
+++ b/src/pearbarrow/suspects/end_monitor.h
@@ -36,7 +36,7 @@
     /// How long after an attempt broke off another process at the address proves an end.
     base::milliseconds late_evidence_time{12'000};
     /// The same for an attempt that left no doubt.
-    base::milliseconds watch_time{3'000};
+    base::milliseconds watch_time{5'000};
     /// How long an end is remembered for further attempts that it broke.
     base::milliseconds end_memory{10'000};
     /// Limit for the attempts that wait for proof, and for inquiries.
@@ -112,7 +112,11 @@
     static incarnation_key key_of(const directory::backend& target) {
         return {target.id, target.started_at};
     }
+    /// Starts an inquiry for a waiting attempt, or lets it join one.
+    void examine_waiting(const waiting_attempt& added);
     void start_inquiry(const waiting_attempt& first);
+    /// Earlier attempts of the request left no doubt, and now do, since it is a suspect.
+    void doubt_earlier_attempts(const std::string& digest);
     void on_verdict(const inquiry_key& key, inquiry_verdict verdict);
     /// Removes the waiting attempts of the incarnation, of one kind if it is given.
     std::vector<waiting_attempt> take_waiting(const incarnation_key& key,
@@ -122,6 +126,8 @@
     /// Reports that the back end may have ended under the attempts, and then runs their callbacks.
     void report_doubt(const inquiry_key& key);
     void report_going_on(const inquiry_key& key);
+    /// Examines a back end on that was silent and has responded to the question.
+    void watch_responding(waiting_attempt attempt);
     void report(const std::vector<waiting_attempt>& attempts, end_evidence evidence);
     void resolve(const incarnation_key& key, end_evidence evidence);
     void remove_ended_inquiries();
--- a/src/pearbarrow/suspects/suspect_exchange.cc
+++ b/src/pearbarrow/suspects/suspect_exchange.cc
@@ -108,12 +108,22 @@
 std::vector<std::string> suspect_exchange::add(const std::vector<suspect>& observed) {
     const base::instant now = this->clock.now();
     std::vector<std::string> blocked;
+    std::vector<std::string> new_suspects;
     for (const suspect& each : observed) {
+        const bool was_suspect = this->known.status_of(each.digest, now).possible_ends > 0;
         if (this->known.merge(each, now)) {
             blocked.push_back(each.digest);
         }
+        if (!was_suspect && this->known.status_of(each.digest, now).possible_ends > 0) {
+            new_suspects.push_back(each.digest);
+        }
     }
     this->schedule_expiry();
+    if (this->learned) {
+        for (const std::string& digest : new_suspects) {
+            this->learned(digest);
+        }
+    }
     return blocked;
 }
 
--- a/src/pearbarrow/suspects/suspect_exchange.h
+++ b/src/pearbarrow/suspects/suspect_exchange.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "pearbarrow/base/clock.h"
@@ -52,6 +53,10 @@
     suspect_exchange(const suspect_exchange&) = delete;
     suspect_exchange& operator=(const suspect_exchange&) = delete;
 
+    /// `learned` runs when a request becomes a suspect on this node, for any reason.
+    void on_new_suspect(std::function<void(const std::string& digest)> learned) {
+        this->learned = std::move(learned);
+    }
     /// Starts to fetch what the peers know. Call it once the links between nodes are open.
     void start();
     const suspect_table& table() const { return this->known; }
@@ -104,6 +109,7 @@
     std::unique_ptr<net::timer_handle> fetch_timer;
     std::unique_ptr<net::timer_handle> expiry_timer;
     std::map<net::endpoint, base::instant> lost_since;
+    std::function<void(const std::string& digest)> learned;
     std::uint32_t fetches = 0;
     std::uint32_t fetched = 0;
     /// Tasks on the loop hold it weakly and do nothing once the exchange is gone.
