--- a/src/pearbarrow/forward/forwarded_suspect.cc
+++ b/src/pearbarrow/forward/forwarded_suspect.cc
@@ -270,8 +270,8 @@
     if (suspect_status().possible_ends > 0) {
         return suspects::break_kind::connection_lost;
     }
-    return silence_of_attempt() >= max_time_between_signs ? suspects::break_kind::failed
-                                                          : suspects::break_kind::given_up;
+    const bool sent_nothing = event_count_ == 0 && silence_of_attempt() >= max_time_between_signs;
+    return sent_nothing ? suspects::break_kind::failed : suspects::break_kind::given_up;
 }
 
 }  // namespace pearbarrow::forward
--- a/src/pearbarrow/suspects/end_inquiry.cc
+++ b/src/pearbarrow/suspects/end_inquiry.cc
@@ -14,12 +14,13 @@
     milliseconds{50},    milliseconds{100},   milliseconds{150},  milliseconds{300},
     milliseconds{500},   milliseconds{500},   milliseconds{500},  milliseconds{1'000},
     milliseconds{1'000}, milliseconds{2'000}, milliseconds{4'000}};
-/// The same after a failed attempt.
-constexpr std::array<milliseconds, 7> delays_after_failure{
-    milliseconds{100},   milliseconds{300},   milliseconds{600},  milliseconds{1'000},
-    milliseconds{1'000}, milliseconds{1'000}, milliseconds{1'000}};
+/// Delays before the probes after a failed attempt. They are few, since each costs the back end a
+/// connection and most failed attempts have another cause.
+constexpr std::array<milliseconds, 3> delays_after_failure{milliseconds{200}, milliseconds{800},
+                                                           milliseconds{2'000}};
 /// Steps with the longer delays, to which an inquiry returns for a further attempt.
 constexpr std::size_t first_long_step = 3;
+constexpr std::size_t first_long_step_after_failure = 1;
 
 }  // namespace
 
@@ -36,7 +37,11 @@
       broken_at(clock.now()),
       ended_probes(loop),
       ended_questions(loop) {
-    if (this->kind != break_kind::silent) {
+    if (this->kind == break_kind::failed) {
+        this->continue_later();
+        return;
+    }
+    if (this->kind == break_kind::connection_lost) {
         this->probe();
         return;
     }
@@ -46,7 +51,8 @@
 
 void end_inquiry::extend() {
     this->broken_at = this->clock.now();
-    this->step = std::min(this->step, first_long_step);
+    const bool is_failure = this->kind == break_kind::failed;
+    this->step = std::min(this->step, is_failure ? first_long_step_after_failure : first_long_step);
 }
 
 void end_inquiry::probe() {
@@ -68,7 +74,8 @@
         this->has_ended = true;
         return;
     }
-    const bool has_settled = this->clock.now() - this->broken_at >= this->options.settle_time;
+    const bool has_settled = this->kind != break_kind::failed &&
+                             this->clock.now() - this->broken_at >= this->options.settle_time;
     if (has_settled && result == net::probe_result::accepted) {
         this->ask(this->options.response_time);
     } else {
--- a/src/pearbarrow/suspects/end_inquiry.h
+++ b/src/pearbarrow/suspects/end_inquiry.h
@@ -6,7 +6,7 @@
 /// connection proves the end. After `settle_time`, a process that responds as this back end shows
 /// that it goes on.
 ///
-/// A back end that may end soon is probed less often, for as long.
+/// A back end that may end soon is probed a few times within `settle_time`.
 ///
 /// Silence: the process is asked at once, and any response shows whether it goes on. The question
 /// stays open for `silence_time`: a process that was suspended still answers it, one that has
