Error responses count, and watched back ends are asked instead of probed

Cause: an error response counted only once an end was proved, a probe does not show that a process has fallen silent, and the first of two attempts of one GET was dropped when it was given up.

Why the fix works: an error response counts as a possible end until its back end has shown that it goes on. A back end that may end soon is asked for its id, so that silence shows; it is then examined as a silent one. An attempt that is given up for another one is watched as well.

--- a/src/pearbarrow/forward/forwarded_suspect.cc
+++ b/src/pearbarrow/forward/forwarded_suspect.cc
@@ -122,17 +122,14 @@
     if (context_.suspects == nullptr) {
         return;
     }
-    const bool is_suspect = suspect_status().possible_ends > 0;
-    if (status_ < server_error_status) {
-        if (is_suspect) {
-            context_.suspects->on_completed(fingerprint());
+    if (status_ >= server_error_status) {
+        if (!context_.pool.is_leaving(target_.incarnation())) {
+            // The examination continues without its handle.
+            (void)context_.suspects->examine(current_attempt(),
+                                             suspects::break_kind::error_response, nullptr);
         }
-    } else if (!context_.pool.is_leaving(target_.incarnation())) {
-        // The examination continues without its handle.
-        (void)context_.suspects->examine(
-            current_attempt(),
-            is_suspect ? suspects::break_kind::connection_lost : suspects::break_kind::failed,
-            nullptr);
+    } else if (suspect_status().possible_ends > 0) {
+        context_.suspects->on_completed(fingerprint());
     }
 }
 
@@ -232,7 +229,7 @@
         return false;
     }
     if (details.reason == silent_reason) {
-        return !was_backend_heard();
+        return true;
     }
     const bool is_closed =
         has_response_ended_ && response_end_.connection == net::connection_end::closed;
@@ -241,7 +238,7 @@
 
 void forwarded_request::examine_end(const base::error_details& details) {
     is_trial_ = false;
-    const auto kind = details.reason == silent_reason ? suspects::break_kind::silent
+    const auto kind = details.reason == silent_reason ? kind_of_given_up_attempt()
                                                       : suspects::break_kind::connection_lost;
     examination_ = context_.suspects->examine(
         current_attempt(), kind,
@@ -271,7 +268,7 @@
         return suspects::break_kind::connection_lost;
     }
     const bool sent_nothing = event_count_ == 0 && silence_of_attempt() >= max_time_between_signs;
-    return sent_nothing ? suspects::break_kind::failed : suspects::break_kind::given_up;
+    return sent_nothing ? suspects::break_kind::given_up_early : suspects::break_kind::given_up;
 }
 
 }  // namespace pearbarrow::forward
--- a/src/pearbarrow/suspects/end_inquiry.cc
+++ b/src/pearbarrow/suspects/end_inquiry.cc
@@ -14,13 +14,13 @@
     milliseconds{50},    milliseconds{100},   milliseconds{150},  milliseconds{300},
     milliseconds{500},   milliseconds{500},   milliseconds{500},  milliseconds{1'000},
     milliseconds{1'000}, milliseconds{2'000}, milliseconds{4'000}};
-/// Delays before the probes after a failed attempt. They are few, since each costs the back end a
-/// connection and most failed attempts have another cause.
-constexpr std::array<milliseconds, 3> delays_after_failure{milliseconds{200}, milliseconds{800},
-                                                           milliseconds{2'000}};
+/// Delays before the examinations of a back end that may end soon. They are few, since each costs
+/// the back end a connection and most failed attempts have another cause.
+constexpr std::array<milliseconds, 3> delays_of_watch{milliseconds{500}, milliseconds{1'000},
+                                                      milliseconds{2'500}};
 /// Steps with the longer delays, to which an inquiry returns for a further attempt.
 constexpr std::size_t first_long_step = 3;
-constexpr std::size_t first_long_step_after_failure = 1;
+constexpr std::size_t first_long_step_of_watch = 1;
 
 }  // namespace
 
@@ -37,7 +37,7 @@
       broken_at(clock.now()),
       ended_probes(loop),
       ended_questions(loop) {
-    if (this->kind == break_kind::failed) {
+    if (this->is_watched()) {
         this->continue_later();
         return;
     }
@@ -51,8 +51,8 @@
 
 void end_inquiry::extend() {
     this->broken_at = this->clock.now();
-    const bool is_failure = this->kind == break_kind::failed;
-    this->step = std::min(this->step, is_failure ? first_long_step_after_failure : first_long_step);
+    this->step =
+        std::min(this->step, this->is_watched() ? first_long_step_of_watch : first_long_step);
 }
 
 void end_inquiry::probe() {
@@ -74,8 +74,8 @@
         this->has_ended = true;
         return;
     }
-    const bool has_settled = this->kind != break_kind::failed &&
-                             this->clock.now() - this->broken_at >= this->options.settle_time;
+    const bool has_settled =
+        !this->is_watched() && this->clock.now() - this->broken_at >= this->options.settle_time;
     if (has_settled && result == net::probe_result::accepted) {
         this->ask(this->options.response_time);
     } else {
@@ -91,7 +91,9 @@
     if (this->question != nullptr) {
         return;
     }
-    if (this->kind != break_kind::silent) {
+    if (this->is_watched()) {
+        this->probe();
+    } else if (this->kind == break_kind::connection_lost) {
         // It has accepted all connections since.
         this->give(inquiry_verdict::went_on);
     } else {
@@ -100,11 +102,13 @@
 }
 
 void end_inquiry::on_identified(identity_reply reply) {
-    if (reply == identity_reply::same) {
-        this->give(inquiry_verdict::went_on);
-    } else if (reply == identity_reply::other) {
+    if (reply == identity_reply::other) {
         this->give(inquiry_verdict::replaced);
-    } else if (this->kind != break_kind::silent) {
+    } else if (this->is_watched()) {
+        this->on_watched(reply);
+    } else if (reply == identity_reply::same) {
+        this->give(inquiry_verdict::went_on);
+    } else if (this->kind == break_kind::connection_lost) {
         this->continue_later();
     } else {
         const bool was_prompt = !this->has_verdict;
@@ -114,17 +118,33 @@
     }
 }
 
+void end_inquiry::on_watched(identity_reply reply) {
+    if (reply == identity_reply::none) {
+        this->give(inquiry_verdict::fell_silent);
+    } else if (this->step == delays_of_watch.size()) {
+        this->give(inquiry_verdict::went_on);
+    } else {
+        this->continue_later();
+    }
+}
+
 void end_inquiry::continue_later() {
-    const bool is_failure = this->kind == break_kind::failed;
-    const std::size_t count = is_failure ? delays_after_failure.size() : delays_after_loss.size();
+    const std::size_t count =
+        this->is_watched() ? delays_of_watch.size() : delays_after_loss.size();
     if (this->step == count) {
         this->has_ended = true;
         return;
     }
     const milliseconds delay =
-        is_failure ? delays_after_failure[this->step] : delays_after_loss[this->step];
-    this->timer = this->loop.after(delay, [this] { this->probe(); });
+        this->is_watched() ? delays_of_watch[this->step] : delays_after_loss[this->step];
     ++this->step;
+    this->timer = this->loop.after(delay, [this] {
+        if (this->is_watched()) {
+            this->ask(this->options.response_time);
+        } else {
+            this->probe();
+        }
+    });
 }
 
 void end_inquiry::report_unknown() {
--- a/src/pearbarrow/suspects/end_inquiry.h
+++ b/src/pearbarrow/suspects/end_inquiry.h
@@ -6,7 +6,7 @@
 /// connection proves the end. After `settle_time`, a process that responds as this back end shows
 /// that it goes on.
 ///
-/// A back end that may end soon is probed a few times within `settle_time`.
+/// A back end that may end soon is asked a few times within `settle_time`.
 ///
 /// Silence: the process is asked at once, and any response shows whether it goes on. The question
 /// stays open for `silence_time`: a process that was suspended still answers it, one that has
@@ -30,16 +30,18 @@
     connection_lost,
     /// The attempt was given up while the back end was silent.
     silent,
-    /// The back end responded with an error, or the attempt was given up while it sent nothing,
-    /// although the back end went on. It may end soon.
-    failed,
+    /// The back end responded with an error. It may end soon.
+    error_response,
+    /// The attempt was given up while it had got nothing, although the back end went on. It may end
+    /// soon.
+    given_up_early,
     /// The attempt was given up while it received a response. It is not examined.
     given_up,
 };
 
 /// Whether an attempt that ended in this way counts before an end is proved.
 inline bool leaves_doubt(break_kind kind) {
-    return kind == break_kind::connection_lost || kind == break_kind::silent;
+    return kind != break_kind::given_up_early && kind != break_kind::given_up;
 }
 
 enum class inquiry_verdict {
@@ -48,6 +50,8 @@
     /// Another process is there.
     replaced,
     went_on,
+    /// It no longer responds. It is then examined as a silent one.
+    fell_silent,
     /// It cannot be told yet. Another verdict may follow.
     unknown,
 };
@@ -84,8 +88,13 @@
     void on_probed(net::probe_result result);
     void ask(base::milliseconds timeout);
     void on_identified(identity_reply reply);
+    void on_watched(identity_reply reply);
     /// Probes again after the next delay, or gives up after the last one.
     void continue_later();
+    /// Whether the attempt did not break off, so that the back end is examined less often.
+    bool is_watched() const {
+        return this->kind == break_kind::error_response || this->kind == break_kind::given_up_early;
+    }
     void report_unknown();
     void give(inquiry_verdict verdict);
 
--- a/src/pearbarrow/suspects/end_monitor.cc
+++ b/src/pearbarrow/suspects/end_monitor.cc
@@ -35,6 +35,8 @@
             return "replaced";
         case inquiry_verdict::went_on:
             return "went_on";
+        case inquiry_verdict::fell_silent:
+            return "fell_silent";
         case inquiry_verdict::unknown:
             return "unknown";
     }
@@ -42,6 +44,9 @@
 }
 
 end_evidence doubt_of(break_kind kind) {
+    if (kind == break_kind::error_response) {
+        return end_evidence::error_response;
+    }
     return kind == break_kind::silent ? end_evidence::silent : end_evidence::connection_lost;
 }
 
@@ -51,8 +56,10 @@
             return "connection_lost";
         case break_kind::silent:
             return "silent";
-        case break_kind::failed:
-            return "failed";
+        case break_kind::error_response:
+            return "error_response";
+        case break_kind::given_up_early:
+            return "given_up_early";
         case break_kind::given_up:
             return "given_up";
     }
@@ -137,6 +144,10 @@
         this->loop.post([callback] { run_once(callback); });
     }
     this->examine_waiting(added);
+    if (kind == break_kind::error_response) {
+        // Its examination begins later. The report does not wait for it.
+        this->report_doubt({key, kind});
+    }
     return std::make_unique<detachable_callback>(std::move(callback));
 }
 
@@ -203,6 +214,9 @@
         case inquiry_verdict::went_on:
             this->report_going_on(key);
             return;
+        case inquiry_verdict::fell_silent:
+            this->examine_silence(key);
+            return;
         case inquiry_verdict::unknown:
             this->report_doubt(key);
             return;
@@ -277,13 +291,24 @@
 void end_monitor::watch_responding(waiting_attempt attempt) {
     const std::string& digest = attempt.attempt.fingerprint.digest;
     const bool is_suspect = this->table().status_of(digest, this->clock.now()).possible_ends > 0;
-    attempt.kind = is_suspect ? break_kind::connection_lost : break_kind::failed;
+    attempt.kind = is_suspect ? break_kind::connection_lost : break_kind::given_up_early;
     attempt.is_reported = !leaves_doubt(attempt.kind);
     attempt.broken_at = this->clock.now();
     this->waiting.push_back(attempt);
     this->examine_waiting(attempt);
 }
 
+void end_monitor::examine_silence(const inquiry_key& key) {
+    const std::vector<waiting_attempt> silenced = this->take_waiting(key.first, key.second);
+    for (waiting_attempt each : silenced) {
+        each.kind = break_kind::silent;
+        each.is_reported = false;
+        this->waiting.push_back(each);
+        this->examine_waiting(each);
+    }
+    this->report_doubt({key.first, break_kind::silent});
+}
+
 void end_monitor::report(const std::vector<waiting_attempt>& attempts, end_evidence evidence) {
     std::vector<suspect> observed;
     std::vector<std::string> digests;
--- a/src/pearbarrow/suspects/end_monitor.h
+++ b/src/pearbarrow/suspects/end_monitor.h
@@ -126,6 +126,8 @@
     /// Reports that the back end may have ended under the attempts, and then runs their callbacks.
     void report_doubt(const inquiry_key& key);
     void report_going_on(const inquiry_key& key);
+    /// Examines a back end that no longer responds as a silent one.
+    void examine_silence(const inquiry_key& key);
     /// Examines a back end on that was silent and has responded to the question.
     void watch_responding(waiting_attempt attempt);
     void report(const std::vector<waiting_attempt>& attempts, end_evidence evidence);
--- a/src/pearbarrow/suspects/suspect_messages.cc
+++ b/src/pearbarrow/suspects/suspect_messages.cc
@@ -16,6 +16,8 @@
             return "silent";
         case end_evidence::node_unreachable:
             return "node_unreachable";
+        case end_evidence::error_response:
+            return "error_response";
     }
     return "unknown";
 }
--- a/src/pearbarrow/suspects/suspect_messages.h
+++ b/src/pearbarrow/suspects/suspect_messages.h
@@ -25,6 +25,8 @@
     silent = 4,
     /// A node that may have had an attempt did not confirm a report.
     node_unreachable = 5,
+    /// The back end responded with an error, and has not shown since that it goes on.
+    error_response = 6,
 };
 
 std::string_view to_string(end_evidence evidence);
