Tries of killed, restarted and stopping edges count; doubts about one process count once

Cause: a node that confirms a report was taken for one that knows what it had. An edge ended once its callers had their answers. Several doubts about one process counted as several ends, although it can end once.

Why the fix works: nodes say in their confirmations that they have started within 5 s, and count as lost unless the whole fleet has just started. An edge that stops waits until all nodes know of its attempts in doubt (100 ms and a report). Doubts about one process count once; proved ends are told apart by time as before.

--- a/src/pearbarrow/directory/peer_multicast.cc
+++ b/src/pearbarrow/directory/peer_multicast.cc
@@ -122,6 +122,9 @@
             this->owner.unresponsive_until.erase(peer);
             this->result.reached += answer->reached;
             this->add_unreached(answer->unreached);
+            auto& started = this->result.recently_started;
+            started.insert(started.end(), answer->recently_started.begin(),
+                           answer->recently_started.end());
             if (!answer->correction.empty()) {
                 this->owner.receive(answer->correction);
             }
@@ -198,7 +201,8 @@
       hubs(std::move(hubs)),
       receive(std::move(receive)),
       correct(std::move(correct)),
-      own_position(position_of(this->options.self)) {
+      own_position(position_of(this->options.self)),
+      started_at(clock.now()) {
     rpc.register_method(this->options.method, [this](std::string_view payload, auto responder) {
         this->handle(payload, responder);
     });
@@ -243,9 +247,14 @@
     }
     const auto reply = [this, responder,
                         received = message->payload](const multicast_result& result) {
-        responder->finish(wire::encode(multicast_reply{.reached = result.reached + 1,
-                                                       .correction = this->correct(received),
-                                                       .unreached = result.unreached}));
+        multicast_reply own{.reached = result.reached + 1,
+                            .correction = this->correct(received),
+                            .unreached = result.unreached,
+                            .recently_started = result.recently_started};
+        if (this->clock.now() - this->started_at < this->options.recent_start_time) {
+            own.recently_started.push_back(this->options.self);
+        }
+        responder->finish(wire::encode(own));
     };
     if (targets.empty()) {
         reply({});
--- a/src/pearbarrow/directory/peer_multicast.h
+++ b/src/pearbarrow/directory/peer_multicast.h
@@ -39,6 +39,8 @@
     std::size_t wideners = 3;
     /// How long a peer that did not reply is not waited for.
     base::milliseconds unresponsive_penalty{3'000};
+    /// How long after its start a node says in its replies that it has just started.
+    base::milliseconds recent_start_time{5'000};
 };
 
 /// A message, and the peers to which the receiver passes it on.
@@ -61,8 +63,10 @@
     std::string correction;
     /// Peers among those that the message was to be passed on to that did not reply.
     std::vector<net::endpoint> unreached;
+    /// Nodes among those reached that started within `recent_start_time`.
+    std::vector<net::endpoint> recently_started;
 
-    MSGPACK_DEFINE(reached, correction, unreached);
+    MSGPACK_DEFINE(reached, correction, unreached, recently_started);
 };
 
 struct multicast_result {
@@ -71,6 +75,8 @@
     std::uint32_t failed = 0;
     /// Peers that did not reply, to this node or to one that passed the message on.
     std::vector<net::endpoint> unreached;
+    /// Peers that replied and started within `recent_start_time`.
+    std::vector<net::endpoint> recently_started;
 };
 
 class peer_multicast {
@@ -120,6 +126,7 @@
     receiver receive;
     corrector correct;
     std::uint64_t own_position;
+    base::instant started_at;
     std::map<net::endpoint, base::instant> unresponsive_until;
     std::list<std::shared_ptr<transmission>> transmissions;
 };
--- a/src/pearbarrow/fleet/edge_node.cc
+++ b/src/pearbarrow/fleet/edge_node.cc
@@ -297,7 +297,7 @@
 }
 
 void edge_node::finish_when_idle() {
-    const bool idle = callers_->open_exchanges() == 0;
+    const bool idle = callers_->open_exchanges() == 0 && end_monitor_.has_reported_all();
     if (idle || parts_.clock().now() >= stop_deadline_) {
         on_stopped_();
         return;
--- a/src/pearbarrow/suspects/end_monitor.cc
+++ b/src/pearbarrow/suspects/end_monitor.cc
@@ -330,7 +330,12 @@
     for (const waiting_attempt& each : attempts) {
         this->log_attempt(event, each, to_string(evidence));
     }
-    this->exchange.report(digests, [attempts] {
+    ++this->open_reports;
+    this->exchange.report(digests, [this, held = std::weak_ptr(this->alive), attempts] {
+        if (held.expired()) {
+            return;
+        }
+        --this->open_reports;
         for (const waiting_attempt& each : attempts) {
             run_once(each.done);
         }
@@ -365,6 +370,12 @@
     }
 }
 
+bool end_monitor::has_reported_all() const {
+    return this->open_reports == 0 &&
+           std::all_of(this->waiting.begin(), this->waiting.end(),
+                       [](const waiting_attempt& each) { return each.is_reported; });
+}
+
 void end_monitor::remove_ended_inquiries() {
     for (auto at = this->inquiries.begin(); at != this->inquiries.end();) {
         at = at->second->is_over() ? this->inquiries.erase(at) : std::next(at);
--- a/src/pearbarrow/suspects/end_monitor.h
+++ b/src/pearbarrow/suspects/end_monitor.h
@@ -88,6 +88,9 @@
     /// The request was completed, so it does not end its back ends.
     void on_completed(const request_fingerprint& fingerprint);
 
+    /// Whether all nodes know of all attempts in doubt. A node that stops waits for it.
+    bool has_reported_all() const;
+
     const suspect_table& table() const { return this->exchange.table(); }
 
   private:
@@ -151,6 +154,7 @@
     std::map<incarnation_key, known_end> ends;
     /// Attempts that wait for a verdict, or for proof after one, by the time at which they broke.
     std::list<waiting_attempt> waiting;
+    std::size_t open_reports = 0;
     /// Tasks on the loop hold it weakly and do nothing once the monitor is gone.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/src/pearbarrow/suspects/suspect_exchange.cc
+++ b/src/pearbarrow/suspects/suspect_exchange.cc
@@ -170,7 +170,7 @@
     this->multicast.send(
         wire::encode(message), [this, digests, may_repeat, done = std::move(done)](
                                    const directory::multicast_result& result) mutable {
-            this->update_lost_nodes(result.unreached);
+            this->update_lost_nodes(result);
             const auto changed =
                 may_repeat ? this->add_unreachable_nodes(digests) : std::vector<std::string>();
             if (!changed.empty()) {
@@ -187,13 +187,24 @@
         });
 }
 
-void suspect_exchange::update_lost_nodes(const std::vector<net::endpoint>& unreached) {
-    std::map<net::endpoint, base::instant> lost;
-    for (const net::endpoint& node : unreached) {
+void suspect_exchange::update_lost_nodes(const directory::multicast_result& result) {
+    std::vector<net::endpoint> lost = result.unreached;
+    // When a whole fleet starts, no node has lost anything.
+    const bool has_older_node = result.reached > result.recently_started.size();
+    const bool has_just_started =
+        this->clock.now() - this->started_at < this->options.lost_node_time;
+    if (has_older_node || !has_just_started) {
+        lost.insert(lost.end(), result.recently_started.begin(), result.recently_started.end());
+    }
+    if (has_older_node && has_just_started) {
+        lost.push_back(this->options.self);
+    }
+    std::map<net::endpoint, base::instant> since;
+    for (const net::endpoint& node : lost) {
         const auto known_loss = this->lost_since.find(node);
-        lost[node] = known_loss == this->lost_since.end() ? this->clock.now() : known_loss->second;
+        since[node] = known_loss == this->lost_since.end() ? this->clock.now() : known_loss->second;
     }
-    this->lost_since = std::move(lost);
+    this->lost_since = std::move(since);
 }
 
 net::endpoint suspect_exchange::recently_lost_edge() const {
--- a/src/pearbarrow/suspects/suspect_exchange.h
+++ b/src/pearbarrow/suspects/suspect_exchange.h
@@ -7,7 +7,7 @@
 ///
 /// An edge that has just been lost may have had the first attempt of a request, of which nobody
 /// knows. If an edge does not confirm the first report of a suspect and was reachable shortly
-/// before, one more back end counts as one that may have ended.
+/// before, or has just started, one more back end counts as one that may have ended.
 #pragma once
 
 #include <cstdint>
@@ -85,8 +85,8 @@
     /// Sends the report. `may_repeat`: it is sent again if it has to state a lost edge.
     void send_report(const std::vector<std::string>& digests, bool may_repeat,
                      std::function<void()> done);
-    /// Keeps the times since when nodes do not confirm.
-    void update_lost_nodes(const std::vector<net::endpoint>& unreached);
+    /// Keeps the times since when nodes do not confirm, or have lost what they knew by a restart.
+    void update_lost_nodes(const directory::multicast_result& result);
     /// Adds the attempt that a lost edge may have had to those of the requests of which one
     /// attempt is known. Returns the requests.
     std::vector<std::string> add_unreachable_nodes(const std::vector<std::string>& digests);
--- a/src/pearbarrow/suspects/suspect_table.cc
+++ b/src/pearbarrow/suspects/suspect_table.cc
@@ -74,14 +74,21 @@
     std::size_t count = 0;
     const held_attempt* previous = nullptr;
     base::instant process_end{};
+    bool has_doubt = false;
     for (const held_attempt* held : counted) {
-        const bool is_open = held->end.evidence == end_evidence::sent;
-        const base::instant ended_at = is_open ? base::instant::max() : held->ended_at;
-        const bool is_other_process = previous == nullptr ||
-                                      !is_same_process(previous->end, held->end) ||
-                                      held->sent_at > process_end;
-        count += is_other_process ? 1 : 0;
-        process_end = is_other_process ? ended_at : std::min(process_end, ended_at);
+        const bool is_doubt = !is_proof(held->end.evidence);
+        const bool is_first = previous == nullptr || !is_same_process(previous->end, held->end);
+        const bool is_later = !is_first && held->sent_at > process_end;
+        const bool counts_again = is_doubt ? is_later && !has_doubt : is_later;
+        count += is_first || counts_again ? 1 : 0;
+        if (is_first || (!is_doubt && is_later)) {
+            // A process whose end is not proved may be the one that all later attempts met.
+            process_end = is_doubt ? base::instant::max() : held->ended_at;
+            has_doubt = is_doubt;
+        } else {
+            process_end = is_doubt ? process_end : std::min(process_end, held->ended_at);
+            has_doubt = has_doubt || (is_doubt && is_later);
+        }
         previous = held;
     }
     return count;
--- a/tests/unit/fleet/lethal_requests_test.cc
+++ b/tests/unit/fleet/lethal_requests_test.cc
@@ -179,6 +179,25 @@
     cr_assert(held <= max_ends, "%zu", held);
 }
 
+Test(lethal_requests, edge_that_stops_reports_a_silent_back_end_before_it_ends) {
+    lethal_fixture callers(5);
+    for (emulator::runner& runner : callers.fleet.runners) {
+        runner.set_fault(emulator::runner_fault::unresponsive);
+    }
+    std::optional<client_response> response;
+    callers.fleet.start_call(0, "/turn/x", "a", callers.headers_of(lethal_turn), lethal_marker,
+                             response);
+    run_for(callers.fleet.loop, base::milliseconds{500});
+    bool has_stopped = false;
+    callers.fleet.edges[0]->node.stop([&] { has_stopped = true; });
+    callers.fleet.calls.back().reset();
+    cr_assert(run_until(callers.fleet.loop, [&] { return has_stopped; }));
+    const auto known =
+        callers.fleet.edges[1]->node.parts().suspects().table().all(callers.fleet.clock.now());
+    cr_assert(known.size() == 1 && known[0].unproved.size() == 1);
+    cr_assert(known[0].unproved[0].request == "a");
+}
+
 Test(lethal_requests, silent_request_at_a_running_back_end_is_not_suspected) {
     lethal_fixture callers(5);
     for (emulator::runner& runner : callers.fleet.runners) {
--- a/tests/unit/suspects/suspect_table_test.cc
+++ b/tests/unit/suspects/suspect_table_test.cc
@@ -328,6 +328,19 @@
     cr_assert(known.status("a").ends == 2);
 }
 
+Test(suspect_table, doubts_about_one_process_count_once) {
+    table_fixture known;
+    for (int index = 0; index < 5; ++index) {
+        suspect reported = unproved("a", {{"b1", end_evidence::connection_lost}});
+        reported.unproved[0].request = "try " + std::to_string(index);
+        known.now += milliseconds{50};
+        known.merge(reported);
+    }
+    cr_assert(known.status("a").possible_ends == 1 && !known.status("a").is_held);
+    known.merge(unproved("a", {{"b2", end_evidence::connection_lost}}));
+    cr_assert(known.status("a").possible_ends == 2);
+}
+
 Test(suspect_table, tries_that_one_end_broke_off_count_once) {
     table_fixture known;
     for (int index = 0; index < 40; ++index) {
