An end that several suspects met counts once in the pause of trials

Cause: the pause counted each suspect that a crash met, not the back end that had ended, so one crash under four suspects looked like four ends.

Why the fix works: distinct back ends are counted.

--- a/src/pearbarrow/suspects/suspect_table.cc
+++ b/src/pearbarrow/suspects/suspect_table.cc
@@ -387,22 +387,28 @@
 }
 
 std::size_t suspect_table::recent_trial_ends(const std::string& service, base::instant now) const {
-    std::size_t count = 0;
+    // Several suspects may have met one end.
+    std::set<std::pair<std::string, std::uint64_t>> ended;
     for (const auto& [digest, known] : this->entries) {
         if (known.description.service != service) {
             continue;
         }
-        const auto has_ended = [this, now](const held_attempt& held) {
-            return held.end.evidence == end_evidence::silent || this->is_end(held, now);
-        };
-        const std::size_t recent = count_ends(known, [&](const held_attempt& held) {
-            return has_ended(held) && now - held.ended_at < this->options.trial_pause;
-        });
         // The first end of a request was not a trial.
-        const bool has_first = recent > 0 && recent == count_ends(known, has_ended);
-        count += recent - (has_first ? 1 : 0);
+        const auto first =
+            std::min_element(known.attempts.begin(), known.attempts.end(),
+                             [](const held_attempt& left, const held_attempt& right) {
+                                 return left.ended_at < right.ended_at;
+                             });
+        for (const held_attempt& held : known.attempts) {
+            const bool has_ended =
+                held.end.evidence == end_evidence::silent || this->is_end(held, now);
+            const bool is_recent = now - held.ended_at < this->options.trial_pause;
+            if (&held != &*first && !held.end.is_excused && has_ended && is_recent) {
+                ended.emplace(held.end.backend, held.end.started_at);
+            }
+        }
     }
-    return count;
+    return ended.size();
 }
 
 void suspect_table::expire(base::instant now) {
--- a/tests/unit/suspects/suspect_table_test.cc
+++ b/tests/unit/suspects/suspect_table_test.cc
@@ -383,3 +383,14 @@
     known.now += milliseconds{2'000};
     cr_assert(!known.table.plan("model", backends, known.now).is_paused);
 }
+
+Test(suspect_table, one_end_under_many_suspects_pauses_no_trials) {
+    table_fixture known;
+    const std::vector<std::string> backends{"b1", "b2", "b3", "b4", "b5",
+                                            "b6", "b7", "b8", "b9", "b10"};
+    for (const std::string name : {"a", "b", "c", "d"}) {
+        known.merge(suspect_at(name, {"x of " + name}));
+        known.merge(suspect_at(name, {"b1"}));
+    }
+    cr_assert(!known.table.plan("model", backends, known.now).is_paused);
+}
