A turn is kept with its whole chain for as long as it may be named

Cause: each turn expired by the time at which it was stored, although later turns continued it, and a member without the first turn of a chain reported the named turn itself as absent.

A turn now expires once its retention has ended, no stored turn continues it and no open reservation names it. The counts are derived from the stored records, so restarts, replaced disks and the order of a catch-up do not matter. A member that dropped turns before it learned of one that continues them fetches them again and is caught up only then. A chain with a hole is `partial`, which is no proof of absence (503). A program's reservations are kept while a turn of it is, and their retention includes the longest timeout of a streaming route.

--- a/src/pearbarrow/fleet/storage_node.cc
+++ b/src/pearbarrow/fleet/storage_node.cc
@@ -27,12 +27,12 @@
 }
 
 /// Returns how long a program may be idle and still continue: the retention of its turns, plus the
-/// duration of its last turn (a turn has a timeout of some seconds). Returns nothing if a streaming
-/// route has no retention. With 600 s for all programs, a member would hold 300,000 reservations at
+/// duration of its last turn. Returns nothing if a streaming route has no retention.
+/// With 600 s for all programs, a member would hold 300,000 reservations at
 /// 500 turns per second. With routes of 60 s, the reservations and the index of the turns need 38
 /// MB of the 120 MB of the smallest machines.
 std::optional<base::seconds> max_program_idle_time(const directory::configuration& config) {
-    constexpr base::seconds max_turn_duration{30};
+    base::milliseconds max_turn_duration{30'000};
     double max_retention = 0;
     for (const directory::route& route : config.routes) {
         const bool is_stream = route.kind == directory::request_kind::stream;
@@ -40,11 +40,13 @@
             return std::nullopt;
         }
         max_retention = std::max(max_retention, is_stream ? route.retention_seconds : 0);
+        max_turn_duration = std::max(max_turn_duration, base::milliseconds{route.timeout_ms});
     }
     if (max_retention <= 0) {
         return std::nullopt;
     }
-    return base::seconds{static_cast<std::int64_t>(std::ceil(max_retention))} + max_turn_duration;
+    return base::seconds{static_cast<std::int64_t>(std::ceil(max_retention))} +
+           std::chrono::ceil<base::seconds>(max_turn_duration);
 }
 
 }  // namespace
@@ -132,6 +134,8 @@
         "Requests refused since they count on voters that have been replaced",
         replica_->outdated_requests());
     set("pearbarrow_turn_replica_turns", "Turns kept", replica_->turn_count());
+    set("pearbarrow_turn_replica_missing_turns",
+        "Turns that kept ones continue and that this member lacks", replica_->missing_turns());
     set("pearbarrow_turn_replica_programs", "Programs with reservations",
         replica_->program_count());
     set("pearbarrow_turn_replica_pending_writes", "Writes that the disk has not confirmed",
--- a/src/pearbarrow/forward/forwarded_turn.cc
+++ b/src/pearbarrow/forward/forwarded_turn.cc
@@ -71,6 +71,7 @@
                                           {"other_tokens", prepared.other_tokens},
                                           {"previous", facts_.turn->previous_turn},
                                           {"members_answered", prepared.members_answered},
+                                          {"partial_chains", prepared.partial_chains},
                                           {"storage_view", prepared.view_revision},
                                           {"group", context_.turns.group_of(reserved().program)},
                                           {"waited_ms", prepared.queue_time.count() / 1000},
--- a/src/pearbarrow/turns/turn_catch_up.cc
+++ b/src/pearbarrow/turns/turn_catch_up.cc
@@ -37,28 +37,59 @@
         return;
     }
     other.last_reply_at = clock_.now();
+    if (other.disk != listing->disk) {
+        other.missing = {};
+    }
     std::vector<turn_id> missing;
     std::copy_if(listing->turns.begin(), listing->turns.end(), std::back_inserter(missing),
                  [this](const turn_id& turn) { return !index_.has(turn); });
-    if (missing.empty()) {
-        on_records(node, wire::encode(fetch_reply{}), *listing);
+    if (!missing.empty()) {
+        fetch_listed(node, std::move(missing), *listing);
         return;
     }
-    fetch_missing(node, std::move(missing), *listing);
+    on_records(node, wire::encode(fetch_reply{}), *listing);
 }
 
-void turn_replica::fetch_missing(const base::node_id& node, std::vector<turn_id> missing,
-                                 const list_reply& listing) {
+void turn_replica::fetch_listed(const base::node_id& node, std::vector<turn_id> turns,
+                                const list_reply& listing) {
     list_reply rest = listing;
-    if (missing.size() > options_.fetched_turns) {
+    if (turns.size() > options_.fetched_turns) {
         // The next listing starts from the same position and contains the remaining turns.
-        missing.resize(options_.fetched_turns);
+        turns.resize(options_.fetched_turns);
         rest.through = {};
         rest.more = true;
     }
+    fetch(node, {.turns = std::move(turns)}, std::move(rest));
+}
+
+bool turn_replica::fetch_missing(const base::node_id& node, const list_reply& listing) {
+    other_member& other = others_.at(node);
+    missing_pass& pass = other.missing;
+    if (pass.requested.value().empty() && pass.finished == index_.missing_revision()) {
+        return false;
+    }
+    if (pass.requested.value().empty()) {
+        pass.revision = index_.missing_revision();
+    }
+    std::vector<turn_id> turns = index_.missing_turns(pass.requested, options_.fetched_turns);
+    if (turns.empty()) {
+        pass.requested = {};
+        pass.finished = pass.revision;
+        // The fetched turns may continue others that are not stored here.
+        return fetch_missing(node, listing);
+    }
+    pass.requested = turns.back();
+    fetch(node,
+          {.turns = std::move(turns),
+           .earlier_turns = static_cast<std::uint32_t>(options_.fetched_turns)},
+          listing);
+    return true;
+}
+
+void turn_replica::fetch(const base::node_id& node, fetch_request request, list_reply rest) {
     other_member& other = others_.at(node);
     other.call = rpc_.call(other.member.node, other.member.address, wire::turn_fetch,
-                           wire::encode(fetch_request{std::move(missing)}), options_.call_timeout,
+                           wire::encode(request), options_.call_timeout,
                            {.on_part = nullptr,
                             .on_done = [this, node, rest = std::move(rest)](
                                            const absl::StatusOr<std::string>& fetched) {
@@ -71,6 +102,7 @@
     auto records = payload.ok() ? wire::decode<fetch_reply>(*payload)
                                 : absl::StatusOr<fetch_reply>(payload.status());
     if (!records.ok()) {
+        others_.at(node).missing.requested = {};
         schedule_listing(others_.at(node), options_.catch_up_interval);
         return;
     }
@@ -81,10 +113,13 @@
                       return;
                   }
                   if (!status.ok()) {
+                      other->second.missing.requested = {};
                       schedule_listing(other->second, options_.catch_up_interval);
                       return;
                   }
-                  finish_listing(node, listing);
+                  if (!fetch_missing(node, listing)) {
+                      finish_listing(node, listing);
+                  }
               });
 }
 
--- a/src/pearbarrow/turns/turn_index.cc
+++ b/src/pearbarrow/turns/turn_index.cc
@@ -25,7 +25,7 @@
                            age_of(turn.stored_at, unix_now, base::microseconds(retention / 2)));
     }
     for (const stored_reservation& entry : contents.reservations) {
-        add_reservation(entry, now + options_.reservation_retention);
+        add_reservation(entry, now);
     }
 }
 
@@ -43,30 +43,136 @@
 }
 
 void turn_index::add(const stored_reservation& entry, base::instant now) {
-    add_reservation(entry, now + options_.reservation_retention);
+    add_reservation(entry, now);
 }
 
 void turn_index::add_turn(const stored_turn& turn, base::instant expires) {
     const turn_record& record = turn.record;
-    const turn_entry entry{record.previous, record.program, turn.number, expires};
-    if (!turns_.emplace(record.turn, entry).second) {
+    const auto [added, is_new] = turns_.emplace(record.turn, turn_entry{.previous = record.previous,
+                                                                        .program = record.program,
+                                                                        .number = turn.number,
+                                                                        .expires = expires});
+    if (!is_new) {
         return;
     }
     last_number_ = std::max(last_number_, turn.number.value());
     changes_[turn.number] = {record.turn, record.program, false};
-    turn_expiry_.emplace(expires, record.turn);
+    ++programs_[record.program].turns;
+    if (const auto missing = missing_.extract(record.turn); !missing.empty()) {
+        added->second.continuations = missing.mapped();
+    }
+    update_expiry(record.turn, added->second);
+    if (record.previous != record.turn) {
+        add_continuation(record.previous);
+    }
 }
 
-void turn_index::add_reservation(const stored_reservation& entry, base::instant expires) {
+void turn_index::drop_turn(const turn_id& turn) {
+    const auto dropped = turns_.extract(turn);
+    const turn_entry& entry = dropped.mapped();
+    turn_expiry_.erase({entry.expires, turn});
+    changes_.erase(entry.number);
+    --programs_.at(entry.program).turns;
+    if (entry.previous != turn) {
+        remove_continuation(entry.previous);
+    }
+}
+
+void turn_index::add_continuation(const turn_id& previous) {
+    if (previous.value().empty()) {
+        return;
+    }
+    const auto found = turns_.find(previous);
+    if (found == turns_.end()) {
+        missing_revision_ += missing_[previous]++ == 0 ? 1 : 0;
+        return;
+    }
+    ++found->second.continuations;
+    update_expiry(previous, found->second);
+}
+
+void turn_index::remove_continuation(const turn_id& previous) {
+    if (const auto found = turns_.find(previous); found != turns_.end()) {
+        --found->second.continuations;
+        update_expiry(previous, found->second);
+        return;
+    }
+    if (const auto missing = missing_.find(previous);
+        missing != missing_.end() && --missing->second == 0) {
+        missing_.erase(missing);
+    }
+}
+
+void turn_index::hold(const turn_id& previous) {
+    if (previous.value().empty()) {
+        return;
+    }
+    ++held_[previous];
+    if (const auto found = turns_.find(previous); found != turns_.end()) {
+        update_expiry(previous, found->second);
+    }
+}
+
+void turn_index::release(const turn_id& previous, base::instant now) {
+    const auto held = held_.find(previous);
+    if (held == held_.end()) {
+        return;
+    }
+    if (--held->second > 0) {
+        return;
+    }
+    held_.erase(held);
+    const auto found = turns_.find(previous);
+    if (found == turns_.end()) {
+        return;
+    }
+    // The caller of a failed attempt may try again although the retention has ended meanwhile.
+    turn_expiry_.erase({found->second.expires, previous});
+    found->second.expires = std::max(found->second.expires, now + options_.retention_slack);
+    update_expiry(previous, found->second);
+}
+
+/// Nobody is going to settle a reservation of a program that has been idle for so long. Its node
+/// has been lost.
+void turn_index::release_open(program_entry& program, base::instant now) {
+    for (auto& [turn, known] : program.reservations) {
+        release_if_open(known.first, now);
+        known.first.previous = {};
+    }
+}
+
+void turn_index::release_if_open(const reservation& value, base::instant now) {
+    if (!value.settled) {
+        release(value.previous, now);
+    }
+}
+
+bool turn_index::is_referenced(const turn_id& turn, const turn_entry& entry) const {
+    return entry.continuations > 0 || held_.find(turn) != held_.end();
+}
+
+void turn_index::update_expiry(const turn_id& turn, const turn_entry& entry) {
+    if (is_referenced(turn, entry)) {
+        turn_expiry_.erase({entry.expires, turn});
+    } else {
+        turn_expiry_.emplace(entry.expires, turn);
+    }
+}
+
+void turn_index::add_reservation(const stored_reservation& entry, base::instant now) {
     last_number_ = std::max(last_number_, entry.number.value());
     if (!adds_information(entry.value)) {
         return;
     }
     program_entry& program = programs_[entry.value.program];
-    program.expires = std::max(program.expires, expires);
+    program.expires = std::max(program.expires, now + options_.reservation_retention);
+    if (!entry.value.settled) {
+        hold(entry.value.previous);
+    }
     const auto known = program.reservations.find(entry.value.turn);
     if (known != program.reservations.end()) {
         changes_.erase(known->second.second);
+        release_if_open(known->second.first, now);
     }
     program.reservations[entry.value.turn] = {entry.value, entry.number};
     changes_[entry.number] = {entry.value.turn, entry.value.program, true};
@@ -98,6 +204,20 @@
     return turns;
 }
 
+turn_id turn_index::previous_of(const turn_id& turn) const {
+    const auto found = turns_.find(turn);
+    return found == turns_.end() ? turn_id() : found->second.previous;
+}
+
+std::vector<turn_id> turn_index::missing_turns(const turn_id& after, std::size_t most) const {
+    std::vector<turn_id> missing;
+    for (auto at = missing_.upper_bound(after); at != missing_.end() && missing.size() < most;
+         ++at) {
+        missing.push_back(at->first);
+    }
+    return missing;
+}
+
 index_listing turn_index::list(change_number after, std::size_t most) const {
     index_listing listing;
     listing.through = after;
@@ -131,11 +251,10 @@
 }
 
 void turn_index::expire_turns(base::instant now, store_change& dropped) {
-    while (!turn_expiry_.empty() && turn_expiry_.begin()->first <= now) {
+    while (has_expired_turns(now) &&
+           dropped.dropped_turns.size() < options_.expired_turns_per_call) {
         const turn_id turn = turn_expiry_.begin()->second;
-        turn_expiry_.erase(turn_expiry_.begin());
-        changes_.erase(turns_.at(turn).number);
-        turns_.erase(turn);
+        drop_turn(turn);
         dropped.dropped_turns.push_back(turn);
     }
 }
@@ -146,6 +265,11 @@
             ++at;
             continue;
         }
+        release_open(at->second, now);
+        if (at->second.turns > 0) {
+            ++at;
+            continue;
+        }
         for (const auto& [turn, known] : at->second.reservations) {
             changes_.erase(known.second);
             dropped.dropped_reservations.push_back(known.first);
--- a/src/pearbarrow/turns/turn_operation.h
+++ b/src/pearbarrow/turns/turn_operation.h
@@ -91,6 +91,8 @@
     /// empty, no such request of the program exists.
     std::optional<reservation> resumed;
     std::size_t members_answered = 0;
+    /// Number of members that lack an earlier turn of the chain.
+    std::size_t partial_chains = 0;
     std::uint64_t view_revision = 0;
     /// Whether reservations were sent to the members.
     bool was_sent = false;
--- a/src/pearbarrow/turns/turn_preparation.cc
+++ b/src/pearbarrow/turns/turn_preparation.cc
@@ -200,6 +200,7 @@
         chain_ = std::move(text);
         return;
     }
+    member.reports_partial = result == chain_result::partial;
     on_chain_absent(member, is_complete && result == chain_result::absent);
 }
 
@@ -322,6 +323,7 @@
                          .other_tokens = known_.total_without(request_.wanted.turn),
                          .previous_backend = known_.backend_of(request_.previous),
                          .members_answered = count(&member_state::confirmed),
+                         .partial_chains = count(&member_state::reports_partial),
                          .view_revision = view_revision_};
     if (const reservation* resumed = known_.find(request_.resumed); resumed != nullptr) {
         result.resumed = *resumed;
--- a/src/pearbarrow/turns/turn_preparation.h
+++ b/src/pearbarrow/turns/turn_preparation.h
@@ -54,6 +54,7 @@
         bool confirmed_complete = false;
         bool has_reread = false;
         bool reports_absent = false;
+        bool reports_partial = false;
         /// The member belongs to another replica group and is queried only for the chain.
         bool in_other_group = false;
     };
--- a/src/pearbarrow/turns/turn_replica.cc
+++ b/src/pearbarrow/turns/turn_replica.cc
@@ -1,6 +1,7 @@
 #include "pearbarrow/turns/turn_replica.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "pearbarrow/base/log.h"
@@ -11,8 +12,6 @@
 namespace pearbarrow::turns {
 namespace {
 
-constexpr base::milliseconds expiry_interval{5'000};
-
 absl::Status rejection(std::string_view reason) {
     return base::make_error(absl::StatusCode::kFailedPrecondition, "the member takes no writes",
                             {.step = "turn_replica", .reason = std::string(reason)});
@@ -107,7 +106,7 @@
 void turn_replica::start() {
     running_ = true;
     started_ = clock_.now();
-    expiry_ = loop_.every(expiry_interval, [this] { expire(); });
+    expiry_ = loop_.every(options_.expiry_interval, [this] { expire(); });
     for (auto& [node, other] : others_) {
         other.last_reply_at = started_;
         request_listing(node);
@@ -213,7 +212,9 @@
         responder->fail(rejection(rejects_writes_ ? "member_retiring" : "member_entering_group"));
         return;
     }
-    store_new({}, {request.wanted},
+    reservation wanted = request.wanted;
+    wanted.previous = request.previous;
+    store_new({}, {std::move(wanted)},
               [this, request, responder = std::move(responder)](const absl::Status& status) {
                   if (!status.ok()) {
                       responder->fail(status);
@@ -238,9 +239,12 @@
 
 chain_result turn_replica::read_chain(const turn_id& last,
                                       std::vector<turn_record>& records) const {
+    if (!index_.has(last)) {
+        return chain_result::absent;
+    }
     const auto turns = index_.chain(last);
     if (!turns.has_value()) {
-        return chain_result::absent;
+        return chain_result::partial;
     }
     for (const turn_id& turn : *turns) {
         auto record = store_.read(turn);
@@ -358,6 +362,21 @@
     for (const stored_reservation& entry : change.reservations) {
         index_.add(entry, now);
     }
+    log_missing_turns();
+}
+
+void turn_replica::log_missing_turns() {
+    if (misses_turns_ == (index_.missing_count() > 0)) {
+        return;
+    }
+    misses_turns_ = !misses_turns_;
+    if (misses_turns_) {
+        base::log(base::log_level::warning, "turns_missing",
+                  {{"turn", index_.missing_turns({}, 1).front().value()},
+                   {"turns", index_.missing_count()}});
+    } else {
+        base::log(base::log_level::info, "turns_missing_no_more");
+    }
 }
 
 void turn_replica::record_write_result(const absl::Status& status) {
@@ -392,7 +411,7 @@
 
 void turn_replica::fetch(const fetch_request& request, const responder_ptr& responder) {
     fetch_reply reply;
-    for (const turn_id& turn : request.turns) {
+    for (const turn_id& turn : with_earlier_turns(request)) {
         auto record = store_.read(turn);
         if (record.ok()) {
             reply.records.push_back(*std::move(record));
@@ -401,12 +420,33 @@
     responder->finish(wire::encode(reply));
 }
 
+std::vector<turn_id> turn_replica::with_earlier_turns(const fetch_request& request) const {
+    std::vector<turn_id> turns = request.turns;
+    std::set<turn_id> added(turns.begin(), turns.end());
+    std::size_t left = request.earlier_turns;
+    for (const turn_id& turn : request.turns) {
+        for (turn_id at = index_.previous_of(turn); left > 0 && index_.has(at);
+             at = index_.previous_of(at)) {
+            if (!added.insert(at).second) {
+                break;
+            }
+            turns.push_back(at);
+            --left;
+        }
+    }
+    return turns;
+}
+
 void turn_replica::expire() {
-    store_change dropped = index_.expire(clock_.now());
+    const base::instant now = clock_.now();
+    store_change dropped = index_.expire(now);
     if (dropped.dropped_turns.empty() && dropped.dropped_reservations.empty()) {
         return;
     }
     store_.write(std::move(dropped), [](const absl::Status& /*status*/) {});
+    if (index_.has_expired_turns(now)) {
+        further_expiry_ = loop_.after(base::milliseconds{0}, [this] { expire(); });
+    }
 }
 
 }  // namespace pearbarrow::turns
--- a/src/pearbarrow/turns/turn_replica.h
+++ b/src/pearbarrow/turns/turn_replica.h
@@ -6,7 +6,9 @@
 /// each other's changes and fetch the turns that they lack. A member with a new disk becomes
 /// complete once it has read from enough complete members that at least one of them has every
 /// confirmed write (`storage_view`). A member that enters another group starts there as with a new
-/// disk; one that was not a voter for a while keeps its data but is not complete.
+/// disk; one that was not a voter for a while keeps its data but is not complete. A member may drop
+/// a turn before it learns of another that continues it. With its next listings it then fetches the
+/// dropped turn again, and counts as caught up only once the other member has been asked for it.
 ///
 /// Invariants: everything that a member has confirmed survives a power loss; a member confirms
 /// nothing to a sender that relies on voters of its group that the member knows to be replaced
@@ -44,6 +46,8 @@
     /// Delay before the retry of a failed write that is required before the member may confirm
     /// anything.
     base::milliseconds write_retry{200};
+    /// Interval between drops of expired entries.
+    base::milliseconds expiry_interval{5'000};
     std::size_t listed_changes = 2'000;
     std::size_t fetched_turns = 64;
 };
@@ -85,6 +89,8 @@
     bool is_caught_up_with(const base::node_id& member) const;
     std::size_t turn_count() const { return index_.turn_count(); }
     std::size_t program_count() const { return index_.program_count(); }
+    /// Returns the number of turns that stored turns continue and that are not stored.
+    std::size_t missing_turns() const { return index_.missing_count(); }
     std::size_t pending_writes() const { return pending_writes_; }
     /// Returns the number of edges whose load is known.
     std::size_t reporting_nodes() const { return load_table_.node_count(); }
@@ -107,6 +113,15 @@
   private:
     using responder_ptr = std::shared_ptr<net::peer_responder>;
 
+    /// Requests for the missing turns at one other member, in order of their ids.
+    struct missing_pass {
+        /// Turns up to this one have been requested; empty if no pass is in progress.
+        turn_id requested;
+        /// Revision of the missing turns at which the current pass began.
+        std::uint64_t revision = 0;
+        /// Revision at which the last complete pass began.
+        std::uint64_t finished = 0;
+    };
     /// State of another member of the group.
     struct other_member {
         directory::storage_member member;
@@ -115,6 +130,7 @@
         change_number taken;
         bool was_complete = false;
         bool is_caught_up = false;
+        missing_pass missing;
         /// Newest voters that the other member reported in its last listing to this one.
         view_stamp view;
         base::instant last_reply_at;
@@ -147,6 +163,8 @@
     void finish(finish_request request, responder_ptr responder);
     void list(const list_request& request, const responder_ptr& responder);
     void fetch(const fetch_request& request, const responder_ptr& responder);
+    /// Returns the requested turns and, nearest first, earlier ones of their chains.
+    std::vector<turn_id> with_earlier_turns(const fetch_request& request) const;
     void usage(const usage_request& request, const responder_ptr& responder);
 
     /// Stores the entries that are new, then runs `done`.
@@ -159,8 +177,14 @@
 
     void request_listing(const base::node_id& node);
     void on_listing(const base::node_id& node, const absl::StatusOr<std::string>& payload);
-    void fetch_missing(const base::node_id& node, std::vector<turn_id> missing,
-                       const list_reply& listing);
+    /// Fetches turns that the listing names.
+    void fetch_listed(const base::node_id& node, std::vector<turn_id> turns,
+                      const list_reply& listing);
+    /// Fetches turns that stored turns continue and that are not stored. Returns false if the
+    /// member has been asked for all of them.
+    bool fetch_missing(const base::node_id& node, const list_reply& listing);
+    void fetch(const base::node_id& node, fetch_request request, list_reply rest);
+    void log_missing_turns();
     void on_records(const base::node_id& node, const absl::StatusOr<std::string>& payload,
                     const list_reply& listing);
     void finish_listing(const base::node_id& node, const list_reply& listing);
@@ -207,6 +231,7 @@
     std::function<void()> on_complete_;
     std::function<void()> on_listed_;
     std::unique_ptr<net::timer_handle> expiry_;
+    std::unique_ptr<net::timer_handle> further_expiry_;
     base::instant started_{};
     bool running_ = false;
     bool complete_ = false;
@@ -215,6 +240,8 @@
     std::size_t pending_writes_ = 0;
     /// Whether the last write of the store failed; used to log each change of state once.
     bool write_failed_ = false;
+    /// Whether turns were missing at the last check; used to log each change of state once.
+    bool misses_turns_ = false;
     /// Set to false on destruction so that later callbacks of the store have no effect.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/pearbarrow/turns/turn_types.h
+++ b/src/pearbarrow/turns/turn_types.h
@@ -75,8 +75,11 @@
     dispatch::backend_key backend = 0;
     /// Present if the turn is a resumable stream; older nodes omit it.
     std::optional<stream_software> software;
+    /// The turn that this one continues, which is kept until the reservation is settled. Empty if
+    /// there is none or the reservation is settled; older nodes omit it.
+    turn_id previous;
 
-    MSGPACK_DEFINE(program, turn, tokens, settled, backend, software);
+    MSGPACK_DEFINE(program, turn, tokens, settled, backend, software, previous);
 };
 
 /// Returns whether `next` replaces `held`, a reservation of the same turn.
@@ -86,10 +89,13 @@
 enum class chain_result : std::uint8_t {
     not_requested,
     found,
-    /// Some turn of the chain is not stored at this member.
+    /// The turn is not stored at this member.
     absent,
     /// The turns are indexed, but currently cannot be read from disk.
     unreadable,
+    /// The turn is stored at this member, but an earlier one of its chain is not. Older nodes
+    /// report `absent`.
+    partial,
 };
 
 /// Reserves tokens for a turn and reads the chain that it continues.
@@ -205,8 +211,11 @@
 
 struct fetch_request {
     std::vector<turn_id> turns;
+    /// Maximum number of earlier turns of their chains that the reply also contains; older nodes
+    /// send none.
+    std::uint32_t earlier_turns = 0;
 
-    MSGPACK_DEFINE(turns);
+    MSGPACK_DEFINE(turns, earlier_turns);
 };
 
 struct fetch_reply {
--- a/tests/unit/turns/memory_store.h
+++ b/tests/unit/turns/memory_store.h
@@ -23,7 +23,16 @@
                    .last_number = {},
                    .view = {}} {}
 
-    absl::StatusOr<store_contents> load() override { return this->contents; }
+    absl::StatusOr<store_contents> load() override {
+        store_contents loaded = this->contents;
+        for (const auto& [turn, stored] : this->stored_turns) {
+            loaded.turns.push_back(stored);
+        }
+        for (const auto& [key, stored] : this->stored_reservations) {
+            loaded.reservations.push_back(stored);
+        }
+        return loaded;
+    }
     void write(store_change change, std::function<void(absl::Status)> done) override {
         ++this->writes;
         if (this->failing) {
@@ -32,6 +41,8 @@
         }
         if (change.emptied_for.has_value()) {
             this->turns.clear();
+            this->stored_turns.clear();
+            this->stored_reservations.clear();
             this->contents.disk = change.emptied_for->disk;
             this->contents.complete = false;
             this->contents.group = change.emptied_for->group;
@@ -40,8 +51,23 @@
             this->contents.group = change.group;
         }
         for (stored_turn& turn : change.turns) {
+            this->stored_turns[turn.record.turn] = {turn.number, turn.stored_at,
+                                                    without_texts(turn.record)};
             this->turns[turn.record.turn] = std::move(turn.record);
         }
+        for (stored_reservation& entry : change.reservations) {
+            this->stored_reservations[{entry.value.program, entry.value.turn}] = std::move(entry);
+        }
+        for (const turn_id& turn : change.dropped_turns) {
+            this->stored_turns.erase(turn);
+            this->turns.erase(turn);
+        }
+        for (const reservation& entry : change.dropped_reservations) {
+            this->stored_reservations.erase({entry.program, entry.turn});
+        }
+        if (change.last_number.has_value()) {
+            this->contents.last_number = *change.last_number;
+        }
         if (change.complete.has_value()) {
             this->contents.complete = *change.complete;
         }
@@ -65,6 +91,11 @@
         }
         return found->second;
     }
+    static turn_record without_texts(turn_record record) {
+        record.input.clear();
+        record.output.clear();
+        return record;
+    }
     void release() {
         this->held = false;
         for (const auto& done : std::exchange(this->waiting, {})) {
@@ -72,11 +103,14 @@
         }
     }
 
+    /// Everything but the turns and reservations.
     store_contents contents;
     bool held = false;
     bool failing = false;
     std::size_t writes = 0;
     std::map<turn_id, turn_record> turns;
+    std::map<turn_id, stored_turn> stored_turns;
+    std::map<std::pair<base::program_id, turn_id>, stored_reservation> stored_reservations;
     std::vector<std::function<void(absl::Status)>> waiting;
 };
 
