A stream goes on only at a process that is known to have its version

Cause: an entry was taken for a description of whatever process answers at its address, both when a stream begins and when it goes on.

Each edge now keeps evidence, from the traffic that flows anyway, of which process it hears: what comes on one connection comes from one process, and a process that was heard for `entry_delay` while its entry did not change is the listed one. A back end may also state its start time. The reservation of a stream says whether its process is known and is settled with what was found; a stream goes on once its version is certain, and only at a proven process.

--- a/src/pearbarrow/emulator/runner.cc
+++ b/src/pearbarrow/emulator/runner.cc
@@ -126,6 +126,16 @@
         exchange->respond({.status = 200, .headers = {{id_header, options_.id}}, .body = {}});
         return;
     }
+    if (request.target == runner::report_path) {
+        nlohmann::json report{{"phase", "both"}, {"seq", 1}};
+        if (options_.born > 0) {
+            report["born"] = options_.born;
+        }
+        exchange->respond({.status = 200,
+                           .headers = {{"Content-Type", "application/json"}},
+                           .body = report.dump()});
+        return;
+    }
     if (fault_ == runner_fault::refuse) {
         exchange->respond({.status = 503, .headers = {{not_executed_header, "1"}}, .body = {}});
         return;
--- a/src/pearbarrow/emulator/runner.h
+++ b/src/pearbarrow/emulator/runner.h
@@ -114,6 +114,8 @@
   public:
     /// Path of its health check.
     static constexpr char health_path[] = "/healthz";
+    /// Path at which it reports on itself.
+    static constexpr char report_path[] = "/report";
 
     runner(net::event_loop& loop, runner_options options);
     ~runner();
--- a/src/pearbarrow/fleet/edge_node.h
+++ b/src/pearbarrow/fleet/edge_node.h
@@ -69,6 +69,7 @@
     slowstart::start_quota permits_;
     forward::backend_identity identities_;
     suspects::end_monitor end_monitor_;
+    forward::process_inquiry processes_;
     suspects::isolation_plans isolation_;
     forward::forward_context context_;
     forward::forward_service service_;
--- a/src/pearbarrow/forward/backend_pool.cc
+++ b/src/pearbarrow/forward/backend_pool.cc
@@ -111,13 +111,21 @@
         remove_from_orders(entry, now);
         by_key_.erase(entry.key);
     }
-    if (!(entry.backend.incarnation() == backend.incarnation())) {
+    const bool is_restarted = !(entry.backend.incarnation() == backend.incarnation());
+    std::optional<pool_entry::replaced_process> replaced = std::move(entry.replaced);
+    if (!is_new && (is_restarted || entry.backend.version != backend.version)) {
+        replaced = {.backend = entry.backend, .process = entry.process, .at = now};
+        // An entry without a start time shows only by its version that the process is another one.
+        entry.process = {};
+    }
+    if (is_restarted) {
         // The process is new or has restarted. It has none of the earlier requests, and backoff and
         // slowness of the previous incarnation do not apply to it. Attempts that are still in
         // flight belong to the previous incarnation and are not counted.
         entry = pool_entry{};
         used_.erase(&entry);
     }
+    entry.replaced = std::move(replaced);
     entry.backend = backend;
     entry.key = dispatch::key_of(backend.id, backend.started_at);
     // The hash uses only the id, so that a restart does not change the position in either order,
--- a/src/pearbarrow/forward/backend_pool.h
+++ b/src/pearbarrow/forward/backend_pool.h
@@ -65,10 +65,16 @@
     /// Requests with the same key go to the same back end while it is not overloaded. If empty, any
     /// back end is suitable.
     std::string affinity_key;
-    /// Whether back ends with a recent failure are selected only if there is no other one, and not
-    /// at all if another process may start under their id (`directory::backend::started_at`). It
-    /// may have another version that is not listed yet.
+    /// Whether back ends with a recent failure are selected only if there is no other one. Without
+    /// `requires_proof`, those under whose id another process may start
+    /// (`directory::backend::started_at`) are not selected at all: it may have another version that
+    /// is not listed yet.
     bool avoids_failures = false;
+    /// Whether only back ends are selected whose process is known to be the listed one.
+    bool requires_proof = false;
+    /// With `requires_proof`, whether a back end without a start time is also selected while there
+    /// is no sign that its process has ended.
+    bool accepts_undoubted = false;
     /// Back ends to which this request was already sent, by id: a back end that restarted just
     /// after the request broke there is the least likely to serve it in time.
     std::set<std::string> excluded;
@@ -89,6 +95,16 @@
     dispatch::backend_key previous_backend = 0;
 };
 
+/// Version that a request would be executed by.
+struct version_choice {
+    directory::software_version version;
+    /// Whether the process of the back end may have another version than its entry. The request
+    /// should then go to the back end that was selected.
+    bool is_provisional = false;
+    std::string backend = {};
+    dispatch::backend_key key = 0;
+};
+
 /// Back ends of one version of a service.
 struct version_status {
     /// Number of back ends that accept requests.
@@ -144,14 +160,40 @@
     /// eligible.
     std::optional<choice> choose(const choice_request& request, base::instant now);
     /// Returns the version of the back end that would be selected, without selecting it.
-    std::optional<directory::software_version> version_for(const choice_request& request,
-                                                           base::instant now) const;
+    std::optional<version_choice> version_for(const choice_request& request,
+                                              base::instant now) const;
     /// Returns the version of all back ends of the service, if it is known and no back end of
     /// another version has left within `period`. Versions that had left before this node received
     /// the list are not known: a process is listed for seconds after its last new request.
     std::optional<directory::software_version> sole_version(const std::string& service,
                                                             base::milliseconds period,
                                                             base::instant now) const;
+    // Processes of back ends, pool_processes.cc.
+    /// Records that the back end was heard on a connection whose first bytes came at
+    /// `first_heard_at`.
+    void on_process_heard(const directory::backend_incarnation& incarnation,
+                          base::instant first_heard_at, base::instant now);
+    /// Records that the process at the address has stated the start time of this incarnation.
+    void on_process_stated(const directory::backend_incarnation& incarnation, base::instant now);
+    /// Records a sign that the process may have ended.
+    void on_process_doubted(const directory::backend_incarnation& incarnation, base::instant now);
+    void on_process_doubted(dispatch::backend_key backend, base::instant now);
+    /// Returns whether the connection led to the listed process when it was last heard. If the
+    /// entry has changed since, only what was known before counts.
+    bool was_process_proven(const directory::backend& backend, base::instant first_heard_at,
+                            base::instant now) const;
+    /// Returns whether a request that requires proof may be sent on the connection.
+    bool may_use_connection(const directory::backend_incarnation& incarnation,
+                            const choice_request& request, base::instant first_heard_at,
+                            base::instant now) const;
+    /// Returns back ends that the request may be able to select by `deadline`: their processes
+    /// state a start time, or will have been observed for long enough.
+    std::vector<directory::backend> unproven_backends(const choice_request& request,
+                                                      std::size_t most, base::instant deadline,
+                                                      base::instant now) const;
+    /// Returns the listed back end with this key and version, or nothing if its entry has changed.
+    std::optional<directory::backend> find_unchanged(
+        dispatch::backend_key backend, const directory::software_version& version) const;
     /// Returns whether the list shows a later incarnation of the back end with another version.
     bool has_restarted_with_other_version(const directory::backend& backend) const;
     version_status status_of(const std::string& service, const directory::software_version& version,
@@ -213,6 +255,7 @@
     /// Returns the number of back ends in use although they have vanished from the list.
     std::size_t lapsed_count(base::instant now) const;
     std::uint64_t revision() const { return revision_; }
+    const pool_options& options() const { return options_; }
 
   private:
     using entry_map = std::map<std::string, pool_entry>;
@@ -318,6 +361,10 @@
     bool has_just_vanished(const pool_entry& entry, base::instant now) const;
     bool is_backing_off(const pool_entry& entry, base::instant now) const;
     bool is_failing(const candidate_entry& item, base::instant now) const;
+    /// Returns whether a new connection, or the idle one, is known to lead to the listed process.
+    bool has_proven_process(const pool_entry& entry, base::instant now) const;
+    bool accepts_process(const pool_entry& entry, const choice_request& request,
+                         base::instant now) const;
     /// Returns whether this node or another one reports a recent failure.
     bool has_recent_failure(const candidate_entry& item, base::instant now) const;
 
--- a/src/pearbarrow/forward/forward_context.h
+++ b/src/pearbarrow/forward/forward_context.h
@@ -12,6 +12,7 @@
 #include "pearbarrow/forward/backend_traffic.h"
 #include "pearbarrow/forward/forward_log.h"
 #include "pearbarrow/forward/header_names.h"
+#include "pearbarrow/forward/process_inquiry.h"
 #include "pearbarrow/forward/program_admission.h"
 #include "pearbarrow/net/event_loop.h"
 #include "pearbarrow/net/http.h"
@@ -46,6 +47,7 @@
     base::milliseconds permit_lifetime{150};
     /// Retry delay of a suspect that waits because trials have ended too many back ends.
     base::milliseconds paused_trial_retry{1'000};
+    process_inquiry_options processes = {};
     /// Whether requests to engines carry a priority (`engine_priority.h`).
     bool sends_priority = false;
 };
@@ -73,6 +75,8 @@
     suspects::end_monitor* suspects = nullptr;
     /// Reserves back ends for suspects. If null, suspects are placed like other requests.
     suspects::isolation_plans* isolation = nullptr;
+    /// Asks processes for their start times. If null, none is asked.
+    process_inquiry* processes = nullptr;
     backend_traffic traffic = backend_traffic();
     /// Accounting of buffered bytes. If null, buffers are unbounded.
     std::shared_ptr<net::buffered_bytes> buffered = nullptr;
--- a/src/pearbarrow/forward/forwarded_attempt.cc
+++ b/src/pearbarrow/forward/forwarded_attempt.cc
@@ -103,12 +103,16 @@
                            .version = required_version(),
                            .affinity_key = is_stream() ? scoped(facts_.program) : "",
                            .avoids_failures = is_resumed(),
+                           .requires_proof = is_resumed(),
+                           .accepts_undoubted = is_resumed() && has_sole_version(),
                            .excluded = tried_backends_,
                            .region_limits = placement_bounds(),
                            .without_permit = without_permit_,
                            .prompt_tokens = is_stream() ? facts_.prompt_tokens : 0,
                            .is_first = begins_program(),
                            .previous_backend = previous_backend_};
+    request.excluded.insert(unproven_backends_.begin(), unproven_backends_.end());
+    request.assigned_backend = provisional_backend_;
     isolate(request);
     return request;
 }
@@ -120,7 +124,9 @@
     if (!without_permit_.empty()) {
         wait_for_permit();
     } else if (is_resumed() && software_.has_value()) {
-        reject_resumed_placement();
+        if (!await_process()) {
+            reject_resumed_placement();
+        }
     } else {
         reject_placement();
     }
@@ -139,6 +145,9 @@
     }
     if (is_resumed()) {
         log_resumed();
+    } else {
+        correct_reservation();
+        ask_provisional_process();
     }
     held_since_.reset();
     tried_backends_.insert(target_.id);
@@ -155,6 +164,8 @@
     has_response_ended_ = false;
     is_foreign_ = false;
     is_rejection_ = false;
+    is_verifying_ = false;
+    unverified_bytes_.clear();
     net::http_call call = make_call(target_);
     context_.traffic.sent(target_.zone, call.body.size());
     call_ = context_.client.start(
@@ -172,7 +183,7 @@
     start_silence_timer();
 }
 
-net::http_call forwarded_request::make_call(const directory::backend& target) const {
+net::http_call forwarded_request::make_call(const directory::backend& target) {
     const header_names& names = context_.options.headers;
     const net::http_request& request = exchange_->request();
     net::http_call call{.server = target.address,
@@ -189,6 +200,13 @@
     call.resend_when_stale = is_repeatable();
     call.is_inside_event = [this] { return carries_events_ && events_.is_inside_event(); };
     call.may_send = [this] { return may_go_to_target() && holds_permit(); };
+    call.may_use_connection = [this](base::microseconds heard_for) {
+        return may_use_connection(heard_for);
+    };
+    call.on_idle_lost = [&pool = context_.pool, &clock = context_.clock,
+                         incarnation = target.incarnation()] {
+        pool.on_process_doubted(incarnation, clock.now());
+    };
     const auto caller_left =
         facts_.deadline_ms.has_value()
             ? arrived_ + base::milliseconds{*facts_.deadline_ms} - context_.clock.now()
@@ -216,6 +234,8 @@
     steps_.to_head = head_at_ - attempt_started_at_;
     context_.pool.on_response_head(target_.incarnation(), attempt_started_at_);
     context_.pool.on_heard(target_.incarnation(), head_at_);
+    const bool is_proven = is_head_proven();
+    record_process();
     const auto echoed = headers.find(names.request_id);
     // This is a late response to an earlier request on the same connection.
     is_foreign_ = echoed.has_value() && *echoed != facts_.request_id;
@@ -232,6 +252,9 @@
                               .was_executed = base::executed::unknown}));
         return;
     }
+    if (!is_proven && is_success(status)) {
+        verify_process();
+    }
     if (is_stream() && is_success(status) && stage_ == response_stage::none) {
         stage_ = response_stage::streaming;
         exchange_->start_stream(status, returned_headers(headers));
@@ -256,6 +279,10 @@
         on_attempt_failed(status);
         return;
     }
+    if (is_verifying_) {
+        break_off("the back end may have been replaced", "process_unproven");
+        return;
+    }
     if (is_rejection_) {
         on_rejected();
         return;
@@ -283,6 +310,9 @@
     if (!head_received_) {
         context_.pool.on_response_head(target_.incarnation(), attempt_started_at_);
     }
+    // The end of the attempt may be a sign that the process has ended.
+    was_process_proven_ =
+        context_.pool.was_process_proven(target_, first_heard_at_.value_or(now), now);
     const auto took = is_stream() && event_count_ > 0 ? first_event_ - attempt_started_at_
                                                       : now - attempt_started_at_;
     if (result == attempt_result::served) {
@@ -292,6 +322,10 @@
         context_.pool.on_prompt_dropped(*placed_);
     }
     context_.pool.on_attempt_ended(target_.incarnation(), result, took, now);
+    if (result == attempt_result::abandoned &&
+        silence_of_attempt() > context_.pool.options().evidence.max_head_time) {
+        context_.pool.on_process_doubted(target_.incarnation(), now);
+    }
     context_.log.count_attempt(to_string(result));
 }
 
--- a/src/pearbarrow/forward/forwarded_request.cc
+++ b/src/pearbarrow/forward/forwarded_request.cc
@@ -180,6 +180,7 @@
     quota_step_.reset();
     permit_step_.reset();
     permit_retry_timer_.reset();
+    process_timer_.reset();
     release_slot();
     if (attempt_open_) {
         log_abandoned_attempt();
@@ -203,6 +204,7 @@
     quota_step_.reset();
     permit_step_.reset();
     permit_retry_timer_.reset();
+    process_timer_.reset();
     release_slot();
     silence_timer_.reset();
     if (attempt_open_) {
@@ -225,6 +227,8 @@
     timeout_timer_.reset();
     silence_timer_.reset();
     hold_timer_.reset();
+    process_timer_.reset();
+    inquiries_.clear();
     conclude_trial();
     examination_.reset();
     log_end(status, reason);
--- a/src/pearbarrow/forward/forwarded_request.h
+++ b/src/pearbarrow/forward/forwarded_request.h
@@ -88,6 +88,8 @@
     dispatch::backend_key executing_backend() const;
     std::uint64_t spent_tokens() const;
     turns::reservation reserved() const;
+    /// Returns the reservation with its actual cost.
+    turns::reservation settled(std::uint64_t tokens) const;
 
     // Zone rules, forwarded_zone_rules.cc.
     places::region_limits placement_bounds() const;
@@ -121,6 +123,35 @@
     bool adopt_software(const turns::prepared_turn& prepared);
     /// Returns the software of a resumed stream whose reservation does not contain it.
     std::optional<turns::stream_software> sole_software() const;
+    // The processes of a stream and of its continuation, forwarded_processes.cc.
+    /// Finds out whether the process that began the stream had the recorded version. Returns false
+    /// if the request waits for it or was rejected.
+    bool settle_began_version(const turns::reservation& began, base::milliseconds age);
+    /// Waits until the version is known, and meanwhile asks the process.
+    void await_began_version(base::milliseconds age);
+    /// Asks the process of a provisional stream, which does not wait for the reply.
+    void ask_provisional_process();
+    /// Corrects the reservation of a provisional stream that goes to another back end.
+    void correct_reservation();
+    /// Continues once the version is known, or rejects the request.
+    void check_began_version();
+    /// Prepares the turn again, because the stream's reservation is about to be settled.
+    void wait_for_settlement();
+    /// Waits until a back end may continue the stream. Returns false if none can in time.
+    bool await_process();
+    void ask_process(const directory::backend& target, std::function<void(process_statement)> done);
+    void on_process_statement(const directory::backend& target, process_statement statement);
+    void log_wait(std::string_view reason, const std::string& backend, base::microseconds left);
+    /// Returns whether all back ends of the service have had one version for long.
+    bool has_sole_version() const;
+    void record_process();
+    /// Returns whether the request may be sent on a connection that was first heard so long ago.
+    bool may_use_connection(base::microseconds heard_for);
+    /// Returns whether the head of a resumed stream certainly came from the listed process.
+    bool is_head_proven() const;
+    /// Asks the process whose head came late, and passes the response on if it is the listed one.
+    void verify_process();
+
     /// Returns whether the route uses the service.
     bool serves(const std::string& service) const;
     void reject_resumed(int status, std::string_view reason, std::string_view detail,
@@ -186,7 +217,7 @@
     bool is_still_allowed() const;
     /// Returns the id under which the program or turn of the tenant is stored.
     std::string scoped(std::string_view id) const;
-    net::http_call make_call(const directory::backend& target) const;
+    net::http_call make_call(const directory::backend& target);
     std::string choose_service() const;
     void on_head(int status, const net::http_headers& headers);
     void on_call_done(const absl::Status& status);
@@ -300,6 +331,27 @@
     std::uint32_t software_choices_ = 0;
     bool must_start_anew_ = false;
 
+    /// When the first bytes came on the connection of the current attempt, possibly in an earlier
+    /// one. Empty until they do.
+    std::optional<base::instant> first_heard_at_;
+    /// Whether the connection was known to lead to the listed process when the attempt ended.
+    bool was_process_proven_ = false;
+    /// Back end that a provisional stream is reserved for.
+    std::string provisional_backend_;
+    dispatch::backend_key provisional_key_ = 0;
+    /// Back end that began the resumed stream, and when its version is known.
+    dispatch::backend_key began_at_ = 0;
+    std::optional<base::instant> version_known_at_;
+    std::unique_ptr<net::timer_handle> process_timer_;
+    std::vector<std::unique_ptr<net::http_call_handle>> inquiries_;
+    /// Back ends whose processes are not the listed ones, or not known to be.
+    std::set<std::string> unproven_backends_;
+    std::set<std::string> asked_processes_;
+    bool has_logged_wait_ = false;
+    /// Whether the response is held until its process is known, and its bytes so far.
+    bool is_verifying_ = false;
+    std::string unverified_bytes_;
+
     std::unique_ptr<net::http_call_handle> call_;
     std::optional<choice> placed_;
     /// Service of the current selection. `attempt_started_at_` precedes any wait for its permit.
--- a/src/pearbarrow/forward/forwarded_response.cc
+++ b/src/pearbarrow/forward/forwarded_response.cc
@@ -16,6 +16,10 @@
 
 void forwarded_request::on_chunk(std::string_view bytes) {
     context_.traffic.received(target_.zone, bytes.size());
+    if (is_verifying_) {
+        unverified_bytes_.append(bytes);
+        return;
+    }
     if (stage_ != response_stage::streaming) {
         buffer_response(bytes);
         return;
@@ -25,6 +29,7 @@
         return;
     }
     if (is_stream()) {
+        record_process();
         events_.feed(bytes);
     }
     if (route_.keeps_history && events_.overflowed()) {
--- a/src/pearbarrow/forward/forwarded_stream.cc
+++ b/src/pearbarrow/forward/forwarded_stream.cc
@@ -39,7 +39,12 @@
     service_ = choose_service();
     const auto version = context_.pool.version_for(placement_request(), context_.clock.now());
     if (version.has_value()) {
-        software_ = {.service = service_, .version = *version, .choice = ++software_choices_};
+        software_ = {.service = service_,
+                     .version = version->version,
+                     .choice = ++software_choices_,
+                     .is_provisional = version->is_provisional};
+        provisional_backend_ = version->is_provisional ? version->backend : std::string();
+        provisional_key_ = version->is_provisional ? version->key : 0;
     }
 }
 
@@ -107,7 +112,7 @@
                        "the route no longer uses the service that began the stream", std::nullopt);
         return false;
     }
-    return true;
+    return !is_named || settle_began_version(*prepared.resumed, prepared.resumed_age);
 }
 
 void forwarded_request::reject_resumed(int status, std::string_view reason, std::string_view detail,
--- a/src/pearbarrow/forward/forwarded_turn.cc
+++ b/src/pearbarrow/forward/forwarded_turn.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "pearbarrow/forward/forwarded_request.h"
@@ -8,9 +10,26 @@
     return {.program = base::program_id(scoped(facts_.turn->program)),
             .turn = turns::turn_id(scoped(facts_.request_id)),
             .tokens = facts_.turn->max_tokens,
+            .backend = provisional_key_,
             .software = software_};
 }
 
+turns::reservation forwarded_request::settled(std::uint64_t tokens) const {
+    turns::reservation settled = reserved();
+    settled.tokens = tokens;
+    settled.settled = true;
+    settled.backend = executing_backend();
+    if (settled.software.has_value() && !is_resumed()) {
+        const base::instant now = context_.clock.now();
+        const auto age =
+            std::chrono::duration_cast<base::milliseconds>(now - first_heard_at_.value_or(now));
+        settled.software->is_provisional = event_count_ > 0 && !was_process_proven_;
+        settled.software->connection_age_ms = static_cast<std::uint32_t>(
+            std::clamp<std::int64_t>(age.count(), 0, std::numeric_limits<std::uint32_t>::max()));
+    }
+    return settled;
+}
+
 void forwarded_request::prepare_turn() {
     if (is_storage_closed()) {
         reject_storage();
@@ -125,11 +144,7 @@
         return;
     }
     settled_ = true;
-    turns::reservation settled = reserved();
-    settled.tokens = tokens;
-    settled.settled = true;
-    settled.backend = executing_backend();
-    context_.turns.settle(settled);
+    context_.turns.settle(settled(tokens));
 }
 
 /// A back end that has sent an event has read the prompt.
@@ -147,12 +162,8 @@
     is_storing_ = true;
     settled_ = true;
     turn_step_started_at_ = context_.clock.now();
-    turns::reservation settled = reserved();
-    settled.tokens = spent_tokens();
-    settled.settled = true;
-    settled.backend = executing_backend();
     turns::finish_request request;
-    request.settled.push_back(std::move(settled));
+    request.settled.push_back(settled(spent_tokens()));
     request.records = std::move(copied_turns_);
     request.records.push_back({.turn = turns::turn_id(scoped(facts_.request_id)),
                                .program = base::program_id(scoped(facts_.turn->program)),
--- a/src/pearbarrow/forward/pool_candidates.cc
+++ b/src/pearbarrow/forward/pool_candidates.cc
@@ -22,10 +22,13 @@
         if (!this->may_serve(entry)) {
             return;
         }
+        if (!this->pool.accepts_process(entry, this->request, this->at)) {
+            return;
+        }
         const candidate_entry item = this->pool.with_remote_load(entry, this->at);
         const bool may_be_replaced =
             this->request.avoids_failures && this->pool.has_recent_failure(item, this->at);
-        if (may_be_replaced && entry.backend.started_at != 0) {
+        if (may_be_replaced && entry.backend.started_at != 0 && !this->request.requires_proof) {
             // Its id may already belong to a process of another version.
             return;
         }
--- a/src/pearbarrow/forward/pool_entry.h
+++ b/src/pearbarrow/forward/pool_entry.h
@@ -9,6 +9,7 @@
 #include "pearbarrow/base/clock.h"
 #include "pearbarrow/directory/snapshot.h"
 #include "pearbarrow/dispatch/load_report.h"
+#include "pearbarrow/forward/process_evidence.h"
 #include "pearbarrow/forward/recent_results.h"
 
 namespace pearbarrow::forward {
@@ -39,6 +40,14 @@
     /// Prompt tokens of this node for which no first event has been received.
     double unread_tokens = 0;
     std::optional<base::instant> last_connected;
+    process_evidence process;
+    /// The process that the entry described before, and when the entry changed.
+    struct replaced_process {
+        directory::backend backend;
+        process_evidence process;
+        base::instant at;
+    };
+    std::optional<replaced_process> replaced;
 
     /// Returns whether the directory entry permits new requests.
     bool is_usable() const { return listed && !backend.draining; }
--- a/src/pearbarrow/forward/pool_options.h
+++ b/src/pearbarrow/forward/pool_options.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "pearbarrow/base/clock.h"
+#include "pearbarrow/forward/process_evidence.h"
 
 namespace pearbarrow::forward {
 
@@ -100,6 +101,7 @@
     /// Share of the back ends of a service that must vanish within `lapse_grace` to count as a
     /// lapse of the directory service.
     double lapse_share = 1.0 / 3;
+    evidence_options evidence = {};
     /// Time for which a version without back ends is remembered. It is longer than the timeouts of
     /// routes.
     base::milliseconds version_memory{60'000};
--- a/src/pearbarrow/forward/pool_results.cc
+++ b/src/pearbarrow/forward/pool_results.cc
@@ -85,6 +85,9 @@
         entry.last_connected = now;
     }
     record_result(entry, result, now);
+    if (counts_as_failure(result) && result != attempt_result::refused) {
+        entry.process.on_doubt(now);
+    }
     if (counts_as_failure(result)) {
         entry.backoff_until = now + backoff_after(entry, result);
         ++entry.failures_in_row;
--- a/src/pearbarrow/forward/pool_versions.cc
+++ b/src/pearbarrow/forward/pool_versions.cc
@@ -29,17 +29,21 @@
 }
 
 /// Ranks the back ends only while several versions serve.
-std::optional<directory::software_version> backend_pool::version_for(const choice_request& request,
-                                                                     base::instant now) const {
+std::optional<version_choice> backend_pool::version_for(const choice_request& request,
+                                                        base::instant now) const {
     if (const auto versions = versions_.find(request.service);
         versions != versions_.end() && versions->second.size() == 1) {
-        return versions->second.begin()->first;
+        return version_choice{.version = versions->second.begin()->first};
     }
     const auto ranked = rank(request, now);
     if (!ranked.has_value()) {
         return std::nullopt;
     }
-    return ranked->entry().backend.version;
+    const pool_entry& selected = ranked->entry();
+    return version_choice{.version = selected.backend.version,
+                          .is_provisional = !has_proven_process(selected, now),
+                          .backend = selected.backend.id,
+                          .key = selected.key};
 }
 
 std::optional<directory::software_version> backend_pool::sole_version(const std::string& service,
--- a/src/pearbarrow/net/connection.cc
+++ b/src/pearbarrow/net/connection.cc
@@ -135,6 +135,14 @@
     handshake(true, std::move(ready));
 }
 
+base::microseconds connection::time_since_first_bytes() const {
+    if (!first_bytes_at_.has_value()) {
+        return base::microseconds{0};
+    }
+    return std::chrono::duration_cast<base::microseconds>(std::chrono::steady_clock::now() -
+                                                          *first_bytes_at_);
+}
+
 void connection::record_peer_address() {
     error_code error;
     const auto remote = socket_.remote_endpoint(error);
@@ -207,6 +215,9 @@
         return;
     }
     counters_->received += size;
+    if (!first_bytes_at_.has_value()) {
+        first_bytes_at_ = std::chrono::steady_clock::now();
+    }
     // The copy keeps the user alive if it calls `close`.
     if (const auto user = user_; user != nullptr) {
         user->on_data(std::string_view(read_buffer_.data(), size));
--- a/src/pearbarrow/net/connection.h
+++ b/src/pearbarrow/net/connection.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -103,6 +104,8 @@
     bool is_open() const { return open_ && !closing_; }
     /// Address of the peer.
     std::string peer() const { return peer_; }
+    /// Returns the time since the first bytes were received; 0 if there are none yet.
+    base::microseconds time_since_first_bytes() const;
 
   private:
     struct tls_layer;
@@ -148,6 +151,7 @@
     std::uint64_t submitted_position_ = 0;
     deadline write_deadline_;
     std::string peer_;
+    std::optional<std::chrono::steady_clock::time_point> first_bytes_at_;
     bool open_ = true;
     bool closing_ = false;
     bool lingering_ = false;
--- a/src/pearbarrow/net/http.h
+++ b/src/pearbarrow/net/http.h
@@ -173,6 +173,12 @@
     /// request is not sent and the call ends with reason `withdrawn`. An empty function allows
     /// every send.
     std::function<bool()> may_send = nullptr;
+    /// Called after `may_send` with the time since the first bytes were received on the connection,
+    /// 0 for a new one. If it returns false, the call ends in the same way.
+    std::function<bool(base::microseconds heard_for)> may_use_connection = nullptr;
+    /// Runs if the server closes the connection of the call, or the connection breaks, while it is
+    /// idle. It may run long after the call has ended.
+    std::function<void()> on_idle_lost = nullptr;
     /// Called when the framing of the response says that its body is complete. Returns whether the
     /// body ends inside an event. An empty function stands for a body without events.
     std::function<bool()> is_inside_event = nullptr;
--- a/src/pearbarrow/net/http_call_core.cc
+++ b/src/pearbarrow/net/http_call_core.cc
@@ -80,10 +80,13 @@
 }
 
 bool http_call_core::is_withdrawn(const std::shared_ptr<connection>& link) {
-    if (!call_.may_send || call_.may_send()) {
+    const bool may_send = !call_.may_send || call_.may_send();
+    if (may_send &&
+        (!call_.may_use_connection || call_.may_use_connection(link->time_since_first_bytes()))) {
         return false;
     }
-    core_->keep_idle({call_.server, call_.server_incarnation}, link, std::nullopt);
+    core_->keep_idle({call_.server, call_.server_incarnation}, link, std::nullopt,
+                     std::move(call_.on_idle_lost));
     link_ = nullptr;
     end(base::make_error(
         absl::StatusCode::kAborted, "the request may not be sent any more",
@@ -183,7 +186,8 @@
     resume();
     end_.has_announced_bytes = true;
     if (is_whole() && reader_->keep_alive() && inbox_.empty() && link_->is_open()) {
-        core_->keep_idle({call_.server, call_.server_incarnation}, link_, reader_->idle_lifetime());
+        core_->keep_idle({call_.server, call_.server_incarnation}, link_, reader_->idle_lifetime(),
+                         std::move(call_.on_idle_lost));
         link_ = nullptr;
     }
     conclude();
--- a/src/pearbarrow/net/http_call_core.h
+++ b/src/pearbarrow/net/http_call_core.h
@@ -37,7 +37,8 @@
     std::shared_ptr<connection> take_idle(const server_process& server);
     /// `server_lifetime` is the idle lifetime announced by the server, if any.
     void keep_idle(const server_process& server, const std::shared_ptr<connection>& link,
-                   std::optional<base::milliseconds> server_lifetime);
+                   std::optional<base::milliseconds> server_lifetime,
+                   std::function<void()> on_lost);
     void remove_idle(const server_process& server, const idle_connection* idle);
     void close_idle();
     void shut_down();
@@ -57,7 +58,8 @@
                               public std::enable_shared_from_this<idle_connection> {
   public:
     idle_connection(std::weak_ptr<http_client_core> core, boost::asio::io_context& context,
-                    server_process server, std::shared_ptr<connection> link);
+                    server_process server, std::shared_ptr<connection> link,
+                    std::function<void()> on_lost);
 
     void start(base::milliseconds lifetime);
     /// Closes the connection because unsolicited bytes make it unusable.
@@ -71,6 +73,7 @@
     std::weak_ptr<http_client_core> core_;
     server_process server_;
     std::shared_ptr<connection> link_;
+    std::function<void()> on_lost_;
     deadline expiry_;
 };
 
--- a/src/pearbarrow/net/http_client.cc
+++ b/src/pearbarrow/net/http_client.cc
@@ -34,7 +34,8 @@
 
 void http_client_core::keep_idle(const server_process& server,
                                  const std::shared_ptr<connection>& link,
-                                 std::optional<base::milliseconds> server_lifetime) {
+                                 std::optional<base::milliseconds> server_lifetime,
+                                 std::function<void()> on_lost) {
     base::milliseconds lifetime = options.idle_lifetime;
     if (server_lifetime.has_value()) {
         lifetime = std::min(lifetime, *server_lifetime - keep_alive_margin);
@@ -48,7 +49,8 @@
         list.front()->link()->close();
         list.pop_front();
     }
-    auto entry = std::make_shared<idle_connection>(weak_from_this(), context, server, link);
+    auto entry = std::make_shared<idle_connection>(weak_from_this(), context, server, link,
+                                                   std::move(on_lost));
     list.push_back(entry);
     entry->start(lifetime);
 }
@@ -84,10 +86,11 @@
 
 idle_connection::idle_connection(std::weak_ptr<http_client_core> core,
                                  boost::asio::io_context& context, server_process server,
-                                 std::shared_ptr<connection> link)
+                                 std::shared_ptr<connection> link, std::function<void()> on_lost)
     : core_(std::move(core)),
       server_(std::move(server)),
       link_(std::move(link)),
+      on_lost_(std::move(on_lost)),
       expiry_(context, [this] { remove_from_pool(); }) {}
 
 void idle_connection::start(base::milliseconds lifetime) {
@@ -100,7 +103,11 @@
 }
 
 void idle_connection::on_lost(const absl::Status& /*status*/) {
+    const auto self = shared_from_this();
     remove_from_pool();
+    if (on_lost_) {
+        on_lost_();
+    }
 }
 
 void idle_connection::remove_from_pool() {
--- a/src/pearbarrow/turns/turn_index.cc
+++ b/src/pearbarrow/turns/turn_index.cc
@@ -35,7 +35,7 @@
         return true;
     }
     const auto known = program->second.reservations.find(value.turn);
-    return known == program->second.reservations.end() || supersedes(value, known->second.first);
+    return known == program->second.reservations.end() || supersedes(value, known->second.value);
 }
 
 void turn_index::add(const stored_turn& turn, base::instant now) {
@@ -136,8 +136,8 @@
 /// has been lost.
 void turn_index::release_open(program_entry& program, base::instant now) {
     for (auto& [turn, known] : program.reservations) {
-        release_if_open(known.first, now);
-        known.first.previous = {};
+        release_if_open(known.value, now);
+        known.value.previous = {};
     }
 }
 
@@ -169,12 +169,14 @@
     if (!entry.value.settled) {
         hold(entry.value.previous);
     }
+    base::instant since = now;
     const auto known = program.reservations.find(entry.value.turn);
     if (known != program.reservations.end()) {
-        changes_.erase(known->second.second);
-        release_if_open(known->second.first, now);
+        changes_.erase(known->second.number);
+        release_if_open(known->second.value, now);
+        since = known->second.since;
     }
-    program.reservations[entry.value.turn] = {entry.value, entry.number};
+    program.reservations[entry.value.turn] = {entry.value, entry.number, since};
     changes_[entry.number] = {entry.value.turn, entry.value.program, true};
 }
 
@@ -185,11 +187,28 @@
         return found;
     }
     for (const auto& [turn, known] : entry->second.reservations) {
-        found.push_back(known.first);
+        found.push_back(known.value);
     }
     return found;
 }
 
+std::vector<reservation_age> turn_index::provisional_ages(const base::program_id& program,
+                                                          base::instant now) const {
+    std::vector<reservation_age> ages;
+    const auto found = programs_.find(program);
+    if (found == programs_.end()) {
+        return ages;
+    }
+    for (const auto& [turn, known] : found->second.reservations) {
+        const auto& software = known.value.software;
+        if (!known.value.settled && software.has_value() && software->is_provisional) {
+            const auto age = std::chrono::duration_cast<base::milliseconds>(now - known.since);
+            ages.push_back({turn, static_cast<std::uint32_t>(age.count())});
+        }
+    }
+    return ages;
+}
+
 std::optional<std::vector<turn_id>> turn_index::chain(const turn_id& last) const {
     std::vector<turn_id> turns;
     for (turn_id at = last; !at.value().empty();) {
@@ -232,7 +251,7 @@
         const change_target& target = at->second;
         if (target.is_reservation) {
             listing.reservations.push_back(
-                programs_.at(target.program).reservations.at(target.turn).first);
+                programs_.at(target.program).reservations.at(target.turn).value);
         } else {
             listing.turns.push_back(target.turn);
         }
@@ -271,8 +290,8 @@
             continue;
         }
         for (const auto& [turn, known] : at->second.reservations) {
-            changes_.erase(known.second);
-            dropped.dropped_reservations.push_back(known.first);
+            changes_.erase(known.number);
+            dropped.dropped_reservations.push_back(known.value);
         }
         at = programs_.erase(at);
     }
--- a/src/pearbarrow/turns/turn_index.h
+++ b/src/pearbarrow/turns/turn_index.h
@@ -65,6 +65,9 @@
     void add(const stored_reservation& entry, base::instant now);
 
     std::vector<reservation> reservations(const base::program_id& program) const;
+    /// Returns the ages of the program's open reservations of provisional streams.
+    std::vector<reservation_age> provisional_ages(const base::program_id& program,
+                                                  base::instant now) const;
     /// Returns the turns of a chain, oldest first, or nothing if a part of it is missing.
     std::optional<std::vector<turn_id>> chain(const turn_id& last) const;
     /// Returns the turn that this one continues; empty if there is none or the turn is not stored.
@@ -101,8 +104,14 @@
         /// Number of stored turns that continue this one.
         std::uint32_t continuations = 0;
     };
+    struct known_reservation {
+        reservation value;
+        change_number number;
+        /// When the first reservation of the turn was stored or loaded.
+        base::instant since;
+    };
     struct program_entry {
-        std::map<turn_id, std::pair<reservation, change_number>> reservations;
+        std::map<turn_id, known_reservation> reservations;
         base::instant expires;
         /// Number of stored turns of the program.
         std::size_t turns = 0;
--- a/src/pearbarrow/turns/turn_operation.h
+++ b/src/pearbarrow/turns/turn_operation.h
@@ -90,6 +90,9 @@
     /// Reservation of the request whose stream this one resumes. If the turn may run and this is
     /// empty, no such request of the program exists.
     std::optional<reservation> resumed;
+    /// Time since that request was reserved, if its reservation is open and provisional; 0 if the
+    /// members do not know it.
+    base::milliseconds resumed_age{0};
     std::size_t members_answered = 0;
     /// Number of members that lack an earlier turn of the chain.
     std::size_t partial_chains = 0;
--- a/src/pearbarrow/turns/turn_preparation.cc
+++ b/src/pearbarrow/turns/turn_preparation.cc
@@ -102,6 +102,11 @@
     member.confirmed = true;
     member.confirmed_complete = reply->is_complete;
     known_.add(reply->reservations);
+    for (const reservation_age& age : reply->provisional_ages) {
+        if (age.turn == request_.resumed) {
+            resumed_age_ = std::max(resumed_age_, base::milliseconds{age.milliseconds});
+        }
+    }
     if (options_.loads != nullptr) {
         options_.loads->apply_totals(reply->load);
     }
@@ -327,6 +332,7 @@
                          .view_revision = view_revision_};
     if (const reservation* resumed = known_.find(request_.resumed); resumed != nullptr) {
         result.resumed = *resumed;
+        result.resumed_age = resumed_age_;
     }
     done(std::move(result));
 }
--- a/src/pearbarrow/turns/turn_preparation.h
+++ b/src/pearbarrow/turns/turn_preparation.h
@@ -108,6 +108,7 @@
     bool rereading_ = false;
     std::uint64_t view_revision_ = 0;
     std::uint32_t group_ = 0;
+    base::milliseconds resumed_age_{0};
     std::unique_ptr<net::timer_handle> timeout_;
     std::unique_ptr<net::timer_handle> chain_timer_;
 };
--- a/src/pearbarrow/turns/turn_types.h
+++ b/src/pearbarrow/turns/turn_types.h
@@ -58,9 +58,15 @@
     /// Number of the choice. The node that serves the request may choose again while no event has
     /// been received; the latest choice applies.
     std::uint32_t choice = 0;
+    /// The process that begins the stream may have another version than its directory entry. Once
+    /// the reservation is settled, this states what the node that served the stream has found.
+    /// Older nodes omit it and the next field.
+    bool is_provisional = false;
+    /// Age of the connection of a provisional stream when it was settled. Milliseconds.
+    std::uint32_t connection_age_ms = 0;
 
     bool operator==(const stream_software&) const = default;
-    MSGPACK_DEFINE(service, version, choice);
+    MSGPACK_DEFINE(service, version, choice, is_provisional, connection_age_ms);
 };
 
 /// Tokens reserved for a turn, or its actual cost once settled.
@@ -71,7 +77,8 @@
     std::uint64_t tokens = 0;
     bool settled = false;
     /// Back end that executed the settled turn and may still cache its prompt; 0 if none. A hint
-    /// for the next turn; older nodes omit it.
+    /// for the next turn. In an open reservation of a provisional stream, the back end that the
+    /// stream is sent to. Older nodes omit it.
     dispatch::backend_key backend = 0;
     /// Present if the turn is a resumable stream; older nodes omit it.
     std::optional<stream_software> software;
@@ -110,6 +117,14 @@
     MSGPACK_DEFINE(wanted, previous, wants_chain, load, view);
 };
 
+/// Time for which a member has known a reservation.
+struct reservation_age {
+    turn_id turn;
+    std::uint32_t milliseconds = 0;
+
+    MSGPACK_DEFINE(turn, milliseconds);
+};
+
 struct reserve_reply {
     /// Whether the member knows everything that it has ever confirmed. A member with a new disk
     /// does not until it has caught up.
@@ -123,8 +138,10 @@
     /// group's view as known to the member; without members if the member knows only that a newer
     /// view exists.
     std::optional<directory::storage_view> newer;
+    /// Ages of the open reservations of provisional streams; older nodes omit them.
+    std::vector<reservation_age> provisional_ages;
 
-    MSGPACK_DEFINE(is_complete, reservations, chain, chain_text, load, newer);
+    MSGPACK_DEFINE(is_complete, reservations, chain, chain_text, load, newer, provisional_ages);
 };
 
 struct read_request {
--- a/tests/unit/fleet/fleet_fixture.h
+++ b/tests/unit/fleet/fleet_fixture.h
@@ -56,6 +56,7 @@
     static forward::forward_options options(base::milliseconds store_timeout) {
         forward::forward_options options;
         options.headers = platform::platform_headers();
+        options.processes = platform::platform_process_reports();
         options.store_timeout = store_timeout;
         return options;
     }
@@ -179,7 +180,8 @@
     emulator::runner& add_runner(const std::string& service, const std::string& id,
                                  const std::string& zone = "a", const std::string& version = "v1") {
         auto& runner = runners.emplace_back(
-            loop, emulator::runner_options{.id = id, .zone = zone, .version = version});
+            loop, emulator::runner_options{
+                      .id = id, .zone = zone, .version = version, .born = this->started_at});
         cr_assert(runner.start().ok());
         store.put("servers/" + id, runner.list_entry(service));
         return runner;
@@ -262,6 +264,8 @@
     /// Applies to edges that start later. The default is that of the product, since a synced write
     /// to a shared disk takes up to 2.6 s. A test that waits for the timeout sets a shorter one.
     base::milliseconds store_timeout = forward::forward_options().store_timeout;
+    /// Start time that added runners state, in Unix milliseconds; 0: they state none.
+    std::uint64_t started_at = 0;
     std::vector<settings::fleet_settings> edge_settings;
     std::vector<settings::fleet_settings> storage_settings;
     std::vector<std::unique_ptr<running_edge>> edges;
--- a/tests/unit/fleet/stream_fixture.h
+++ b/tests/unit/fleet/stream_fixture.h
@@ -11,7 +11,12 @@
 
 /// A fleet whose model service has two back ends of each of two versions.
 struct two_versions_fixture {
-    explicit two_versions_fixture(std::size_t edges = 2) : fleet(3, edges) {
+    static constexpr std::uint64_t stated_start = 1'600'000'000'000;
+
+    /// With `started_at` 0 the back ends do not state when they started.
+    explicit two_versions_fixture(std::size_t edges = 2, std::uint64_t started_at = stated_start)
+        : fleet(3, edges) {
+        this->fleet.started_at = started_at;
         this->fleet.make_ready();
         this->fleet.add_runner("model", "i-old", "a", "v1");
         this->fleet.add_runner("model", "i-new", "a", "v2");
