Framing without end is malformed, and early ends count as load

Cause: the parser consumes the framing of a chunk only as a whole, and what it had not consumed was buffered without a bound and scanned again with each read; interim responses were not counted. A back end whose attempts end early, by failing or because callers leave, seemed the least loaded.

Responses and requests whose unconsumed framing exceeds 64 KiB (requests: the header limit) are malformed, as are more than 32 interim responses. An attempt that ends early counts as load until the mean service time has passed.

--- a/src/pearbarrow/forward/backend_identity.cc
+++ b/src/pearbarrow/forward/backend_identity.cc
@@ -8,6 +8,7 @@
 using suspects::identity_reply;
 
 constexpr int misdirected_status = 421;
+constexpr std::size_t max_health_body_bytes = std::size_t{64} * 1024;
 
 class health_check final : public suspects::identity_question {
   public:
@@ -65,7 +66,9 @@
                         .body = "",
                         .connect_timeout = timeout,
                         .head_timeout = timeout,
-                        .idle_timeout = timeout};
+                        .idle_timeout = timeout,
+                        .total_timeout = 2 * timeout,
+                        .max_body_bytes = max_health_body_bytes};
     // An open connection may have been silent for a long time, so each question opens its own.
     call.server_incarnation = ++this->questions;
     auto question = std::make_unique<health_check>(target.id, this->headers.responding_backend,
--- a/src/pearbarrow/forward/backend_pool.cc
+++ b/src/pearbarrow/forward/backend_pool.cc
@@ -256,8 +256,10 @@
 
 backend_pool::candidate_entry backend_pool::with_remote_load(const pool_entry& entry,
                                                              base::instant now) const {
-    return {&entry,
-            remote_load_ == nullptr ? dispatch::backend_load{} : remote_load_->at(entry.key, now)};
+    return {.entry = &entry,
+            .others = remote_load_ == nullptr ? dispatch::backend_load{}
+                                              : remote_load_->at(entry.key, now),
+            .ended_early = entry.early_load(now)};
 }
 
 std::vector<choice_candidate> backend_pool::with_load(const candidate_entries& fit,
--- a/src/pearbarrow/forward/backend_pool.h
+++ b/src/pearbarrow/forward/backend_pool.h
@@ -212,8 +212,8 @@
     /// exclusion of the back end.
     bool is_long_silence(const directory::backend_incarnation& incarnation,
                          base::microseconds silence) const;
-    /// Records the end of an attempt. Call `on_response_head` first. `took` is used only if a
-    /// response was received.
+    /// Records the end of an attempt. Call `on_response_head` first. `took`: time to the response
+    /// or, of an attempt without a whole response, its duration.
     void on_attempt_ended(const directory::backend_incarnation& incarnation, attempt_result result,
                           base::microseconds took, base::instant now);
     /// Records the time from sending a request to the end of its response.
@@ -264,6 +264,9 @@
     struct candidate_entry {
         const pool_entry* entry;
         dispatch::backend_load others;
+        /// Attempts of this node that ended early and count as in flight. Otherwise the back end
+        /// that fails fastest, or whose callers leave first, would seem the least loaded.
+        std::size_t ended_early = 0;
         /// Whether the back end is in the preferred set of this node.
         bool is_preferred = true;
         /// See `choice_candidate::is_reused`.
@@ -309,6 +312,7 @@
     /// Records a result for this node and for its reports to other nodes.
     void record_result(pool_entry& entry, attempt_result result, base::instant now) const;
     base::milliseconds backoff_after(const pool_entry& entry, attempt_result result) const;
+    void record_early_end(pool_entry& entry, base::microseconds took, base::instant now) const;
     void apply_present(const directory::backend& backend, base::instant now);
     /// Forgets versions whose back ends left some time ago.
     void remove_departed_versions(base::instant now);
--- a/src/pearbarrow/forward/cost_inputs.cc
+++ b/src/pearbarrow/forward/cost_inputs.cc
@@ -68,9 +68,10 @@
         item.region = round_trips_.region_of(entry.backend.zone);
         item.unread_tokens = entry.unread_tokens + others.unread_tokens;
         item.ran_previous = request.previous_backend != 0 && request.previous_backend == entry.key;
-        item.requests = entry.in_flight + others.requests;
+        const std::size_t own = entry.in_flight + fit[index].ended_early;
+        item.requests = own + others.requests;
         item.generating_us = events * event_time(fit[index], typical, now);
-        const double busy = entry.in_flight + others.requests + 1.0;
+        const double busy = static_cast<double>(own + others.requests) + 1.0;
         item.queue_us =
             std::max(0.0, busy - item.slots) / item.slots * (item.generating_us + entry.mean_time);
         item.round_trip_us = round_trips_.round_trip_us(entry.backend.zone);
--- a/src/pearbarrow/forward/forwarded_attempt.cc
+++ b/src/pearbarrow/forward/forwarded_attempt.cc
@@ -313,8 +313,10 @@
     // The end of the attempt may be a sign that the process has ended.
     was_process_proven_ =
         context_.pool.was_process_proven(target_, first_heard_at_.value_or(now), now);
-    const auto took = is_stream() && event_count_ > 0 ? first_event_ - attempt_started_at_
-                                                      : now - attempt_started_at_;
+    const bool has_response = result == attempt_result::served || result == attempt_result::failed;
+    const auto took = has_response && is_stream() && event_count_ > 0
+                          ? first_event_ - attempt_started_at_
+                          : now - attempt_started_at_;
     if (result == attempt_result::served) {
         context_.pool.record_service_time(target_.incarnation(), now - attempt_started_at_);
     }
--- a/src/pearbarrow/forward/pool_entry.h
+++ b/src/pearbarrow/forward/pool_entry.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <iterator>
 #include <optional>
 #include <set>
 
@@ -40,6 +41,9 @@
     /// Prompt tokens of this node for which no first event has been received.
     double unread_tokens = 0;
     std::optional<base::instant> last_connected;
+    /// Attempts that ended without a whole response sooner than a request of the service takes, by
+    /// the time at which it would have ended.
+    std::multiset<base::instant> ended_early;
     process_evidence process;
     /// The process that the entry described before, and when the entry changed.
     struct replaced_process {
@@ -49,6 +53,11 @@
     };
     std::optional<replaced_process> replaced;
 
+    /// Returns the number of attempts in `ended_early` that would still be in flight.
+    std::size_t early_load(base::instant now) const {
+        return static_cast<std::size_t>(
+            std::distance(this->ended_early.upper_bound(now), this->ended_early.end()));
+    }
     /// Returns whether the directory entry permits new requests.
     bool is_usable() const { return listed && !backend.draining; }
 };
--- a/src/pearbarrow/forward/pool_results.cc
+++ b/src/pearbarrow/forward/pool_results.cc
@@ -9,6 +9,7 @@
 
 /// Weight of the newest response in the mean time.
 constexpr double newest_weight = 0.2;
+constexpr std::size_t max_early_ends = 256;
 
 bool counts_as_failure(attempt_result result) {
     return result == attempt_result::refused || result == attempt_result::unreachable ||
@@ -85,6 +86,9 @@
         entry.last_connected = now;
     }
     record_result(entry, result, now);
+    if (result == attempt_result::abandoned || result == attempt_result::broken) {
+        record_early_end(entry, took, now);
+    }
     if (counts_as_failure(result) && result != attempt_result::refused) {
         entry.process.on_doubt(now);
     }
@@ -103,6 +107,19 @@
     }
 }
 
+void backend_pool::record_early_end(pool_entry& entry, base::microseconds took,
+                                    base::instant now) const {
+    const auto mean = mean_service_times_.find(entry.backend.service);
+    if (mean == mean_service_times_.end()) {
+        return;
+    }
+    entry.ended_early.erase(entry.ended_early.begin(), entry.ended_early.upper_bound(now));
+    const base::microseconds expected(static_cast<std::int64_t>(mean->second * 1e6));
+    if (took < expected && entry.ended_early.size() < max_early_ends) {
+        entry.ended_early.insert(now + (expected - took));
+    }
+}
+
 void backend_pool::record_result(pool_entry& entry, attempt_result result,
                                  base::instant now) const {
     switch (result) {
--- a/src/pearbarrow/forward/process_inquiry.cc
+++ b/src/pearbarrow/forward/process_inquiry.cc
@@ -62,6 +62,7 @@
                         .connect_timeout = this->options.timeout,
                         .head_timeout = this->options.timeout,
                         .idle_timeout = this->options.timeout,
+                        .total_timeout = this->options.timeout,
                         .max_body_bytes = max_report_bytes};
     // An idle connection may lead to a process that has ended.
     call.server_incarnation = ++this->questions;
--- a/src/pearbarrow/forward/service_load.cc
+++ b/src/pearbarrow/forward/service_load.cc
@@ -9,7 +9,8 @@
 namespace pearbarrow::forward {
 
 double backend_pool::fullness(const candidate_entry& item) {
-    return static_cast<double>(item.entry->in_flight + item.others.requests + 1) /
+    return static_cast<double>(item.entry->in_flight + item.ended_early + item.others.requests +
+                               1) /
            std::max(1U, item.entry->backend.slots);
 }
 
--- a/src/pearbarrow/net/http.h
+++ b/src/pearbarrow/net/http.h
@@ -168,6 +168,8 @@
     base::milliseconds head_timeout{10'000};
     /// Timeout between two chunks of the body. Zero disables it.
     base::milliseconds idle_timeout{30'000};
+    /// Timeout of the whole call. Zero disables it.
+    base::milliseconds total_timeout{0};
     std::size_t max_body_bytes = std::size_t{64} * 1024 * 1024;
     /// Called each time just before the request is sent on a connection. If it returns false, the
     /// request is not sent and the call ends with reason `withdrawn`. An empty function allows
--- a/src/pearbarrow/net/http_call_core.cc
+++ b/src/pearbarrow/net/http_call_core.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::size_t client_read_bytes = std::size_t{16} * 1024;
+/// A server that sends more interim responses (1xx) to one request is taken for malfunctioning.
+constexpr std::uint32_t max_interim_responses = 32;
 
 }  // namespace
 
@@ -19,7 +21,8 @@
     : core_(std::move(core)),
       call_(std::move(call)),
       callbacks_(std::move(callbacks)),
-      deadline_(core_->context, [this] { on_timeout(); }) {}
+      deadline_(core_->context, [this] { on_timeout(); }),
+      total_deadline_(core_->context, [this] { on_timeout(); }) {}
 
 void http_call_core::start() {
     if (done_) {
@@ -28,6 +31,9 @@
     if (call_.head_timeout.count() > 0) {
         deadline_.set_after(call_.head_timeout);
     }
+    if (call_.total_timeout.count() > 0) {
+        total_deadline_.set_after(call_.total_timeout);
+    }
     if (!core_->tls_status.ok()) {
         end(core_->tls_status);
         return;
@@ -147,6 +153,12 @@
                     return;
                 }
                 // "100 Continue" or "103 Early Hints": the final response follows.
+                if (++interim_responses_ > max_interim_responses) {
+                    end_.connection = connection_end::malformed;
+                    fail(absl::StatusCode::kUnavailable, "too many interim responses", "read",
+                         "malformed_response");
+                    return;
+                }
                 start_response();
                 break;
             case read_progress::failed:
@@ -309,6 +321,7 @@
     }
     done_ = true;
     deadline_.clear();
+    total_deadline_.clear();
     if (link_ != nullptr) {
         link_->close();
     }
--- a/src/pearbarrow/net/http_call_core.h
+++ b/src/pearbarrow/net/http_call_core.h
@@ -116,10 +116,12 @@
     http_call call_;
     http_call_callbacks callbacks_;
     deadline deadline_;
+    deadline total_deadline_;
     std::shared_ptr<connection> link_;
     std::unique_ptr<http_response_reader> reader_;
     std::string inbox_;
     std::uint64_t request_position_ = 0;
+    std::uint32_t interim_responses_ = 0;
     bool was_idle_ = false;
     /// Whether the request was sent on any connection, including one that broke.
     bool was_sent_ = false;
--- a/src/pearbarrow/net/http_codec.cc
+++ b/src/pearbarrow/net/http_codec.cc
@@ -72,6 +72,8 @@
 
 struct http_request_reader::state {
     http::request_parser<http::string_body> parser;
+    /// The parser consumes the framing of a chunk (its size line, or the trailer) only as a whole.
+    std::size_t max_framing_bytes = 0;
     error_code error;
     bool has_input = false;
     bool head_reported = false;
@@ -81,6 +83,7 @@
     : state_(std::make_unique<state>()) {
     state_->parser.header_limit(static_cast<std::uint32_t>(max_header_bytes));
     state_->parser.body_limit(max_body_bytes);
+    state_->max_framing_bytes = max_header_bytes;
 }
 
 http_request_reader::~http_request_reader() = default;
@@ -111,6 +114,10 @@
         }
     }
     buffer.erase(0, consumed);
+    if (progress == read_progress::need_more && buffer.size() > state_->max_framing_bytes) {
+        state_->error = http::error::header_limit;
+        return read_progress::failed;
+    }
     return progress;
 }
 
--- a/src/pearbarrow/net/http_response_reader.cc
+++ b/src/pearbarrow/net/http_response_reader.cc
@@ -16,6 +16,9 @@
 using error_code = boost::system::error_code;
 
 constexpr std::uint32_t max_response_header_bytes = 64 * 1024;
+/// The parser consumes the framing of a chunk (its size line, or the trailer) only as a whole.
+/// Longer framing is malformed.
+constexpr std::size_t max_framing_bytes = max_response_header_bytes;
 
 /// A Beast body type that passes data on instead of storing it. Beast prescribes the names.
 struct forwarded_body {
@@ -61,6 +64,7 @@
     bool has_input = false;
     bool head_reported = false;
     bool has_body = true;
+    bool has_long_framing = false;
 };
 
 http_response_reader::http_response_reader(options options) : state_(std::make_unique<state>()) {
@@ -100,6 +104,10 @@
         }
     }
     buffer.erase(0, consumed);
+    if (progress == read_progress::need_more && buffer.size() > max_framing_bytes) {
+        state_->has_long_framing = true;
+        return read_progress::failed;
+    }
     return progress;
 }
 
@@ -131,6 +139,9 @@
 }
 
 std::string http_response_reader::failure() const {
+    if (state_->has_long_framing) {
+        return "a chunk size or trailer is too long";
+    }
     return state_->error ? state_->error.message() : "the answer is not whole";
 }
 
--- a/tests/unit/forward/backend_pool_test.cc
+++ b/tests/unit/forward/backend_pool_test.cc
@@ -500,3 +500,31 @@
     fixture.now += milliseconds{3'000};
     cr_assert(fixture.pool.load_of("service", fixture.now).slots == 8, "both are warm");
 }
+
+// Callers leave one back end at once, and wait for the others.
+Test(backend_pool, back_end_whose_callers_leave_first_attracts_no_more_requests) {
+    pool_fixture fixture({backend_of("left"), backend_of("b"), backend_of("c"), backend_of("d")});
+    std::map<std::string, int> sent;
+    std::multimap<base::instant, std::string> ends;
+    for (int step = 0; step < 4'000; ++step) {
+        fixture.now += base::milliseconds{2};
+        while (!ends.empty() && ends.begin()->first <= fixture.now) {
+            const directory::backend_incarnation ended(ends.begin()->second);
+            ends.erase(ends.begin());
+            fixture.pool.record_service_time(ended, base::milliseconds{20});
+            fixture.pool.on_attempt_ended(ended, attempt_result::served, base::milliseconds{20},
+                                          fixture.now);
+        }
+        const std::string chosen = fixture.choose();
+        fixture.pool.on_response_head(directory::backend_incarnation(chosen), fixture.now);
+        ++sent[chosen];
+        if (chosen == "left") {
+            fixture.pool.on_attempt_ended(directory::backend_incarnation(chosen),
+                                          attempt_result::abandoned, base::milliseconds{0},
+                                          fixture.now);
+        } else {
+            ends.emplace(fixture.now + base::milliseconds{20}, chosen);
+        }
+    }
+    cr_assert(sent["left"] < 4'000 * 3 / 10, "%d of 4,000", sent["left"]);
+}
