--- a/src/pearbarrow/forward/forwarded_processes.cc
+++ b/src/pearbarrow/forward/forwarded_processes.cc
@@ -70,17 +70,20 @@
             call_->resume();
             return;
         }
-        process_timer_ = context_.loop.after(base::milliseconds{0}, [this] {
-            break_off("the back end may have been replaced", "process_unproven");
-        });
+        break_off_unproven();
     });
     if (inquiries_.size() == asked) {
-        process_timer_ = context_.loop.after(base::milliseconds{0}, [this] {
-            break_off("the back end may have been replaced", "process_unproven");
-        });
+        break_off_unproven();
     }
 }
 
+/// The timer returns to the loop, because this may run within a callback of the call.
+void forwarded_request::break_off_unproven() {
+    process_timer_ = context_.loop.after(base::milliseconds{0}, [this] {
+        break_off("the back end may have been replaced", "process_unproven");
+    });
+}
+
 bool forwarded_request::has_sole_version() const {
     return context_.pool.sole_version(service_, sole_version_time, context_.clock.now())
         .has_value();
@@ -111,11 +114,14 @@
     version_known_at_ = context_.clock.now() + std::max(left, base::milliseconds{0});
     const auto backend = context_.pool.find_unchanged(began_at_, software_->version);
     if (backend.has_value() && left.count() > 0) {
+        const std::size_t asked = inquiries_.size();
         ask_process(*backend, [this](process_statement statement) {
+            is_asking_version_ = false;
             if (statement == process_statement::same) {
                 version_known_at_ = context_.clock.now();
             }
         });
+        is_asking_version_ = inquiries_.size() > asked;
     }
     // The timer returns to the loop, because this may run within a callback of the preparation.
     process_timer_ = context_.loop.after(base::milliseconds{0}, [this] { check_began_version(); });
@@ -160,7 +166,7 @@
         return;
     }
     const base::microseconds left = *version_known_at_ - now;
-    if (*version_known_at_ > arrived_ + max_wait) {
+    if (*version_known_at_ > arrived_ + max_wait && !is_asking_version_) {
         reject_resumed(503, "stream_version_unsettled",
                        "the software version that began the stream is not known yet",
                        std::chrono::ceil<base::milliseconds>(left));
--- a/src/pearbarrow/forward/forwarded_request.h
+++ b/src/pearbarrow/forward/forwarded_request.h
@@ -151,6 +151,7 @@
     bool is_head_proven() const;
     /// Asks the process whose head came late, and passes the response on if it is the listed one.
     void verify_process();
+    void break_off_unproven();
 
     /// Returns whether the route uses the service.
     bool serves(const std::string& service) const;
@@ -342,6 +343,8 @@
     /// Back end that began the resumed stream, and when its version is known.
     dispatch::backend_key began_at_ = 0;
     std::optional<base::instant> version_known_at_;
+    /// Whether that back end has been asked and has not replied.
+    bool is_asking_version_ = false;
     std::unique_ptr<net::timer_handle> process_timer_;
     std::vector<std::unique_ptr<net::http_call_handle>> inquiries_;
     /// Back ends whose processes are not the listed ones, or not known to be.
