Streams of a service with one version go on without proof of their processes

fleet_stream_end_tests failed on (stream_resumed_after_its_last_whole_ event_is_complete): the only back end, which states no start time, had dropped the stream and was not used again.

fleet_stream_end_tests 8, fleet_stream_tests 11, fleet_stream_restart_tests 2 and forward_tests 117 pass.

--- a/src/pearbarrow/forward/backend_pool.h
+++ b/src/pearbarrow/forward/backend_pool.h
@@ -72,9 +72,8 @@
     bool avoids_failures = false;
     /// Whether only back ends are selected whose process is known to be the listed one.
     bool requires_proof = false;
-    /// With `requires_proof`, whether a back end without a start time is also selected while there
-    /// is no sign that its process has ended.
-    bool accepts_undoubted = false;
+    /// With `requires_proof`, whether back ends that state no start time need no proof.
+    bool accepts_unstated = false;
     /// Back ends to which this request was already sent, by id: a back end that restarted just
     /// after the request broke there is the least likely to serve it in time.
     std::set<std::string> excluded;
--- a/src/pearbarrow/forward/forwarded_attempt.cc
+++ b/src/pearbarrow/forward/forwarded_attempt.cc
@@ -104,7 +104,7 @@
                            .affinity_key = is_stream() ? scoped(facts_.program) : "",
                            .avoids_failures = is_resumed(),
                            .requires_proof = is_resumed(),
-                           .accepts_undoubted = is_resumed() && has_sole_version(),
+                           .accepts_unstated = is_resumed() && has_sole_version(),
                            .excluded = tried_backends_,
                            .region_limits = placement_bounds(),
                            .without_permit = without_permit_,
--- a/src/pearbarrow/forward/forwarded_processes.cc
+++ b/src/pearbarrow/forward/forwarded_processes.cc
@@ -100,7 +100,7 @@
     if (began.settled && std::exchange(began_at_, began.backend) == 0) {
         context_.pool.on_process_doubted(began.backend, context_.clock.now());
     }
-    if (!software_->is_provisional) {
+    if (!software_->is_provisional || has_sole_version()) {
         return true;
     }
     began_at_ = began.backend;
--- a/src/pearbarrow/forward/forwarded_turn.cc
+++ b/src/pearbarrow/forward/forwarded_turn.cc
@@ -23,7 +23,8 @@
         const base::instant now = context_.clock.now();
         const auto age =
             std::chrono::duration_cast<base::milliseconds>(now - first_heard_at_.value_or(now));
-        settled.software->is_provisional = event_count_ > 0 && !was_process_proven_;
+        settled.software->is_provisional =
+            event_count_ > 0 && !was_process_proven_ && !has_sole_version();
         settled.software->connection_age_ms = static_cast<std::uint32_t>(
             std::clamp<std::int64_t>(age.count(), 0, std::numeric_limits<std::uint32_t>::max()));
     }
--- a/src/pearbarrow/forward/pool_processes.cc
+++ b/src/pearbarrow/forward/pool_processes.cc
@@ -64,8 +64,7 @@
     if (!request.requires_proof || has_proven_process(entry, now)) {
         return true;
     }
-    return request.accepts_undoubted && entry.backend.started_at == 0 &&
-           !entry.process.may_have_ended(options_.evidence);
+    return request.accepts_unstated && entry.backend.started_at == 0;
 }
 
 bool backend_pool::may_use_connection(const directory::backend_incarnation& incarnation,
@@ -79,7 +78,7 @@
     const bool is_proven = entry.process.covers(options_.evidence, first_heard_at) &&
                            entry.process.is_proven(options_.evidence, now) &&
                            !entry.process.may_have_ended(options_.evidence);
-    return is_proven || (request.accepts_undoubted && accepts_process(entry, request, now));
+    return is_proven || (request.accepts_unstated && entry.backend.started_at == 0);
 }
 
 std::vector<directory::backend> backend_pool::unproven_backends(const choice_request& request,
