--- a/tests/unit/fleet/stream_soak_test.cc
+++ b/tests/unit/fleet/stream_soak_test.cc
@@ -21,6 +21,8 @@
 
 constexpr std::size_t max_open_streams = 24;
 constexpr int max_attempts = 5;
+/// Start time that the back ends state, in Unix milliseconds.
+constexpr std::uint64_t started_at = 1'600'000'000'000;
 /// Number of back ends of the model service below which none is drained.
 constexpr std::size_t model_count = 6;
 /// Longest time until a calm fleet serves every request again: the interval in which the directory
@@ -68,6 +70,7 @@
 class stream_soak {
   public:
     stream_soak(std::uint64_t seed, std::size_t edge_count) : random_(seed), fleet_(3, edge_count) {
+        fleet_.started_at = started_at;
         fleet_.make_ready();
         for (std::size_t index = 0; index < model_count; ++index) {
             add_model(index % 2 == 0 ? "v1" : "v2");
