Log responses that callers have not received as a whole

What callers saw: a request that is logged as served ends without a whole response. Nothing in the logs or metrics tells it from one that was delivered, since request_ended is written when the last bytes are queued, and an edge ends with the line stopped and nothing else.

An HTTP server now knows each request whose response its client has not received: still arriving, in progress, unsent, or not acknowledged. response_undelivered names the request, its caller, the bytes and the reason when a connection ends early, and for each response that is given up at the end of the process.

No decision changes.

--- a/src/pearbarrow/fleet/edge_node.cc
+++ b/src/pearbarrow/fleet/edge_node.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "pearbarrow/base/log.h"
 #include "pearbarrow/fleet/traffic_names.h"
 #include "pearbarrow/fleet/zone_gauges.h"
 #include "pearbarrow/places/storage_zones.h"
@@ -60,6 +61,11 @@
                                              : forward::make_unlimited_admission();
 }
 
+/// Reason of responses that are given up because the process ends.
+constexpr char stopped_reason[] = "node_stopped";
+/// Limit for the log lines about responses that are given up at the end of the process.
+constexpr std::size_t max_undelivered_lines = 100;
+
 net::http_server_options caller_options(const node_parts& parts) {
     net::http_server_options options;
     options.listen = to_endpoint(parts.settings().caller);
@@ -131,7 +137,12 @@
 edge_node::~edge_node() = default;
 
 absl::Status edge_node::start() {
-    callers_ = net::make_http_server(parts_.loop(), caller_options(parts_),
+    net::http_server_options callers = caller_options(parts_);
+    callers.request_id_header = context_.options.headers.request_id;
+    callers.on_undelivered = [this](const net::undelivered_response& response) {
+        log_.undelivered(response);
+    };
+    callers_ = net::make_http_server(parts_.loop(), std::move(callers),
                                      [this](std::shared_ptr<net::http_exchange> exchange) {
                                          service_.handle(std::move(exchange));
                                      });
@@ -270,6 +281,10 @@
     registry
         .add_gauge("pearbarrow_requests_open", "Requests of callers that have no whole answer yet")
         .set(static_cast<double>(callers_->open_exchanges()));
+    registry
+        .add_gauge("pearbarrow_responses_undelivered",
+                   "Requests of callers whose responses they have not received as a whole")
+        .set(static_cast<double>(callers_->undelivered().size()));
 }
 
 net::endpoint edge_node::relay_peer() {
@@ -301,10 +316,24 @@
 void edge_node::finish_when_idle() {
     const bool idle = callers_->open_exchanges() == 0 && end_monitor_.has_reported_all();
     if (idle || parts_.clock().now() >= stop_deadline_) {
+        log_undelivered();
         on_stopped_();
         return;
     }
     stop_timer_ = parts_.loop().after(idle_poll_interval, [this] { finish_when_idle(); });
 }
 
+void edge_node::log_undelivered() {
+    std::vector<net::undelivered_response> given_up = callers_->undelivered();
+    if (given_up.empty()) {
+        return;
+    }
+    base::log(base::log_level::warning, "responses_given_up", {{"responses", given_up.size()}});
+    given_up.resize(std::min(given_up.size(), max_undelivered_lines));
+    for (net::undelivered_response& response : given_up) {
+        response.reason = stopped_reason;
+        log_.undelivered(response);
+    }
+}
+
 }  // namespace pearbarrow::fleet
--- a/src/pearbarrow/fleet/edge_node.h
+++ b/src/pearbarrow/fleet/edge_node.h
@@ -41,6 +41,8 @@
     std::string health_path_of(const std::string& service) const;
     void respond_readiness(const std::shared_ptr<net::http_exchange>& exchange) const;
     void finish_when_idle();
+    /// Logs the requests whose responses are given up because the process ends.
+    void log_undelivered();
     void collect(base::metrics_registry& registry) const;
     /// Starts or stops polling for gaps in updates. Only services with a cold rate need it.
     void update_gap_polling();
--- a/src/pearbarrow/forward/forward_log.cc
+++ b/src/pearbarrow/forward/forward_log.cc
@@ -36,6 +36,21 @@
     base::log(base::log_level::info, event, std::move(fields));
 }
 
+void forward_log::undelivered(const net::undelivered_response& response) {
+    const std::string stage(net::to_string(response.stage));
+    const std::string reason = response.reason.empty() ? "closed" : response.reason;
+    metrics_
+        .add_counter("pearbarrow_forward_undelivered_total",
+                     "Responses that callers did not receive as a whole",
+                     {{"stage", stage}, {"reason", reason}})
+        .increment();
+    notable("response_undelivered", {{"request", response.request},
+                                     {"peer", response.peer},
+                                     {"stage", stage},
+                                     {"bytes", response.bytes},
+                                     {"reason", reason}});
+}
+
 void forward_log::count_response(std::string_view kind, int status, std::string_view reason,
                                  base::microseconds took) {
     metrics_
--- a/src/pearbarrow/forward/forward_log.h
+++ b/src/pearbarrow/forward/forward_log.h
@@ -14,6 +14,7 @@
 
 #include "pearbarrow/base/clock.h"
 #include "pearbarrow/base/metrics.h"
+#include "pearbarrow/net/http.h"
 #include "pearbarrow/net/response_end.h"
 
 namespace pearbarrow::forward {
@@ -41,6 +42,8 @@
     void unannounced(std::string_view event, nlohmann::json fields);
     /// Writes a line unconditionally.
     void notable(std::string_view event, nlohmann::json fields);
+    /// Writes a line about a response that its caller did not receive as a whole, and counts it.
+    void undelivered(const net::undelivered_response& response);
     /// Counts a response. `kind` is that of the route, `status` the HTTP status and `reason` the
     /// reason code of a response created by this node.
     void count_response(std::string_view kind, int status, std::string_view reason,
--- a/src/pearbarrow/net/connection.cc
+++ b/src/pearbarrow/net/connection.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/ssl/host_name_verification.hpp>
@@ -255,7 +256,7 @@
         // The error is reported from the event loop because the user may be inside one of its own
         // calls.
         auto user = user_;
-        close();
+        close_because("slow_reader");
         boost::asio::post(context_, [user = std::move(user), status] {
             if (user != nullptr) {
                 user->on_lost(status);
@@ -400,11 +401,28 @@
     resume_reading();
 }
 
+std::size_t connection::unacknowledged_bytes() {
+    int bytes = 0;
+    const bool is_known = ::ioctl(socket_.native_handle(), TIOCOUTQ, &bytes) == 0;
+    return is_known && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 void connection::close() {
+    close_because({});
+}
+
+void connection::close_because(std::string reason) {
     if (!open_) {
         return;
     }
     open_ = false;
+    if (on_ended_) {
+        closed_connection end{.unsent_bytes = pending_,
+                              .unacknowledged_bytes = unacknowledged_bytes(),
+                              .reason = std::move(reason)};
+        boost::asio::post(context_, [callback = std::exchange(on_ended_, nullptr),
+                                     end = std::move(end)] { callback(end); });
+    }
     write_deadline_.clear();
     error_code ignored;
     socket_.close(ignored);
@@ -430,7 +448,7 @@
     }
     const auto self = shared_from_this();
     const auto user = user_;
-    close();
+    close_because(base::details_of(status).reason);
     if (user != nullptr) {
         user->on_lost(status);
     }
--- a/src/pearbarrow/net/connection.h
+++ b/src/pearbarrow/net/connection.h
@@ -36,6 +36,16 @@
     virtual void on_progress() {}
 };
 
+/// State of the sent bytes when a connection ends.
+struct closed_connection {
+    /// Queued bytes that the kernel had not accepted.
+    std::size_t unsent_bytes = 0;
+    /// Bytes that the kernel had accepted and the peer had not acknowledged.
+    std::size_t unacknowledged_bytes = 0;
+    /// Why the connection ended. Empty if this side closed it.
+    std::string reason;
+};
+
 struct connection_options {
     std::size_t max_pending_bytes = std::size_t{64} * 1024 * 1024;
     base::milliseconds write_timeout{30'000};
@@ -82,11 +92,20 @@
     /// ignores the call; exceeding `max_pending_bytes` closes the connection.
     void write(std::string bytes);
     std::size_t pending_bytes() const { return pending_; }
+    /// Number of bytes that the kernel has accepted and the peer has not acknowledged; 0 if the
+    /// system does not tell.
+    std::size_t unacknowledged_bytes();
     /// Stream position of the next byte to be queued.
     std::uint64_t queued_position() const { return queued_position_; }
     /// Whether a byte at or after `position` may have reached the kernel.
     bool may_have_sent(std::uint64_t position) const { return submitted_position_ > position; }
 
+    /// Sets a callback that runs once, from the event loop, after the connection has ended. Bytes
+    /// that the kernel has accepted by then are still delivered if the peer takes them.
+    void on_ended(std::function<void(const closed_connection&)> callback) {
+        on_ended_ = std::move(callback);
+    }
+
     /// Runs `task` on the event loop after the current callback.
     void post(std::function<void()> task);
 
@@ -129,6 +148,7 @@
     void set_reset_on_close(bool is_enabled);
     void end_gracefully();
     void close_with_error(const absl::Status& status);
+    void close_because(std::string reason);
     void release_user();
     absl::Status connection_error(const error_code& error, std::string_view step) const;
 
@@ -150,6 +170,7 @@
     std::uint64_t written_position_ = 0;
     std::uint64_t submitted_position_ = 0;
     deadline write_deadline_;
+    std::function<void(const closed_connection&)> on_ended_;
     std::string peer_;
     std::optional<std::chrono::steady_clock::time_point> first_bytes_at_;
     bool open_ = true;
--- a/src/pearbarrow/net/http.h
+++ b/src/pearbarrow/net/http.h
@@ -102,8 +102,39 @@
 
 using http_handler = std::function<void(std::shared_ptr<http_exchange>)>;
 
+/// Why a client has not received the whole response to a request.
+enum class delivery_stage {
+    /// The request has arrived in part.
+    request_arriving,
+    /// The request is being processed, or its response is incomplete.
+    in_progress,
+    /// The kernel has not accepted all bytes of the complete response.
+    unsent,
+    /// The client has not acknowledged all bytes of the complete response.
+    unacknowledged,
+};
+
+std::string_view to_string(delivery_stage stage);
+
+/// A response that the client has not received as a whole.
+struct undelivered_response {
+    /// Value of `http_server_options::request_id_header` in the request; empty if unknown.
+    std::string request;
+    /// Address of the client.
+    std::string peer;
+    delivery_stage stage = delivery_stage::in_progress;
+    /// Queued bytes, and bytes in the kernel.
+    std::size_t bytes = 0;
+    /// Why the connection ended; empty while it is open, and if the server closed it.
+    std::string reason;
+};
+
 struct http_server_options {
     endpoint listen;
+    /// Name of the request header that identifies a request in `undelivered_response`.
+    std::string request_id_header;
+    /// Runs when a connection ends before all bytes of a complete response were sent.
+    std::function<void(const undelivered_response&)> on_undelivered;
     std::size_t max_header_bytes = std::size_t{16} * 1024;
     std::size_t max_body_bytes = std::size_t{8} * 1024 * 1024;
     std::size_t max_connections = 4096;
@@ -139,6 +170,8 @@
     virtual void set_limits(std::size_t max_header_bytes, std::size_t max_body_bytes,
                             base::milliseconds request_timeout) = 0;
     virtual std::size_t open_exchanges() const = 0;
+    /// Requests whose responses their clients have not received as a whole.
+    virtual std::vector<undelivered_response> undelivered() const = 0;
     /// Reloads the key files. Open connections keep their keys.
     virtual absl::Status reload_tls() = 0;
 };
--- a/src/pearbarrow/net/http_server.cc
+++ b/src/pearbarrow/net/http_server.cc
@@ -55,6 +55,8 @@
 
     std::size_t open_exchanges() const override { return core_->open_exchanges; }
 
+    std::vector<undelivered_response> undelivered() const override { return core_->undelivered(); }
+
     absl::Status reload_tls() override {
         if (!core_->options.tls.has_value()) {
             return absl::OkStatus();
--- a/src/pearbarrow/net/http_session.cc
+++ b/src/pearbarrow/net/http_session.cc
@@ -17,6 +17,20 @@
 
 }  // namespace
 
+std::string_view to_string(delivery_stage stage) {
+    switch (stage) {
+        case delivery_stage::request_arriving:
+            return "request_arriving";
+        case delivery_stage::in_progress:
+            return "in_progress";
+        case delivery_stage::unsent:
+            return "unsent";
+        case delivery_stage::unacknowledged:
+            return "unacknowledged";
+    }
+    return "unknown";
+}
+
 void http_server_core::stop_accepting() {
     stopping = true;
     const auto current = sessions;
@@ -25,12 +39,25 @@
     }
 }
 
+std::vector<undelivered_response> http_server_core::undelivered() const {
+    std::vector<undelivered_response> all;
+    for (const auto* group : {&sessions, &ending_sessions}) {
+        for (const auto& session : *group) {
+            if (auto found = session->undelivered(); found.has_value()) {
+                all.push_back(*std::move(found));
+            }
+        }
+    }
+    return all;
+}
+
 void http_server_core::shut_down() {
     stopping = true;
     const auto current = std::exchange(sessions, {});
     for (const auto& session : current) {
         session->close();
     }
+    ending_sessions.clear();
     handler = nullptr;
 }
 
@@ -43,6 +70,11 @@
 
 void http_session::start(bool is_overloaded) {
     overloaded_ = is_overloaded;
+    link_->on_ended([session = weak_from_this()](const closed_connection& end) {
+        if (const auto self = session.lock(); self != nullptr) {
+            self->on_connection_ended(end);
+        }
+    });
     request_deadline_.set_after(core_->options.request_timeout);
     link_->accept([self = shared_from_this()](const absl::Status& status) {
         if (!status.ok()) {
@@ -117,10 +149,12 @@
     request_deadline_.clear();
     release_received();
     responding_ = true;
+    is_response_complete_ = false;
     client_keeps_alive_ = reader_->keep_alive();
     supports_chunks_ = reader_->supports_chunks();
     http_request request = reader_->release();
     request.peer = link_->peer();
+    request_id_ = request.headers.find(core_->options.request_id_header).value_or("");
     reader_ = std::make_unique<http_request_reader>(core_->options.max_header_bytes,
                                                     core_->options.max_body_bytes);
     auto exchange =
@@ -133,13 +167,13 @@
 
 void http_session::on_response_complete() {
     responding_ = false;
+    is_response_complete_ = true;
     exchange_.reset();
     if (ended_) {
         return;
     }
     if (!keeps_alive()) {
-        unregister();
-        link_->close_after_writes();
+        end_after_writes(body_framing::length);
         return;
     }
     request_deadline_.set_after(core_->options.request_timeout);
@@ -168,12 +202,12 @@
                                        .body_size = response.body.size(),
                                        .keep_alive = false}) +
                  response.body);
-    unregister();
-    link_->close_after_writes();
+    is_response_complete_ = true;
+    end_after_writes(body_framing::length);
 }
 
 void http_session::on_request_timeout() {
-    if (reader_ != nullptr && (reader_->has_begun() || !inbox_.empty())) {
+    if (has_request_bytes()) {
         refuse(408, "request_timeout", "the whole request did not arrive in time");
         return;
     }
@@ -199,8 +233,7 @@
 void http_session::close_when_idle() {
     close_after_response_ = true;
     if (!responding_) {
-        unregister();
-        link_->close_after_writes();
+        end_after_writes(body_framing::length);
     }
 }
 
@@ -216,7 +249,17 @@
 
 void http_session::abort_after_writes(body_framing framing) {
     exchange_.reset();
+    responding_ = false;
+    end_after_writes(framing);
+}
+
+void http_session::end_after_writes(body_framing framing) {
+    const auto self = shared_from_this();
     unregister();
+    if (!link_->is_open()) {
+        return;
+    }
+    core_->ending_sessions.insert(self);
     if (framing == body_framing::until_close) {
         link_->reset_after_writes();
     } else {
@@ -224,6 +267,42 @@
     }
 }
 
+void http_session::on_connection_ended(const closed_connection& end) {
+    core_->ending_sessions.erase(shared_from_this());
+    if (is_response_complete_ && end.unsent_bytes > 0 && core_->options.on_undelivered) {
+        core_->options.on_undelivered({.request = request_id_,
+                                       .peer = link_->peer(),
+                                       .stage = delivery_stage::unsent,
+                                       .bytes = end.unsent_bytes + end.unacknowledged_bytes,
+                                       .reason = end.reason});
+    }
+}
+
+bool http_session::has_request_bytes() const {
+    return !inbox_.empty() || (reader_ != nullptr && reader_->has_begun());
+}
+
+std::optional<undelivered_response> http_session::undelivered() const {
+    undelivered_response found{.request = request_id_,
+                               .peer = link_->peer(),
+                               .bytes = link_->pending_bytes() + link_->unacknowledged_bytes()};
+    if (responding_) {
+        found.stage = delivery_stage::in_progress;
+        return found;
+    }
+    if (!ended_ && has_request_bytes()) {
+        found.request.clear();
+        found.stage = delivery_stage::request_arriving;
+        return found;
+    }
+    if (!is_response_complete_ || found.bytes == 0) {
+        return std::nullopt;
+    }
+    found.stage =
+        link_->pending_bytes() > 0 ? delivery_stage::unsent : delivery_stage::unacknowledged;
+    return found;
+}
+
 void http_session::release_received() {
     core_->receiving_bytes -= std::exchange(received_bytes_, 0);
     buffered_request_.set(0);
--- a/src/pearbarrow/net/http_session.h
+++ b/src/pearbarrow/net/http_session.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "pearbarrow/net/connection.h"
 #include "pearbarrow/net/http.h"
@@ -22,10 +23,13 @@
 
     void stop_accepting();
     void shut_down();
+    std::vector<undelivered_response> undelivered() const;
 
     http_server_options options;
     http_handler handler;
     std::set<std::shared_ptr<http_session>> sessions;
+    /// Sessions that read no more requests and whose connections have not ended.
+    std::set<std::shared_ptr<http_session>> ending_sessions;
     std::size_t open_exchanges = 0;
     /// Bytes of incomplete requests.
     std::size_t receiving_bytes = 0;
@@ -61,6 +65,9 @@
     bool supports_chunks() const { return supports_chunks_; }
     const std::string& lost_reason() const { return lost_reason_; }
 
+    /// Returns the request whose response the client has not received as a whole, if there is one.
+    std::optional<undelivered_response> undelivered() const;
+
   private:
     void read_request();
     bool is_within_memory_limits() const;
@@ -68,7 +75,12 @@
     void dispatch();
     void refuse(int status, std::string_view reason, std::string_view detail);
     void on_request_timeout();
+    /// Whether part of the next request has arrived.
+    bool has_request_bytes() const;
     void unregister();
+    /// Reads no more requests, and ends the connection once the queued bytes are written.
+    void end_after_writes(body_framing framing);
+    void on_connection_ended(const closed_connection& end);
     void release_received();
 
     std::shared_ptr<http_server_core> core_;
@@ -80,6 +92,10 @@
     std::size_t received_bytes_ = 0;
     buffered_part buffered_request_;
     std::weak_ptr<session_exchange> exchange_;
+    /// Identifies the request that was read last.
+    std::string request_id_;
+    /// Whether the last response was written as a whole.
+    bool is_response_complete_ = false;
     bool responding_ = false;
     bool client_keeps_alive_ = true;
     bool supports_chunks_ = true;
