--- a/src/pearbarrow/settings/field_reader.cc
+++ b/src/pearbarrow/settings/field_reader.cc
@@ -137,6 +137,14 @@
     target = base::milliseconds(value);
 }
 
+void field_reader::read_seconds(std::string_view path, base::milliseconds min,
+                                base::milliseconds max, base::milliseconds& target) {
+    using fractional_seconds = std::chrono::duration<double>;
+    double value = fractional_seconds(target).count();
+    read_number(path, fractional_seconds(min).count(), fractional_seconds(max).count(), value);
+    target = std::chrono::round<base::milliseconds>(fractional_seconds(value));
+}
+
 void field_reader::read_endpoint(std::string_view path, endpoint_use use, ip_endpoint& target) {
     const auto* node = find_known(path);
     if (node == nullptr) {
--- a/src/pearbarrow/settings/field_reader.h
+++ b/src/pearbarrow/settings/field_reader.h
@@ -36,6 +36,9 @@
     void read_size(std::string_view path, std::size_t min, std::size_t max, std::size_t& target);
     void read_milliseconds(std::string_view path, base::milliseconds min, base::milliseconds max,
                            base::milliseconds& target);
+    /// Reads a number of seconds, whole or fractional, and rounds it to milliseconds.
+    void read_seconds(std::string_view path, base::milliseconds min, base::milliseconds max,
+                      base::milliseconds& target);
     void read_endpoint(std::string_view path, endpoint_use use, ip_endpoint& target);
     void read_endpoint(std::string_view path, endpoint_use use, std::optional<ip_endpoint>& target);
     void read_endpoints(std::string_view path, std::vector<ip_endpoint>& target);
--- a/src/pearbarrow/settings/fleet_settings.cc
+++ b/src/pearbarrow/settings/fleet_settings.cc
@@ -22,6 +22,8 @@
 constexpr std::size_t fingerprint_length = 32;
 constexpr double max_cold_overage = 1'000;
 constexpr double max_cold_slack = 1'000'000;
+constexpr base::milliseconds min_stop_timeout{100};
+constexpr base::milliseconds max_stop_timeout{86'400'000};
 
 void read_role(field_reader& reader, fleet_settings& settings) {
     std::string role;
@@ -80,6 +82,15 @@
     }
 }
 
+/// Reads the stop timeout, which is given either in seconds or in whole milliseconds.
+void read_stop_timeout(field_reader& reader, base::milliseconds& stop_timeout) {
+    reader.read_seconds("stop_timeout_s", min_stop_timeout, max_stop_timeout, stop_timeout);
+    reader.read_milliseconds("stop_timeout_ms", min_stop_timeout, max_stop_timeout, stop_timeout);
+    if (reader.has("stop_timeout_s") && reader.has("stop_timeout_ms")) {
+        reader.add_problem("stop_timeout_s", "must not be given together with stop_timeout_ms");
+    }
+}
+
 fleet_settings_result read_document(const toml::table& document) {
     fleet_settings_result result;
     fleet_settings& settings = result.settings;
@@ -99,8 +110,7 @@
     reader.read_endpoints("seeds", settings.seeds);
     read_required(reader, "directory_service", endpoint_use::remote, settings.directory_service);
     reader.read_flag("first_start", settings.first_start);
-    reader.read_milliseconds("stop_timeout_ms", base::milliseconds{100},
-                             base::milliseconds{600'000}, settings.stop_timeout);
+    read_stop_timeout(reader, settings.stop_timeout);
     reader.read_milliseconds("change_bound_ms", base::milliseconds{500},
                              base::milliseconds{600'000}, settings.change_bound);
     reader.read_milliseconds("leaving_notice_ms", base::milliseconds{0},
--- a/tests/unit/fleet/settings_reload_test.cc
+++ b/tests/unit/fleet/settings_reload_test.cc
@@ -91,3 +91,16 @@
     cr_assert(difference.applied.empty());
     cr_assert(difference.need_restart == std::vector<std::string>{"listen.ready"});
 }
+
+Test(settings_reload, changed_stop_timeout_needs_a_restart) {
+    const auto with_stop_timeout = [](const std::string& field) {
+        return settings::check_fleet(with(valid_text, "first_start", field + "\nfirst_start"))
+            .settings;
+    };
+    const auto current = with_stop_timeout("stop_timeout_s = 7.5");
+    const settings_difference difference =
+        compare(current, with_stop_timeout("stop_timeout_s = 8"));
+    cr_assert(difference.applied.empty());
+    cr_assert(difference.need_restart == std::vector<std::string>{"stop_timeout"});
+    cr_assert(compare(current, with_stop_timeout("stop_timeout_ms = 7500")).need_restart.empty());
+}
--- a/tests/unit/settings/fleet_settings_test.cc
+++ b/tests/unit/settings/fleet_settings_test.cc
@@ -179,3 +179,42 @@
     cr_assert(has_problem(result, "suspects.released"));
     cr_assert(has_problem(result, "suspects.max_ends"));
 }
+
+Test(fleet_settings, stop_timeout_is_read_in_seconds_or_milliseconds) {
+    const auto stop_timeout_of = [](const std::string& field) {
+        const auto result = check_fleet(field + edge_text);
+        cr_assert(result.problems.empty(), "problem with %s", field.c_str());
+        return result.settings.stop_timeout.count();
+    };
+    cr_assert(stop_timeout_of("") == 8'000);
+    cr_assert(stop_timeout_of("stop_timeout_s = 5") == 5'000);
+    cr_assert(stop_timeout_of("stop_timeout_s = 7.5") == 7'500);
+    cr_assert(stop_timeout_of("stop_timeout_s = 8.2") == 8'200);
+    cr_assert(stop_timeout_of("stop_timeout_s = 12.0") == 12'000);
+    cr_assert(stop_timeout_of("stop_timeout_s = 0.1") == 100);
+    cr_assert(stop_timeout_of("stop_timeout_s = 86400") == 86'400'000);
+    cr_assert(stop_timeout_of("stop_timeout_ms = 2500") == 2'500);
+}
+
+Test(fleet_settings, invalid_stop_timeout_names_its_field) {
+    for (const char* value : {"0", "0.05", "-8", "86401", "\"8\"", "true", "nan", "inf", "[8]"}) {
+        const auto result =
+            check_fleet("stop_timeout_s = " + std::string(value) + std::string(edge_text));
+        cr_assert(result.problems.size() == 1 && has_problem(result, "stop_timeout_s"),
+                  "no problem with %s", value);
+        cr_assert(result.settings.stop_timeout.count() == 8'000);
+    }
+    for (const char* value : {"99", "7500.5", "86400001", "\"8\""}) {
+        const auto result =
+            check_fleet("stop_timeout_ms = " + std::string(value) + std::string(edge_text));
+        cr_assert(result.problems.size() == 1 && has_problem(result, "stop_timeout_ms"),
+                  "no problem with %s", value);
+    }
+}
+
+Test(fleet_settings, stop_timeout_in_both_units_is_rejected) {
+    const auto result =
+        check_fleet("stop_timeout_s = 8\nstop_timeout_ms = 8000" + std::string(edge_text));
+    cr_assert(result.problems.size() == 1 && has_problem(result, "stop_timeout_s"));
+    cr_assert(result.problems.front().line == 1);
+}
