A closing connection waits while its peer acknowledges bytes

What callers saw: a response whose last bytes were in the kernel when its connection closed could be destroyed. A connection that closes after its writes waited 1 s for its peer's end, whether or not the peer still took bytes. If the peer sent anything after that, the kernel answered with a reset, which discards what it has not delivered.

The connection now waits for as long as the peer acknowledges more bytes within each second.

--- a/src/pearbarrow/net/connection.cc
+++ b/src/pearbarrow/net/connection.cc
@@ -21,7 +21,7 @@
 constexpr std::size_t max_gathered_bytes = std::size_t{1024} * 1024;
 /// Smaller writes are merged before TLS, which accepts one buffer at a time.
 constexpr std::size_t tls_merge_bytes = std::size_t{16} * 1024;
-/// Time for which a closing connection waits until the peer has received the last bytes.
+/// Time for which a closing connection waits for the peer to acknowledge more of the last bytes.
 constexpr base::milliseconds linger_time{1'000};
 /// A connection with a smaller queue is never cut off because of memory: closing a thousand of them
 /// would free only 16 MB.
@@ -56,14 +56,7 @@
       tls_context_(std::move(tls)),
       options_(std::move(options)),
       counters_(counters ? std::move(counters) : std::make_shared<traffic_counters>()),
-      write_deadline_(context, [this] {
-          close_with_error(base::make_error(absl::StatusCode::kUnavailable,
-                                            "the other side takes no bytes",
-                                            {.step = "write",
-                                             .peer = peer_,
-                                             .reason = "slow_reader",
-                                             .was_executed = base::executed::unknown}));
-      }) {
+      write_deadline_(context, [this] { on_write_deadline(); }) {
     if (tls_context_ != nullptr) {
         tls_ = std::make_unique<tls_layer>(socket_, tls_context_->context);
     }
@@ -382,11 +375,34 @@
     socket_.set_option(boost::asio::socket_base::linger(is_enabled, 0), ignored);
 }
 
+bool connection::has_unread_bytes() {
+    error_code error;
+    return open_ && socket_.available(error) > 0;
+}
+
+void connection::on_write_deadline() {
+    if (lingering_) {
+        const std::size_t left = unacknowledged_bytes();
+        if (left < lingering_bytes_) {
+            lingering_bytes_ = left;
+            write_deadline_.set_after(linger_time);
+            return;
+        }
+    }
+    close_with_error(base::make_error(absl::StatusCode::kUnavailable,
+                                      "the other side takes no bytes",
+                                      {.step = "write",
+                                       .peer = peer_,
+                                       .reason = "slow_reader",
+                                       .was_executed = base::executed::unknown}));
+}
+
 void connection::end_gracefully() {
     set_reset_on_close(false);
     // Received bytes are read and discarded: closing a socket with unread bytes would make the
     // kernel discard the last response.
     lingering_ = true;
+    lingering_bytes_ = unacknowledged_bytes();
     write_deadline_.set_after(linger_time);
     if (tls_ != nullptr) {
         tls_->stream.async_shutdown(
--- a/src/pearbarrow/net/connection.h
+++ b/src/pearbarrow/net/connection.h
@@ -95,6 +95,8 @@
     /// Number of bytes that the kernel has accepted and the peer has not acknowledged; 0 if the
     /// system does not tell.
     std::size_t unacknowledged_bytes();
+    /// Whether the kernel has bytes that were not read yet.
+    bool has_unread_bytes();
     /// Stream position of the next byte to be queued.
     std::uint64_t queued_position() const { return queued_position_; }
     /// Whether a byte at or after `position` may have reached the kernel.
@@ -112,7 +114,7 @@
     /// Closes the connection immediately, without a callback.
     void close();
     /// Detaches the user, and closes the connection once the queue is written and the peer has
-    /// acknowledged the end.
+    /// acknowledged the end, or has acknowledged nothing for some time.
     void close_after_writes();
     /// Detaches the user, and resets the connection once the queue is written. The peer may lose
     /// bytes that it has not received by then.
@@ -147,6 +149,7 @@
     void merge_small_writes();
     void set_reset_on_close(bool is_enabled);
     void end_gracefully();
+    void on_write_deadline();
     void close_with_error(const absl::Status& status);
     void close_because(std::string reason);
     void release_user();
@@ -176,6 +179,8 @@
     bool open_ = true;
     bool closing_ = false;
     bool lingering_ = false;
+    /// Unacknowledged bytes when the peer was last seen to make progress while lingering.
+    std::size_t lingering_bytes_ = 0;
     bool resets_after_writes_ = false;
     bool paused_ = false;
     bool reading_ = false;
