Requests that have begun to arrive are answered

Cause: only a response in progress kept a connection open. Bytes in the inbox or in the kernel did not count, and neither did a connection that had just been accepted.

A connection now stays open while a request arrives; a new one waits 1 s for its first request. A response announces the close unless another request has arrived, and a connection that announced no close is not closed before it is idle. The idle timeout starts anew with the first byte of a request and spares unread bytes. reject_arriving answers 503 to what does not arrive in time. is_drained says whether a server owes nothing to its clients.

--- a/src/pearbarrow/net/http.h
+++ b/src/pearbarrow/net/http.h
@@ -164,8 +164,15 @@
     virtual endpoint local_endpoint() const = 0;
     /// Closes each connection after its next response. New connections are still accepted.
     virtual void disable_keep_alive() = 0;
-    /// Accepts no new connections and closes idle ones. Responses in progress continue.
+    /// Accepts no new connections and closes idle ones. Responses in progress continue, and
+    /// requests that have begun to arrive are processed.
     virtual void stop_accepting() = 0;
+    /// Responds to requests that have arrived in part with status 503. Called after
+    /// `stop_accepting`.
+    virtual void reject_arriving(std::string_view reason, std::string_view detail) = 0;
+    /// After `stop_accepting`: whether nothing is owed to clients. Every response has been
+    /// delivered or its connection has ended.
+    virtual bool is_drained() const = 0;
     /// Sets the limits for subsequent requests.
     virtual void set_limits(std::size_t max_header_bytes, std::size_t max_body_bytes,
                             base::milliseconds request_timeout) = 0;
--- a/src/pearbarrow/net/http_exchange.cc
+++ b/src/pearbarrow/net/http_exchange.cc
@@ -33,7 +33,7 @@
     std::string bytes = format_response_head({.status = response.status,
                                               .headers = &response.headers,
                                               .body_size = bodiless ? 0 : response.body.size(),
-                                              .keep_alive = session->keeps_alive()});
+                                              .keep_alive = session->announce_keep_alive(true)});
     if (is_head_ || bodiless) {
         session->send(std::move(bytes));
     } else if (response.body.size() <= bytes.capacity()) {
@@ -70,7 +70,7 @@
         {.status = status,
          .headers = &headers,
          .framing = framing_,
-         .keep_alive = framing_ == body_framing::chunks && session->keeps_alive()}));
+         .keep_alive = session->announce_keep_alive(framing_ == body_framing::chunks)}));
 }
 
 void session_exchange::write(std::string chunk) {
@@ -90,9 +90,6 @@
         session->send(std::string(last_chunk()));
     }
     complete();
-    if (framing_ == body_framing::until_close) {
-        session->close_when_idle();
-    }
 }
 
 void session_exchange::abort() {
--- a/src/pearbarrow/net/http_server.cc
+++ b/src/pearbarrow/net/http_server.cc
@@ -53,6 +53,15 @@
         core_->stop_accepting();
     }
 
+    void reject_arriving(std::string_view reason, std::string_view detail) override {
+        core_->reject_arriving(reason, detail);
+    }
+
+    bool is_drained() const override {
+        return core_->stopping && core_->sessions.empty() &&
+               core_->ending_sessions.empty() && core_->open_exchanges == 0;
+    }
+
     std::size_t open_exchanges() const override { return core_->open_exchanges; }
 
     std::vector<undelivered_response> undelivered() const override { return core_->undelivered(); }
--- a/src/pearbarrow/net/http_session.cc
+++ b/src/pearbarrow/net/http_session.cc
@@ -1,5 +1,6 @@
 #include "pearbarrow/net/http_session.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "pearbarrow/base/status.h"
@@ -14,6 +15,10 @@
 /// Value of `Retry-After` with status 503, in seconds. Slow readers are disconnected within about a
 /// second.
 constexpr char refused_retry_after[] = "0.500";
+/// How long a server that stops waits for the first request on a new connection.
+constexpr base::milliseconds first_request_timeout{1'000};
+/// How long bytes that have arrived may remain unread, e.g. after a pause of the process.
+constexpr base::milliseconds unread_bytes_timeout{1'000};
 
 }  // namespace
 
@@ -51,6 +56,13 @@
     return all;
 }
 
+void http_server_core::reject_arriving(std::string_view reason, std::string_view detail) {
+    const auto current = sessions;
+    for (const auto& session : current) {
+        session->reject_arriving(reason, detail);
+    }
+}
+
 void http_server_core::shut_down() {
     stopping = true;
     const auto current = std::exchange(sessions, {});
@@ -88,6 +100,10 @@
 }
 
 void http_session::on_data(std::string_view bytes) {
+    if (!responding_ && !has_request_bytes()) {
+        // The time since the previous response does not count.
+        request_deadline_.set_after(core_->options.request_timeout);
+    }
     inbox_.append(bytes);
     received_bytes_ += bytes.size();
     core_->receiving_bytes += bytes.size();
@@ -150,6 +166,7 @@
     release_received();
     responding_ = true;
     is_response_complete_ = false;
+    has_read_request_ = true;
     client_keeps_alive_ = reader_->keep_alive();
     supports_chunks_ = reader_->supports_chunks();
     http_request request = reader_->release();
@@ -172,7 +189,7 @@
     if (ended_) {
         return;
     }
-    if (!keeps_alive()) {
+    if (is_close_announced_ || (close_when_idle_ && !is_request_arriving())) {
         end_after_writes(body_framing::length);
         return;
     }
@@ -189,7 +206,14 @@
 }
 
 bool http_session::keeps_alive() const {
-    return client_keeps_alive_ && !close_after_response_ && !core_->stopping && !core_->closing;
+    return client_keeps_alive_ && !close_when_idle_ && !core_->stopping && !core_->closing;
+}
+
+bool http_session::announce_keep_alive(bool is_possible) {
+    // A request that has arrived already is answered on its connection.
+    const bool is_needed = client_keeps_alive_ && is_request_arriving();
+    is_close_announced_ = !is_possible || !(keeps_alive() || is_needed);
+    return !is_close_announced_;
 }
 
 void http_session::refuse(int status, std::string_view reason, std::string_view detail) {
@@ -211,6 +235,10 @@
         refuse(408, "request_timeout", "the whole request did not arrive in time");
         return;
     }
+    if (link_->has_unread_bytes()) {
+        request_deadline_.set_after(unread_bytes_timeout);
+        return;
+    }
     close();
 }
 
@@ -231,8 +259,25 @@
 }
 
 void http_session::close_when_idle() {
-    close_after_response_ = true;
-    if (!responding_) {
+    close_when_idle_ = true;
+    if (responding_ || is_request_arriving()) {
+        return;
+    }
+    if (has_read_request_) {
+        end_after_writes(body_framing::length);
+    } else {
+        request_deadline_.set_after(
+            std::min(core_->options.request_timeout, first_request_timeout));
+    }
+}
+
+void http_session::reject_arriving(std::string_view reason, std::string_view detail) {
+    if (responding_) {
+        return;
+    }
+    if (is_request_arriving()) {
+        refuse(503, reason, detail);
+    } else {
         end_after_writes(body_framing::length);
     }
 }
@@ -282,6 +327,10 @@
     return !inbox_.empty() || (reader_ != nullptr && reader_->has_begun());
 }
 
+bool http_session::is_request_arriving() {
+    return has_request_bytes() || (reader_ != nullptr && link_->has_unread_bytes());
+}
+
 std::optional<undelivered_response> http_session::undelivered() const {
     undelivered_response found{.request = request_id_,
                                .peer = link_->peer(),
--- a/src/pearbarrow/net/http_session.h
+++ b/src/pearbarrow/net/http_session.h
@@ -22,6 +22,7 @@
         : options(std::move(server_options)), handler(std::move(server_handler)) {}
 
     void stop_accepting();
+    void reject_arriving(std::string_view reason, std::string_view detail);
     void shut_down();
     std::vector<undelivered_response> undelivered() const;
 
@@ -49,8 +50,11 @@
     void on_data(std::string_view bytes) override;
     void on_lost(const absl::Status& status) override;
     void on_progress() override;
-    /// Closes the session, after the response in progress if there is one.
+    /// Closes the session, after the responses to requests that have begun to arrive.
     void close_when_idle();
+    /// Rejects the next request with status 503 if it has begun to arrive. Closes the session
+    /// unless a response is in progress.
+    void reject_arriving(std::string_view reason, std::string_view detail);
     /// Closes the session immediately.
     void close();
 
@@ -61,7 +65,9 @@
     /// Closes the session once the queued bytes of an incomplete response are written.
     void abort_after_writes(body_framing framing);
     std::size_t pending_bytes() const { return link_->pending_bytes(); }
-    bool keeps_alive() const;
+    /// Decides whether the connection stays open after the response that begins now, which must
+    /// announce it. `is_possible` states whether the framing of the response allows it.
+    bool announce_keep_alive(bool is_possible);
     bool supports_chunks() const { return supports_chunks_; }
     const std::string& lost_reason() const { return lost_reason_; }
 
@@ -69,14 +75,17 @@
     std::optional<undelivered_response> undelivered() const;
 
   private:
+    bool keeps_alive() const;
     void read_request();
     bool is_within_memory_limits() const;
     void on_head();
     void dispatch();
     void refuse(int status, std::string_view reason, std::string_view detail);
     void on_request_timeout();
-    /// Whether part of the next request has arrived.
+    /// Whether part of the next request has been read.
     bool has_request_bytes() const;
+    /// Whether part of the next request has arrived.
+    bool is_request_arriving();
     void unregister();
     /// Reads no more requests, and ends the connection once the queued bytes are written.
     void end_after_writes(body_framing framing);
@@ -99,7 +108,11 @@
     bool responding_ = false;
     bool client_keeps_alive_ = true;
     bool supports_chunks_ = true;
-    bool close_after_response_ = false;
+    bool close_when_idle_ = false;
+    /// Whether the client knows that the connection closes after the response.
+    bool is_close_announced_ = false;
+    /// Whether any request was read on the connection.
+    bool has_read_request_ = false;
     bool overloaded_ = false;
     bool ended_ = false;
     std::string lost_reason_;
