Connections in the accept queue are served when a server stops

The server first makes the kernel drop the first packets of new connections, so that none is established any more, accepts the established ones 50 ms later, and then closes. A client whose packet was dropped repeats it after a second and is refused.

--- a/src/pearbarrow/net/http_server.cc
+++ b/src/pearbarrow/net/http_server.cc
@@ -49,8 +49,8 @@
     }
 
     void stop_accepting() override {
-        listener_.stop();
         core_->stop_accepting();
+        listener_.drain();
     }
 
     void reject_arriving(std::string_view reason, std::string_view detail) override {
@@ -58,7 +58,7 @@
     }
 
     bool is_drained() const override {
-        return core_->stopping && core_->sessions.empty() &&
+        return core_->stopping && !listener_.is_open() && core_->sessions.empty() &&
                core_->ending_sessions.empty() && core_->open_exchanges == 0;
     }
 
@@ -93,6 +93,9 @@
         auto session = std::make_shared<http_session>(context_, core_, std::move(link));
         core_->sessions.insert(session);
         session->start(open >= limit);
+        if (core_->stopping) {
+            session->close_when_idle();
+        }
     }
 
     boost::asio::io_context& context_;
--- a/src/pearbarrow/net/listener.cc
+++ b/src/pearbarrow/net/listener.cc
@@ -2,6 +2,9 @@
 
 #include <utility>
 
+#include <linux/filter.h>
+#include <sys/socket.h>
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -16,6 +19,27 @@
 
 /// Delay after a failed accept, e.g. because no file descriptor is available.
 constexpr std::chrono::milliseconds accept_retry_delay{100};
+/// Time for handshakes that have begun to end.
+constexpr std::chrono::milliseconds handshake_time{50};
+
+/// Makes the kernel drop the first packet of each new connection, which its client repeats after a
+/// second. Without this, a connection that is established between the last accept and the close is
+/// reset. Has no effect if the system does not support it.
+void drop_handshakes(int listening_socket) {
+    constexpr std::uint32_t flags_offset = 13;
+    constexpr std::uint32_t syn_flag = 0x02;
+    constexpr std::uint32_t drop = 0;
+    constexpr std::uint32_t keep = 0xffff'ffff;
+    std::array<sock_filter, 4> code{
+        sock_filter BPF_STMT(BPF_LD | BPF_B | BPF_ABS, flags_offset),
+        sock_filter BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, syn_flag, 0, 1),
+        sock_filter BPF_STMT(BPF_RET | BPF_K, drop),
+        sock_filter BPF_STMT(BPF_RET | BPF_K, keep),
+    };
+    const sock_fprog program{.len = static_cast<unsigned short>(code.size()),
+                             .filter = code.data()};
+    ::setsockopt(listening_socket, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
+}
 
 }  // namespace
 
@@ -76,6 +100,36 @@
         });
     }
 
+    void drain() {
+        drop_handshakes(acceptor.native_handle());
+        retry.expires_after(handshake_time);
+        retry.async_wait([self = shared_from_this()](const error_code& failed) {
+            if (!failed && !self->stopped) {
+                self->accept_established();
+                self->close();
+            }
+        });
+    }
+
+    void accept_established() {
+        error_code error;
+        acceptor.non_blocking(true, error);
+        while (!error) {
+            tcp::socket socket(acceptor.get_executor());
+            acceptor.accept(socket, error);
+            if (!error) {
+                handler(std::move(socket));
+            }
+        }
+    }
+
+    void close() {
+        stopped = true;
+        error_code ignored;
+        acceptor.close(ignored);
+        retry.cancel();
+    }
+
     tcp::acceptor acceptor;
     boost::asio::steady_timer retry;
     tcp::endpoint bound;
@@ -99,10 +153,17 @@
 }
 
 void listener::stop() {
-    core_->stopped = true;
-    error_code ignored;
-    core_->acceptor.close(ignored);
-    core_->retry.cancel();
+    core_->close();
+}
+
+void listener::drain() {
+    if (is_open()) {
+        core_->drain();
+    }
+}
+
+bool listener::is_open() const {
+    return core_->acceptor.is_open();
 }
 
 endpoint listener::local_endpoint() const {
--- a/src/pearbarrow/net/listener.h
+++ b/src/pearbarrow/net/listener.h
@@ -24,7 +24,11 @@
 
     /// Fails with reason `bind_failed` and the address as the peer.
     absl::Status start(const endpoint& listen, socket_handler handler);
+    /// Closes immediately. Connections that were not accepted yet are reset.
     void stop();
+    /// Establishes no more connections, accepts the established ones, and then closes.
+    void drain();
+    bool is_open() const;
     endpoint local_endpoint() const;
 
   private:
