An edge ends once its responses are delivered

What callers saw: an edge that gets SIGTERM ends 2.6 s later although callers have not received all of their responses.

Cause: the process ended when no exchange was open. An exchange ends when its last bytes are queued, the event loop sends them later, and stopping the loop discards them.

caller_drain ends the process only when the server is drained: every response is sent and its connection has ended. Reports, settlements without a majority and relayed calls are waited for as well. Shortly before the deadline what remains is given up, and callers are told: 503 if nothing was executed, otherwise 502 or a broken-off stream. Each response that is given up is logged with its request.

--- /dev/null
+++ b/src/pearbarrow/fleet/caller_drain.cc
@@ -0,0 +1,96 @@
+#include "pearbarrow/fleet/caller_drain.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <vector>
+
+#include "pearbarrow/base/log.h"
+
+namespace pearbarrow::fleet {
+namespace {
+
+/// How long load balancers need to redirect callers. They poll readiness once a second, and act on
+/// the second failure.
+constexpr base::milliseconds redirect_time{2'600};
+/// Time reserved for the exit of the process, and half of it for the last responses.
+constexpr base::milliseconds max_exit_margin{400};
+constexpr base::milliseconds check_interval{50};
+/// Reason of requests that are given up because the process ends.
+constexpr char stopped_reason[] = "node_stopped";
+/// Limit for the log lines about responses that are given up.
+constexpr std::size_t max_undelivered_lines = 100;
+
+}  // namespace
+
+drain_schedule make_drain_schedule(base::milliseconds stop_timeout) {
+    const base::milliseconds margin = std::min(max_exit_margin, stop_timeout / 10);
+    drain_schedule schedule;
+    schedule.stop_accepting = std::min(redirect_time, stop_timeout * 2 / 5);
+    schedule.end = stop_timeout - margin;
+    schedule.give_up = schedule.end - margin / 2;
+    return schedule;
+}
+
+caller_drain::caller_drain(parts context, base::milliseconds stop_timeout,
+                           std::function<void()> done)
+    : context(std::move(context)),
+      schedule(make_drain_schedule(stop_timeout)),
+      done(std::move(done)),
+      started_at(this->context.clock.now()) {
+    this->context.callers.disable_keep_alive();
+    this->timer =
+        this->context.loop.after(this->schedule.stop_accepting, [this] { this->stop_accepting(); });
+}
+
+caller_drain::~caller_drain() = default;
+
+base::milliseconds caller_drain::time_since_start() const {
+    return std::chrono::duration_cast<base::milliseconds>(this->context.clock.now() -
+                                                          this->started_at);
+}
+
+void caller_drain::stop_accepting() {
+    this->context.callers.stop_accepting();
+    base::log(base::log_level::info, "drain_waiting",
+              {{"responses", this->context.callers.undelivered().size()},
+               {"requests", this->context.requests.open_requests()}});
+    this->check();
+}
+
+void caller_drain::check() {
+    const base::milliseconds elapsed = this->time_since_start();
+    const bool is_drained = this->context.callers.is_drained() && this->context.is_idle();
+    if (is_drained || elapsed >= this->schedule.end) {
+        this->end();
+        return;
+    }
+    if (elapsed >= this->schedule.give_up && !std::exchange(this->has_given_up, true)) {
+        this->give_up();
+    }
+    this->timer = this->context.loop.after(check_interval, [this] { this->check(); });
+}
+
+void caller_drain::give_up() {
+    base::log(base::log_level::warning, "drain_timeout",
+              {{"responses", this->context.callers.undelivered().size()},
+               {"requests", this->context.requests.open_requests()},
+               {"is_idle", this->context.is_idle()}});
+    this->context.requests.give_up_requests();
+    this->context.callers.reject_arriving("node_stopping", "the node stops");
+}
+
+void caller_drain::end() {
+    std::vector<net::undelivered_response> given_up = this->context.callers.undelivered();
+    base::log(given_up.empty() ? base::log_level::info : base::log_level::warning, "drain_ended",
+              {{"milliseconds", this->time_since_start().count()},
+               {"responses_given_up", given_up.size()}});
+    given_up.resize(std::min(given_up.size(), max_undelivered_lines));
+    for (net::undelivered_response& response : given_up) {
+        response.reason = stopped_reason;
+        this->context.log.undelivered(response);
+    }
+    this->done();
+}
+
+}  // namespace pearbarrow::fleet
--- a/src/pearbarrow/fleet/edge_node.cc
+++ b/src/pearbarrow/fleet/edge_node.cc
@@ -11,15 +11,8 @@
 namespace pearbarrow::fleet {
 namespace {
 
-/// How long the node accepts new connections after the order to stop. Load balancers poll readiness
-/// once a second, and act on the second failure.
-constexpr base::milliseconds drain_notice{2'600};
-constexpr base::milliseconds idle_poll_interval{50};
 /// Interval for detecting the end of a gap in updates, after which back ends count as cold.
 constexpr base::milliseconds gap_poll_interval{100};
-/// Part of the stop timeout that is reserved for the exit of the process.
-constexpr base::milliseconds exit_margin{400};
-
 /// Timeout for a caller that reads nothing of its response. It is longer than a burst of packet
 /// losses, and short enough that the back end's slot is not occupied for the rest of a deadline.
 constexpr base::milliseconds caller_write_timeout{5'000};
@@ -61,11 +54,6 @@
                                              : forward::make_unlimited_admission();
 }
 
-/// Reason of responses that are given up because the process ends.
-constexpr char stopped_reason[] = "node_stopped";
-/// Limit for the log lines about responses that are given up at the end of the process.
-constexpr std::size_t max_undelivered_lines = 100;
-
 net::http_server_options caller_options(const node_parts& parts) {
     net::http_server_options options;
     options.listen = to_endpoint(parts.settings().caller);
@@ -304,36 +292,19 @@
         return;
     }
     stopping_ = true;
-    on_stopped_ = std::move(done);
-    stop_deadline_ = parts_.clock().now() + parts_.settings().stop_timeout - exit_margin;
-    callers_->disable_keep_alive();
-    stop_timer_ = parts_.loop().after(drain_notice, [this] {
-        callers_->stop_accepting();
-        finish_when_idle();
-    });
+    drain_ = std::make_unique<caller_drain>(
+        caller_drain::parts{.loop = parts_.loop(),
+                            .clock = parts_.clock(),
+                            .callers = *callers_,
+                            .requests = service_,
+                            .log = log_,
+                            .is_idle = [this] { return owes_nothing_to_nodes(); }},
+        parts_.settings().stop_timeout, std::move(done));
 }
 
-void edge_node::finish_when_idle() {
-    const bool idle = callers_->open_exchanges() == 0 && end_monitor_.has_reported_all();
-    if (idle || parts_.clock().now() >= stop_deadline_) {
-        log_undelivered();
-        on_stopped_();
-        return;
-    }
-    stop_timer_ = parts_.loop().after(idle_poll_interval, [this] { finish_when_idle(); });
-}
-
-void edge_node::log_undelivered() {
-    std::vector<net::undelivered_response> given_up = callers_->undelivered();
-    if (given_up.empty()) {
-        return;
-    }
-    base::log(base::log_level::warning, "responses_given_up", {{"responses", given_up.size()}});
-    given_up.resize(std::min(given_up.size(), max_undelivered_lines));
-    for (net::undelivered_response& response : given_up) {
-        response.reason = stopped_reason;
-        log_.undelivered(response);
-    }
+bool edge_node::owes_nothing_to_nodes() const {
+    return end_monitor_.has_reported_all() && turns_.unconfirmed_writes() == 0 &&
+           relay_.open_calls() == 0;
 }
 
 }  // namespace pearbarrow::fleet
--- a/src/pearbarrow/fleet/edge_node.h
+++ b/src/pearbarrow/fleet/edge_node.h
@@ -6,6 +6,7 @@
 
 #include <absl/status/status.h>
 
+#include "pearbarrow/fleet/caller_drain.h"
 #include "pearbarrow/fleet/node_parts.h"
 #include "pearbarrow/forward/backend_identity.h"
 #include "pearbarrow/forward/forward_service.h"
@@ -40,9 +41,8 @@
     /// Returns the path of the health check of the service; empty if it is unknown.
     std::string health_path_of(const std::string& service) const;
     void respond_readiness(const std::shared_ptr<net::http_exchange>& exchange) const;
-    void finish_when_idle();
-    /// Logs the requests whose responses are given up because the process ends.
-    void log_undelivered();
+    /// Whether all reports, settlements and relayed calls are complete.
+    bool owes_nothing_to_nodes() const;
     void collect(base::metrics_registry& registry) const;
     /// Starts or stops polling for gaps in updates. Only services with a cold rate need it.
     void update_gap_polling();
@@ -77,9 +77,7 @@
     forward::forward_service service_;
     std::unique_ptr<net::http_server> callers_;
     std::unique_ptr<net::http_server> ready_;
-    std::unique_ptr<net::timer_handle> stop_timer_;
-    std::function<void()> on_stopped_;
-    base::instant stop_deadline_{};
+    std::unique_ptr<caller_drain> drain_;
     /// Whether the list of back ends has arrived. It may be empty.
     bool has_backends_ = false;
     bool stopping_ = false;
--- a/src/pearbarrow/forward/forward_service.cc
+++ b/src/pearbarrow/forward/forward_service.cc
@@ -1,6 +1,7 @@
 #include "pearbarrow/forward/forward_service.h"
 
 #include <utility>
+#include <vector>
 
 #include <spdlog/fmt/fmt.h>
 
@@ -88,6 +89,19 @@
     return false;
 }
 
+void forward_service::give_up_requests() {
+    std::vector<std::uint64_t> numbers;
+    numbers.reserve(requests_.size());
+    for (const auto& [number, request] : requests_) {
+        numbers.push_back(number);
+    }
+    for (const std::uint64_t number : numbers) {
+        if (const auto found = requests_.find(number); found != requests_.end()) {
+            found->second->give_up();
+        }
+    }
+}
+
 void forward_service::remove_request(std::uint64_t number) {
     // Deferred destruction: the request is still executing its own member function.
     auto node = requests_.extract(number);
--- a/src/pearbarrow/forward/forward_service.h
+++ b/src/pearbarrow/forward/forward_service.h
@@ -23,6 +23,8 @@
     void handle(std::shared_ptr<net::http_exchange> exchange);
     bool is_configured() const { return context_.active != nullptr; }
     std::size_t open_requests() const { return requests_.size(); }
+    /// Ends all requests in flight because the node stops.
+    void give_up_requests();
 
   private:
     /// Determines the tenant of the request, or responds with an error and returns false.
--- a/src/pearbarrow/forward/forwarded_request.cc
+++ b/src/pearbarrow/forward/forwarded_request.cc
@@ -14,6 +14,8 @@
 
 /// A caller with more queued bytes reads slowly and is cut off when its response is broken off.
 constexpr std::size_t max_pending_bytes_at_abort = std::size_t{64} * 1024;
+/// Reason of responses to requests that a stopping node gives up.
+constexpr char stopping_reason[] = "node_stopping";
 
 std::string seconds_text(base::milliseconds time) {
     return fmt::format("{:.3f}", static_cast<double>(time.count()) / 1000.0);
@@ -197,6 +199,36 @@
     if (is_finished_ || is_storing_) {
         return;
     }
+    if (attempt_open_) {
+        record_turn(event_count_ > 0);
+    }
+    if (cancel_steps(attempt_result::broken)) {
+        respond_with_problem(504, "time_up", "the back end did not answer in time", std::nullopt);
+    } else {
+        respond_with_problem(503, "time_up", "the request could not be placed in time",
+                             context_.options.retry_after);
+    }
+}
+
+void forwarded_request::give_up() {
+    if (is_finished_) {
+        return;
+    }
+    if (is_storing_) {
+        abort_response(stopping_reason);
+        return;
+    }
+    if (cancel_steps(attempt_result::abandoned)) {
+        respond_with_problem(502, stopping_reason, "the node stopped before the back end responded",
+                             std::nullopt);
+    } else {
+        respond_with_problem(503, stopping_reason,
+                             "the node stopped before the request was sent to a back end",
+                             context_.options.retry_after);
+    }
+}
+
+bool forwarded_request::cancel_steps(attempt_result result) {
     const bool was_sent = attempt_open_ || may_have_run_;
     call_.reset();
     reserved_ = reserved_ && may_be_reserved();
@@ -208,16 +240,10 @@
     release_slot();
     silence_timer_.reset();
     if (attempt_open_) {
-        record_turn(event_count_ > 0);
-        end_attempt(attempt_result::broken);
+        end_attempt(result);
         examine_silence();
     }
-    if (was_sent) {
-        respond_with_problem(504, "time_up", "the back end did not answer in time", std::nullopt);
-    } else {
-        respond_with_problem(503, "time_up", "the request could not be placed in time",
-                             context_.options.retry_after);
-    }
+    return was_sent;
 }
 
 void forwarded_request::finish(int status, std::string_view reason) {
--- a/src/pearbarrow/forward/forwarded_request.h
+++ b/src/pearbarrow/forward/forwarded_request.h
@@ -41,6 +41,9 @@
     forwarded_request& operator=(const forwarded_request&) = delete;
 
     void start();
+    /// Ends the request because the node stops. The caller is told at once, also whether it may
+    /// have been executed.
+    void give_up();
 
   private:
     void advance();
@@ -259,6 +262,9 @@
     void abort_response(std::string_view reason);
     void on_caller_gone();
     void on_timeout();
+    /// Ends the steps in progress, and the attempt with `result`. Returns whether a back end may
+    /// have executed the request.
+    bool cancel_steps(attempt_result result);
     void finish(int status, std::string_view reason);
     void record_event();
     void log_end(int status, std::string_view reason);
--- a/src/pearbarrow/turns/majority_write.cc
+++ b/src/pearbarrow/turns/majority_write.cc
@@ -127,6 +127,7 @@
         members_.begin(), members_.end(),
         [](const member_write& write) { return write.confirmed && !write.is_replaced; }));
     if (confirmed > voters / 2) {
+        is_confirmed_ = true;
         report(absl::OkStatus());
     }
     if (confirmed == voters && voters > 0) {
--- a/src/pearbarrow/turns/majority_write.h
+++ b/src/pearbarrow/turns/majority_write.h
@@ -38,6 +38,7 @@
     void start();
     /// Drops the `done` callback; the write continues.
     void detach() { callbacks_.done = nullptr; }
+    bool is_confirmed() const { return is_confirmed_; }
 
   private:
     /// State of the write at one member.
@@ -71,6 +72,8 @@
     finish_request request_;
     std::string payload_;
     std::list<member_write> members_;
+    /// Whether a majority has confirmed.
+    bool is_confirmed_ = false;
     std::unique_ptr<net::timer_handle> timeout_timer_;
 };
 
--- a/src/pearbarrow/turns/turn_client.cc
+++ b/src/pearbarrow/turns/turn_client.cc
@@ -97,6 +97,12 @@
     return counts;
 }
 
+std::size_t turn_client::unconfirmed_writes() const {
+    return static_cast<std::size_t>(
+        std::count_if(writes_.begin(), writes_.end(),
+                      [](const auto& entry) { return !entry.second->is_confirmed(); }));
+}
+
 std::unique_ptr<turn_operation> turn_client::prepare(turn_request request,
                                                      std::function<void(prepared_turn)> done) {
     turn_admission& queue = queue_of(request.wanted.program);
--- a/src/pearbarrow/turns/turn_client.h
+++ b/src/pearbarrow/turns/turn_client.h
@@ -57,6 +57,8 @@
     /// Returns the queue of the program's turns. Each replica group has its own queue, so a slow
     /// group delays only its own turns.
     const turn_admission& admission_of(const base::program_id& program);
+    /// Number of writes that no majority has confirmed yet.
+    std::size_t unconfirmed_writes() const;
     /// Returns the counts summed over all groups.
     admission_counts counts() const;
     /// Returns the replica group that stores the program's turns.
