A connection whose accept has completed is not dropped at the close

Cause: the accept of a connection may have completed in the kernel while its handler is still queued behind the timer that closes the listener. The handler found the listener stopped and destroyed the socket.

Only an immediate stop drops such a connection now.

--- a/src/pearbarrow/net/listener.cc
+++ b/src/pearbarrow/net/listener.cc
@@ -86,9 +86,12 @@
         }
         if (!error) {
             handler(std::move(socket));
-            if (!stopped) {
-                accept();
-            }
+        }
+        if (stopped || !acceptor.is_open()) {
+            return;
+        }
+        if (!error) {
+            accept();
             return;
         }
         base::log(base::log_level::warning, "accept_failed", {{"message", error.message()}});
@@ -106,7 +109,9 @@
         retry.async_wait([self = shared_from_this()](const error_code& failed) {
             if (!failed && !self->stopped) {
                 self->accept_established();
-                self->close();
+                // A connection whose accept has completed is still passed on.
+                error_code ignored;
+                self->acceptor.close(ignored);
             }
         });
     }
