--- a/src/pearbarrow/net/connection.cc
+++ b/src/pearbarrow/net/connection.cc
@@ -23,6 +23,8 @@
 constexpr std::size_t tls_merge_bytes = std::size_t{16} * 1024;
 /// Time for which a closing connection waits for the peer to acknowledge more of the last bytes.
 constexpr base::milliseconds linger_time{1'000};
+/// The same for a peer that still sends. It may read only after it has sent its whole request.
+constexpr int max_linger_times_while_sending = 5;
 /// A connection with a smaller queue is never cut off because of memory: closing a thousand of them
 /// would free only 16 MB.
 constexpr std::size_t min_cut_off_bytes = std::size_t{16} * 1024;
@@ -209,6 +211,7 @@
         return;
     }
     counters_->received += size;
+    received_while_lingering_ = lingering_;
     if (!first_bytes_at_.has_value()) {
         first_bytes_at_ = std::chrono::steady_clock::now();
     }
@@ -383,7 +386,9 @@
 void connection::on_write_deadline() {
     if (lingering_) {
         const std::size_t left = unacknowledged_bytes();
-        if (left < lingering_bytes_) {
+        const bool is_sending = std::exchange(received_while_lingering_, false) &&
+                                ++linger_times_while_sending_ < max_linger_times_while_sending;
+        if (left < lingering_bytes_ || is_sending) {
             lingering_bytes_ = left;
             write_deadline_.set_after(linger_time);
             return;
--- a/src/pearbarrow/net/connection.h
+++ b/src/pearbarrow/net/connection.h
@@ -181,6 +181,8 @@
     bool lingering_ = false;
     /// Unacknowledged bytes when the peer was last seen to make progress while lingering.
     std::size_t lingering_bytes_ = 0;
+    bool received_while_lingering_ = false;
+    int linger_times_while_sending_ = 0;
     bool resets_after_writes_ = false;
     bool paused_ = false;
     bool reading_ = false;
