The idle timeout spares responses in delivery and follows the limits

The reader of the next request was created with the limits of the previous response.

The timeout now spares connections with queued bytes and follows a longer limit, and the reader is created with the first bytes of a request.

--- a/src/pearbarrow/net/http_session.cc
+++ b/src/pearbarrow/net/http_session.cc
@@ -17,8 +17,8 @@
 constexpr char refused_retry_after[] = "0.500";
 /// How long a server that stops waits for the first request on a new connection.
 constexpr base::milliseconds first_request_timeout{1'000};
-/// How long bytes that have arrived may remain unread, e.g. after a pause of the process.
-constexpr base::milliseconds unread_bytes_timeout{1'000};
+/// After the idle timeout of a connection that is not idle: time until the next check.
+constexpr base::milliseconds busy_check_interval{1'000};
 
 }  // namespace
 
@@ -87,22 +87,26 @@
             self->on_connection_ended(end);
         }
     });
-    request_deadline_.set_after(core_->options.request_timeout);
+    restart_idle_timeout();
     link_->accept([self = shared_from_this()](const absl::Status& status) {
         if (!status.ok()) {
             self->unregister();
             return;
         }
-        self->reader_ = std::make_unique<http_request_reader>(self->core_->options.max_header_bytes,
-                                                              self->core_->options.max_body_bytes);
+        self->is_established_ = true;
         self->link_->attach(self);
     });
 }
 
+void http_session::restart_idle_timeout() {
+    idle_timeout_ = core_->options.request_timeout;
+    request_deadline_.set_after(idle_timeout_);
+}
+
 void http_session::on_data(std::string_view bytes) {
     if (!responding_ && !has_request_bytes()) {
         // The time since the previous response does not count.
-        request_deadline_.set_after(core_->options.request_timeout);
+        restart_idle_timeout();
     }
     inbox_.append(bytes);
     received_bytes_ += bytes.size();
@@ -129,6 +133,11 @@
 }
 
 void http_session::read_request() {
+    if (reader_ == nullptr) {
+        // Created with the first bytes, so that the limits in force now apply.
+        reader_ = std::make_unique<http_request_reader>(core_->options.max_header_bytes,
+                                                        core_->options.max_body_bytes);
+    }
     for (;;) {
         switch (reader_->feed(inbox_)) {
             case read_progress::need_more:
@@ -172,8 +181,7 @@
     http_request request = reader_->release();
     request.peer = link_->peer();
     request_id_ = request.headers.find(core_->options.request_id_header).value_or("");
-    reader_ = std::make_unique<http_request_reader>(core_->options.max_header_bytes,
-                                                    core_->options.max_body_bytes);
+    reader_ = nullptr;
     auto exchange =
         std::make_shared<session_exchange>(core_, shared_from_this(), std::move(request));
     exchange_ = exchange;
@@ -193,7 +201,7 @@
         end_after_writes(body_framing::length);
         return;
     }
-    request_deadline_.set_after(core_->options.request_timeout);
+    restart_idle_timeout();
     link_->resume_reading();
     if (!inbox_.empty()) {
         // Posted to the event loop so that handlers that respond immediately do not nest requests.
@@ -235,8 +243,17 @@
         refuse(408, "request_timeout", "the whole request did not arrive in time");
         return;
     }
-    if (link_->has_unread_bytes()) {
-        request_deadline_.set_after(unread_bytes_timeout);
+    if (idle_timeout_ < core_->options.request_timeout) {
+        // The limits have changed meanwhile.
+        const base::milliseconds rest = core_->options.request_timeout - idle_timeout_;
+        idle_timeout_ = core_->options.request_timeout;
+        request_deadline_.set_after(rest);
+        return;
+    }
+    if (link_->has_unread_bytes() || link_->pending_bytes() > 0) {
+        // The request has arrived during a pause of the process, or the client still reads the
+        // previous response, which has timeouts of its own.
+        request_deadline_.set_after(busy_check_interval);
         return;
     }
     close();
@@ -328,7 +345,7 @@
 }
 
 bool http_session::is_request_arriving() {
-    return has_request_bytes() || (reader_ != nullptr && link_->has_unread_bytes());
+    return has_request_bytes() || (is_established_ && link_->has_unread_bytes());
 }
 
 std::optional<undelivered_response> http_session::undelivered() const {
--- a/src/pearbarrow/net/http_session.h
+++ b/src/pearbarrow/net/http_session.h
@@ -81,6 +81,7 @@
     void on_head();
     void dispatch();
     void refuse(int status, std::string_view reason, std::string_view detail);
+    void restart_idle_timeout();
     void on_request_timeout();
     /// Whether part of the next request has been read.
     bool has_request_bytes() const;
@@ -95,6 +96,10 @@
     std::shared_ptr<http_server_core> core_;
     std::shared_ptr<connection> link_;
     deadline request_deadline_;
+    /// The timeout that `request_deadline_` was set with.
+    base::milliseconds idle_timeout_{0};
+    /// Whether the TLS handshake is complete, if there is one.
+    bool is_established_ = false;
     std::unique_ptr<http_request_reader> reader_;
     std::string inbox_;
     /// Bytes of this session in `receiving_bytes`.
--- a/tests/unit/net/http_drain_test.cc
+++ b/tests/unit/net/http_drain_test.cc
@@ -209,3 +209,60 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(300));
     cr_assert(run_until(loop, [&] { return client.has("done"); }));
 }
+
+Test(http_drain, response_that_is_read_for_longer_than_the_idle_timeout_arrives_whole) {
+    event_loop loop;
+    http_server_options options;
+    options.request_timeout = std::chrono::milliseconds(100);
+    const auto server =
+        serve(loop, respond_with(std::string(large_body_bytes, 'x')), std::move(options));
+    raw_client client(server->local_endpoint(), small_receive_buffer);
+    client.send(simple_request);
+    run_for(loop, std::chrono::milliseconds(500));
+    cr_assert(run_until(
+        loop, [&] { return client.closed() || body_bytes(client.received) == large_body_bytes; }));
+    cr_assert(body_bytes(client.received) == large_body_bytes);
+}
+
+Test(http_drain, kept_connection_applies_new_limits_to_its_next_request) {
+    event_loop loop;
+    http_server_options options;
+    options.max_body_bytes = 4;
+    const auto server = serve(loop, echo, std::move(options));
+    raw_client client(server->local_endpoint());
+    client.send(simple_request);
+    cr_assert(run_until(loop, [&] { return client.has("200"); }));
+    server->set_limits(std::size_t{16} * 1024, 1024, std::chrono::seconds(30));
+    client.received.clear();
+    client.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 6\r\n\r\nabcdef");
+    cr_assert(run_until(loop, [&] { return client.has("\r\n\r\n"); }));
+    cr_assert(client.has("HTTP/1.1 200"));
+}
+
+Test(http_drain, idle_connection_stays_open_for_the_timeout_in_force) {
+    event_loop loop;
+    http_server_options options;
+    options.request_timeout = std::chrono::milliseconds(100);
+    const auto server = serve(loop, echo, std::move(options));
+    raw_client client(server->local_endpoint());
+    client.send(simple_request);
+    cr_assert(run_until(loop, [&] { return client.has("200"); }));
+    server->set_limits(std::size_t{16} * 1024, 1024, std::chrono::seconds(30));
+    run_for(loop, std::chrono::milliseconds(400));
+    cr_assert(!client.closed());
+}
+
+Test(http_drain, refusal_reaches_a_client_that_still_sends_its_body) {
+    event_loop loop;
+    http_server_options options;
+    options.max_body_bytes = 4;
+    const auto server = serve(loop, echo, std::move(options));
+    raw_client client(server->local_endpoint());
+    client.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\n");
+    for (int sent = 0; sent < 20; ++sent) {
+        run_for(loop, std::chrono::milliseconds(100));
+        cr_assert(client.send("0123456789") == 10);
+    }
+    cr_assert(client.has("HTTP/1.1 413"));
+    cr_assert(!client.was_reset);
+}
