Kept connections end before the time that their back end announces

What callers may have seen, read from the code and not played: 502 connection_lost for a request that cannot be repeated, sent on a kept connection that its back end was closing.

Cause: http_response_reader::idle_lifetime iterated over a list that refers to a temporary string. A Keep-Alive value of 16 characters and more was read from freed memory, so no lifetime was found and the connection stayed in use for the default of 9 s. The list also ended at the first comma, so a timeout after another parameter was not found.

The text now lives as long as the list, and commas separate parameters.

--- a/src/pearbarrow/net/http_response_reader.cc
+++ b/src/pearbarrow/net/http_response_reader.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <charconv>
 #include <string>
 #include <utility>
@@ -164,13 +165,16 @@
 
 std::optional<base::milliseconds> http_response_reader::idle_lifetime() const {
     const auto value = state_->parser.get()[http::field::keep_alive];
-    for (const auto& parameter : http::param_list(";" + std::string(value))) {
+    // The list refers to the text, and separates its parameters by semicolons.
+    std::string text = ";" + std::string(value);
+    std::replace(text.begin(), text.end(), ',', ';');
+    for (const auto& parameter : http::param_list(text)) {
         if (!boost::beast::iequals(parameter.first, "timeout")) {
             continue;
         }
         std::uint32_t seconds = 0;
-        const auto text = parameter.second;
-        const auto result = std::from_chars(text.data(), text.data() + text.size(), seconds);
+        const auto number = parameter.second;
+        const auto result = std::from_chars(number.data(), number.data() + number.size(), seconds);
         if (result.ec == std::errc{}) {
             return base::milliseconds{std::int64_t{seconds} * 1000};
         }
--- a/tests/unit/net/http_client_test.cc
+++ b/tests/unit/net/http_client_test.cc
@@ -105,6 +105,35 @@
     cr_assert(failed.details.reason == "idle_timeout");
 }
 
+// The announced time was read from memory that had been freed.
+Test(http_client, idle_connection_is_closed_before_the_announced_time) {
+    for (const std::string announced :
+         {"timeout=1", "timeout=1, max=100", "max=100, timeout=1", "TIMEOUT=1,max=100"}) {
+        event_loop loop;
+        raw_server server;
+        const auto client = make_http_client(loop);
+        bool done = false;
+        client->fetch(get(server.local_endpoint()), [&](const auto& response) {
+            cr_assert(response.ok());
+            done = true;
+        });
+        cr_assert(run_until(loop, [&] { return server.has("\r\n\r\n"); }));
+        server.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: " + announced +
+                    "\r\n\r\nok");
+        cr_assert(run_until(loop, [&] { return done; }));
+        server.has("");
+        cr_assert(!server.peer_closed, "%s", announced.c_str());
+        cr_assert(run_until(
+                      loop,
+                      [&] {
+                          server.has("");
+                          return server.peer_closed;
+                      },
+                      milliseconds(900)),
+                  "%s", announced.c_str());
+    }
+}
+
 Test(http_client, only_get_is_retried_after_reused_connection_breaks) {
     for (const std::string method : {"GET", "POST"}) {
         event_loop loop;
