A field over 64 KiB is refused instead of ending the process

What callers saw: with a max_header_bytes above 64 KiB in the configuration, one request with a longer header field ended the edge (SIGABRT, std::length_error), and with it every request on that edge.

Cause: Beast stores a field in 64 KiB and throws for a longer one, in http_request_reader::feed. The default limit of 16 KiB hides it.

The exception counts as a header that is too large: 431.

Evidence: separate processes with max_header_bytes 131072 and a field of 70,000 bytes: exit code -6 before, 431 after. The new unit test ends with "field value too large" before; it also covers a trailer.

--- a/src/pearbarrow/net/http_codec.cc
+++ b/src/pearbarrow/net/http_codec.cc
@@ -1,5 +1,6 @@
 #include "pearbarrow/net/http_codec.h"
 
+#include <stdexcept>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
@@ -71,6 +72,16 @@
 }  // namespace
 
 struct http_request_reader::state {
+    /// Beast throws if a field does not fit its storage of 64 KiB, whatever the header limit is.
+    std::size_t put(const boost::asio::const_buffer& bytes) {
+        try {
+            return parser.put(bytes, error);
+        } catch (const std::length_error&) {
+            error = http::error::header_limit;
+            return 0;
+        }
+    }
+
     http::request_parser<http::string_body> parser;
     /// The parser consumes the framing of a chunk (its size line, or the trailer) only as a whole.
     std::size_t max_framing_bytes = 0;
@@ -98,7 +109,7 @@
             break;
         }
         state_->has_input = true;
-        consumed += parser.put(boost::asio::buffer(buffer) + consumed, state_->error);
+        consumed += state_->put(boost::asio::buffer(buffer) + consumed);
         if (state_->error == http::error::need_more) {
             state_->error = {};
             break;
--- a/tests/unit/net/http_bad_input_test.cc
+++ b/tests/unit/net/http_bad_input_test.cc
@@ -90,6 +90,22 @@
     cr_assert(handled == 0);
 }
 
+// The parser throws for a field that does not fit its storage.
+Test(http_bad_input, field_over_64_kib_gets_431_below_the_header_limit) {
+    event_loop loop;
+    http_server_options options;
+    options.max_header_bytes = 128 * 1024;
+    int handled = 0;
+    const auto server = serve(
+        loop, [&](const std::shared_ptr<http_exchange>&) { ++handled; }, options);
+    const std::string head = "POST / HTTP/1.1\r\nHost: x\r\n";
+    const std::string field = "X: " + std::string(70'000, 'x') + "\r\n";
+    expect_rejected(loop, *server, {"431", head + field + "\r\n"});
+    expect_rejected(loop, *server,
+                    {"431", head + "Transfer-Encoding: chunked\r\n\r\n0\r\n" + field + "\r\n"});
+    cr_assert(handled == 0);
+}
+
 Test(http_bad_input, incomplete_request_times_out) {
     event_loop loop;
     http_server_options options;
