A node continues when the reader of its log ends

What callers saw: all connections of a node broke at its next log line after the reader of its standard output had ended.

Cause: writing to a pipe without a reader raises SIGPIPE, which ends the process. Sockets are written with MSG_NOSIGNAL; standard output is not.

configure_logging ignores SIGPIPE.

Evidence: an edge whose standard output is a pipe that is closed, then SIGHUP: exit code -13 and 0 of 5 requests served before, running and 5 of 5 after (connection_rig.py log_reader_ends, one run each).

--- a/src/pearbarrow/base/log.cc
+++ b/src/pearbarrow/base/log.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <csignal>
 #include <cstdio>
 #include <iterator>
 #include <memory>
@@ -97,6 +98,8 @@
 }  // namespace
 
 void configure_logging(std::string_view min_level, nlohmann::json common_fields) {
+    // The process continues without its log if the reader of standard output ends.
+    std::signal(SIGPIPE, SIG_IGN);
     state().logger->set_level(spdlog::level::from_str(std::string(min_level)));
     state().common_fields = std::move(common_fields);
 }
--- a/src/pearbarrow/base/log.h
+++ b/src/pearbarrow/base/log.h
@@ -15,7 +15,7 @@
 enum class log_level { debug, info, warning, error };
 
 /// Sets the lowest level that is written ("debug", "info", "warning", "error") and the fields that
-/// are added to every line, such as the name of the node.
+/// are added to every line, such as the name of the node. Ignores SIGPIPE from then on.
 void configure_logging(std::string_view min_level, nlohmann::json common_fields);
 
 /// Writes one line. `fields` must be a JSON object.
