--- a/tests/unit/fleet/store_follower_test.cc
+++ b/tests/unit/fleet/store_follower_test.cc
@@ -1,10 +1,13 @@
 #include "store_follower.h"
 
 #include <map>
+#include <optional>
+#include <string>
 
 #include "../net/net_fixture.h"
 #include "pearbarrow/base/metrics.h"
 #include "pearbarrow/base/random.h"
+#include "pearbarrow/base/status.h"
 #include "pearbarrow/emulator/metadata_store.h"
 
 #include <criterion/criterion.h>
@@ -191,3 +194,21 @@
     fixture.follower->poll_for_peer(2);
     cr_assert(run_until(fixture.loop, [&] { return fixture.value("a") == "2"; }));
 }
+
+Test(store_client, change_without_a_numeric_revision_fails) {
+    for (const std::string body : {R"({"rev":"7"})", R"({"rev":null})", "{}", "[]"}) {
+        net::event_loop loop;
+        net::testing::raw_server server;
+        base::metrics_registry metrics;
+        platform::store_client client(loop, server.local_endpoint(), metrics);
+        std::optional<absl::Status> outcome;
+        client.change("test", {}, [&](const absl::StatusOr<std::uint64_t>& revision) {
+            outcome = revision.status();
+        });
+        cr_assert(run_until(loop, [&] { return server.has("\r\n\r\n"); }));
+        server.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+                    "\r\n\r\n" + body);
+        cr_assert(run_until(loop, [&] { return outcome.has_value(); }));
+        cr_assert(base::details_of(*outcome).reason == "malformed_response", "%s", body.c_str());
+    }
+}
