A stopped storage member delivers its replies before it ends

What callers saw: a member that got SIGTERM ended at once. Requests of other nodes that it was executing ended with `connection_lost`, after which their senders do not know whether they were executed, and replies that peers had not taken were discarded.

Cause: `storage_node::stop` posted the end of the process, and nothing knew what the node still owed to its peers.

`peer_rpc::backlog` states the requests of other nodes that are in progress and the bytes on links from them that the kernel has not accepted. Long polls (`directory_watch`, `load_pull`) are marked by their handlers and do not count: they wait up to 8 s for news, and their callers poll another node when one ends.

--- a/src/pearbarrow/directory/directory_exchange.cc
+++ b/src/pearbarrow/directory/directory_exchange.cc
@@ -162,6 +162,7 @@
         send_reply(responder, *request);
         return;
     }
+    responder->mark_as_long_poll();
     auto& waiting = waiting_requests_.emplace_back();
     const auto position = std::prev(waiting_requests_.end());
     waiting.request = *request;
--- a/src/pearbarrow/fleet/storage_node.cc
+++ b/src/pearbarrow/fleet/storage_node.cc
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr char store_folder[] = "/turns";
+constexpr base::milliseconds backlog_poll_interval{20};
+/// Part of the stop timeout that is reserved for the exit of the process.
+constexpr base::milliseconds exit_margin{400};
 /// Fraction of the operator's slack that shares hold beyond the burst. The rest covers members that
 /// start and members that have been replaced.
 constexpr double extra_fraction = 0.6;
@@ -258,8 +261,33 @@
 }
 
 void storage_node::stop(std::function<void()> done) {
-    // There is nothing to wait for: confirmed data is stored, and edges call the other members.
-    parts_.loop().post(std::move(done));
+    if (on_stopped_) {
+        return;
+    }
+    on_stopped_ = std::move(done);
+    const base::milliseconds timeout = parts_.settings().stop_timeout;
+    stop_deadline_ = parts_.clock().now() + std::max(timeout - exit_margin, timeout / 2);
+    // Callers continue at the other members at once.
+    parts_.rpc().stop_accepting();
+    // Requests that have arrived but have not been read are rejected before the first check.
+    stop_timer_ = parts_.loop().after(backlog_poll_interval, [this] { finish_when_delivered(); });
+}
+
+void storage_node::finish_when_delivered() {
+    const net::peer_backlog backlog = parts_.rpc().backlog();
+    if (!backlog.is_empty() && parts_.clock().now() < stop_deadline_) {
+        stop_timer_ =
+            parts_.loop().after(backlog_poll_interval, [this] { finish_when_delivered(); });
+        return;
+    }
+    if (!backlog.is_empty()) {
+        base::log(base::log_level::warning, "drain_timeout",
+                  {{"reason", "stop_timeout"},
+                   {"open_requests", backlog.open_requests},
+                   {"queued_bytes", backlog.queued_bytes},
+                   {"pending_writes", replica_->pending_writes()}});
+    }
+    on_stopped_();
 }
 
 }  // namespace pearbarrow::fleet
--- a/src/pearbarrow/fleet/storage_node.h
+++ b/src/pearbarrow/fleet/storage_node.h
@@ -27,6 +27,8 @@
 
     /// Opens the store and the links. `directory_service` must outlive the node.
     absl::Status start(turns::storage_register& directory_service);
+    /// Rejects new requests, and runs `done` once the replies to earlier ones have been sent or the
+    /// stop timeout is nearly over.
     void stop(std::function<void()> done);
     /// Returns whether the member has all data that it has ever confirmed.
     bool is_complete() const { return replica_ != nullptr && replica_->is_complete(); }
@@ -40,6 +42,7 @@
     void restore_directory();
     void apply_changes(const directory::directory_state::changes& changed);
     void apply_start_limits(const directory::directory_state::changes& changed, base::instant now);
+    void finish_when_delivered();
     /// Logs when a tolerated loss would remove the majority of a replica group.
     void check_losses(const directory::storage_view& view);
 
@@ -58,6 +61,10 @@
     /// Grants permits for back ends that have just started.
     std::unique_ptr<tenants::quota_service> permits_;
     turns::groups_at_risk at_risk_;
+    /// Set once the node has been told to stop.
+    std::function<void()> on_stopped_;
+    base::instant stop_deadline_{};
+    std::unique_ptr<net::timer_handle> stop_timer_;
 };
 
 }  // namespace pearbarrow::fleet
--- a/src/pearbarrow/net/peer_calls.cc
+++ b/src/pearbarrow/net/peer_calls.cc
@@ -154,6 +154,8 @@
             on_cancelled_ = std::move(callback);
         }
     }
+    // The backlog contains no requests of the node itself.
+    void mark_as_long_poll() override {}
 
     void on_caller_cancelled() {
         if (std::exchange(ended_, true)) {
--- a/src/pearbarrow/net/peer_calls.h
+++ b/src/pearbarrow/net/peer_calls.h
@@ -63,7 +63,7 @@
     bool done_ = false;
 };
 
-class framed_link;
+class peer_inbound;
 class peer_link;
 
 /// State shared by the links of one node.
@@ -83,7 +83,7 @@
     std::shared_ptr<tls_context> server_tls;
     std::shared_ptr<tls_context> client_tls;
     std::map<std::pair<base::node_id, endpoint>, std::shared_ptr<peer_link>> outbound;
-    std::set<std::shared_ptr<framed_link>> inbound;
+    std::set<std::shared_ptr<peer_inbound>> inbound;
     std::set<std::shared_ptr<outgoing_call>> local_calls;
     /// Peers whose loss has been logged and to which no link has been established since.
     std::set<std::pair<base::node_id, endpoint>> reported_lost_peers;
--- a/src/pearbarrow/net/peer_inbound.cc
+++ b/src/pearbarrow/net/peer_inbound.cc
@@ -71,6 +71,9 @@
         }
     }
 
+    void mark_as_long_poll() override { is_long_poll_ = true; }
+    bool is_long_poll() const { return is_long_poll_; }
+
     /// Called when the caller disconnects or cancels the request.
     void on_caller_cancelled() {
         if (std::exchange(ended_, true)) {
@@ -124,6 +127,7 @@
     base::milliseconds timeout_;
     std::size_t max_payload_bytes_;
     std::function<void()> on_cancelled_;
+    bool is_long_poll_ = false;
     bool ended_ = false;
 };
 
@@ -192,8 +196,16 @@
     return absl::OkStatus();
 }
 
+std::size_t peer_inbound::open_requests() const {
+    return static_cast<std::size_t>(
+        std::count_if(requests_.begin(), requests_.end(), [](const auto& entry) {
+            const auto responder = entry.second.lock();
+            return responder != nullptr && !responder->is_long_poll();
+        }));
+}
+
 void peer_inbound::on_ended(const absl::Status& /*status*/) {
-    core_->inbound.erase(shared_from_this());
+    core_->inbound.erase(std::static_pointer_cast<peer_inbound>(shared_from_this()));
     const auto requests = std::exchange(requests_, {});
     for (const auto& [call, weak] : requests) {
         if (const auto responder = weak.lock(); responder != nullptr) {
--- a/src/pearbarrow/net/peer_link.h
+++ b/src/pearbarrow/net/peer_link.h
@@ -118,6 +118,10 @@
     /// Sends a frame of a reply.
     void send_reply(const peer_frame& frame) { send(frame); }
     void remove_request(std::uint64_t call) { requests_.erase(call); }
+    /// Returns the number of requests without a final reply, except long polls.
+    std::size_t open_requests() const;
+    /// Returns the number of bytes that the kernel has not accepted.
+    std::size_t queued_bytes() const { return link_->pending_bytes(); }
 
   private:
     absl::Status on_hello(const hello_message& hello) override;
--- a/src/pearbarrow/net/peer_rpc.cc
+++ b/src/pearbarrow/net/peer_rpc.cc
@@ -77,6 +77,16 @@
     }
 
     void stop_accepting() override { core_->stopping = true; }
+
+    peer_backlog backlog() const override {
+        peer_backlog total;
+        for (const auto& link : core_->inbound) {
+            total.open_requests += link->open_requests();
+            total.queued_bytes += link->queued_bytes();
+        }
+        return total;
+    }
+
     std::uint64_t bytes_sent() const override { return core_->counters->sent; }
     std::uint64_t bytes_received() const override { return core_->counters->received; }
     std::vector<traffic_row> traffic() const override { return core_->traffic.rows(); }
--- a/src/pearbarrow/net/peer_rpc.h
+++ b/src/pearbarrow/net/peer_rpc.h
@@ -83,6 +83,9 @@
     virtual void fail(absl::Status status) = 0;
     /// Sets a callback that runs once if the caller cancels or its connection is lost.
     virtual void on_cancelled(std::function<void()> callback) = 0;
+    /// Excludes the request from the backlog: it waits for news, and its caller polls another node
+    /// if this one ends.
+    virtual void mark_as_long_poll() = 0;
 };
 
 using peer_method_handler =
@@ -104,6 +107,16 @@
     std::function<void(absl::StatusOr<std::string>)> on_done;
 };
 
+/// What a node owes to its peers.
+struct peer_backlog {
+    /// Requests of other nodes that have no final reply, without long polls.
+    std::size_t open_requests = 0;
+    /// Bytes queued on links from other nodes that the kernel has not accepted.
+    std::size_t queued_bytes = 0;
+
+    bool is_empty() const { return open_requests == 0 && queued_bytes == 0; }
+};
+
 /// RPC endpoint of a node. A call from the node to itself uses the event loop and no socket.
 class peer_rpc {
   public:
@@ -120,6 +133,7 @@
     /// Rejects new requests of other nodes with reason `node_stopping`. Requests in flight
     /// continue, and so do calls from the node to itself, on which they may depend.
     virtual void stop_accepting() = 0;
+    virtual peer_backlog backlog() const = 0;
     /// Bytes sent since the start, for the control traffic metric.
     virtual std::uint64_t bytes_sent() const = 0;
     virtual std::uint64_t bytes_received() const = 0;
--- a/src/pearbarrow/turns/load_report_exchange.cc
+++ b/src/pearbarrow/turns/load_report_exchange.cc
@@ -127,6 +127,7 @@
         this->reply_to(pending);
         return;
     }
+    pending.responder->mark_as_long_poll();
     const auto position = this->pending_polls.insert(this->pending_polls.end(), std::move(pending));
     position->timeout = this->loop.after(this->options.long_poll_timeout, [this, position] {
         this->reply_to(*position);
--- a/tests/unit/net/peer_rpc_test.cc
+++ b/tests/unit/net/peer_rpc_test.cc
@@ -226,6 +226,63 @@
     cr_assert(in_flight.ok());
 }
 
+Test(peer_rpc, backlog_counts_requests_until_their_final_reply) {
+    peer_pair pair;
+    cr_assert(pair.server->backlog().is_empty());
+    call_result first(pair.loop);
+    call_result second(pair.loop);
+    first.start(*pair.client, "server", pair.address(), hold_method, "");
+    second.start(*pair.client, "server", pair.address(), hold_method, "");
+    cr_assert(run_until(pair.loop, [&] { return pair.held.size() == 2; }));
+    cr_assert(pair.server->backlog().open_requests == 2);
+    cr_assert(pair.client->backlog().is_empty());
+    pair.held.front()->finish("done");
+    cr_assert(pair.server->backlog().open_requests == 1);
+    second.handle->cancel();
+    first.wait();
+    cr_assert(run_until(pair.loop, [&] { return pair.server->backlog().is_empty(); }));
+    cr_assert(pair.cancelled == 1);
+}
+
+Test(peer_rpc, long_poll_is_not_in_the_backlog) {
+    peer_pair pair;
+    call_result poll(pair.loop);
+    poll.start(*pair.client, "server", pair.address(), hold_method, "");
+    cr_assert(run_until(pair.loop, [&] { return !pair.held.empty(); }));
+    pair.held.back()->mark_as_long_poll();
+    cr_assert(pair.server->backlog().is_empty());
+    pair.held.back()->finish("news");
+    poll.wait();
+    cr_assert(poll.ok());
+}
+
+Test(peer_rpc, backlog_contains_replies_that_a_paused_peer_has_not_taken) {
+    peer_pair pair;
+    event_loop paused_loop;
+    const auto paused = make_peer_rpc(paused_loop, options_of("paused"));
+    call_result call(paused_loop);
+    call.start(*paused, "server", pair.address(), hold_method, "");
+    for (int round = 0; round < 2'000 && pair.held.empty(); ++round) {
+        run_for(paused_loop, std::chrono::milliseconds(1));
+        run_for(pair.loop, std::chrono::milliseconds(1));
+    }
+    cr_assert(!pair.held.empty());
+    // More than the buffers of the kernel hold.
+    const std::string payload(15'000'000, 'x');
+    pair.held.back()->send_part(payload);
+    pair.held.back()->finish(payload);
+    run_for(pair.loop, std::chrono::milliseconds(50));
+    cr_assert(pair.server->backlog().open_requests == 0);
+    cr_assert(pair.server->backlog().queued_bytes > 0);
+    cr_assert(!pair.server->backlog().is_empty());
+    for (int round = 0; round < 20'000 && !call.done(); ++round) {
+        run_for(paused_loop, std::chrono::milliseconds(1));
+        run_for(pair.loop, std::chrono::milliseconds(1));
+    }
+    cr_assert(call.done() && call.ok());
+    cr_assert(pair.server->backlog().is_empty());
+}
+
 Test(peer_rpc, parts_arrive_in_order_before_the_final_reply) {
     peer_pair pair;
     for (const std::string node : {"server", "client"}) {
