What the review of the drain found

Progress is measured at the peer. Also on, without a stop. - A destroyed server still reported undelivered responses. - An accept that failed for want of descriptors, or retried during the drain, reset the queue or kept the listener open. - A reply to another node counted as done when it was queued: the drain now waits for the backlog of peer_rpc, which contains relayed calls. - A refusal was reported under the id of the previous request; a new limit could prolong the wait for a first request.

drain_waiting and drain_timeout name what other nodes wait for. New unit tests for each that a test can show.

--- a/src/pearbarrow/fleet/caller_drain.cc
+++ b/src/pearbarrow/fleet/caller_drain.cc
@@ -13,9 +13,12 @@
 /// How long load balancers need to redirect callers. They poll readiness once a second, and act on
 /// the second failure.
 constexpr base::milliseconds redirect_time{2'600};
-/// Time reserved for the exit of the process, and half of it for the last responses.
-constexpr base::milliseconds max_exit_margin{400};
+/// Time reserved for the exit of the process.
+constexpr base::milliseconds max_exit_time{400};
+/// Time reserved for the delivery of the last error responses.
+constexpr base::milliseconds max_last_response_time{200};
 constexpr base::milliseconds check_interval{50};
+constexpr base::milliseconds min_check_interval{5};
 /// Reason of requests that are given up because the process ends.
 constexpr char stopped_reason[] = "node_stopped";
 /// Limit for the log lines about responses that are given up.
@@ -24,11 +27,10 @@
 }  // namespace
 
 drain_schedule make_drain_schedule(base::milliseconds stop_timeout) {
-    const base::milliseconds margin = std::min(max_exit_margin, stop_timeout / 10);
     drain_schedule schedule;
     schedule.stop_accepting = std::min(redirect_time, stop_timeout * 2 / 5);
-    schedule.end = stop_timeout - margin;
-    schedule.give_up = schedule.end - margin / 2;
+    schedule.end = stop_timeout - std::min(max_exit_time, stop_timeout / 10);
+    schedule.give_up = schedule.end - std::min(max_last_response_time, stop_timeout / 20);
     return schedule;
 }
 
@@ -52,30 +54,42 @@
 
 void caller_drain::stop_accepting() {
     this->context.callers.stop_accepting();
-    base::log(base::log_level::info, "drain_waiting",
-              {{"responses", this->context.callers.undelivered().size()},
-               {"requests", this->context.requests.open_requests()}});
+    base::log(base::log_level::info, "drain_waiting", this->log_fields());
     this->check();
 }
 
+nlohmann::json caller_drain::log_fields() const {
+    const pending_node_work pending = this->context.node_work();
+    return {{"requests", this->context.requests.open_requests()},
+            {"responses", this->context.callers.undelivered().size()},
+            {"open_reports", pending.has_open_reports},
+            {"unconfirmed_writes", pending.unconfirmed_writes},
+            {"peer_requests", pending.peers.open_requests},
+            {"peer_bytes", pending.peers.queued_bytes}};
+}
+
 void caller_drain::check() {
     const base::milliseconds elapsed = this->time_since_start();
-    const bool is_drained = this->context.callers.is_drained() && this->context.is_idle();
-    if (is_drained || elapsed >= this->schedule.end) {
+    const bool is_drained =
+        this->context.callers.is_drained() && this->context.node_work().is_empty();
+    if (is_drained || (elapsed >= this->schedule.end && this->has_given_up)) {
         this->end();
         return;
     }
     if (elapsed >= this->schedule.give_up && !std::exchange(this->has_given_up, true)) {
         this->give_up();
     }
-    this->timer = this->context.loop.after(check_interval, [this] { this->check(); });
+    this->timer = this->context.loop.after(this->next_check(elapsed), [this] { this->check(); });
+}
+
+base::milliseconds caller_drain::next_check(base::milliseconds elapsed) const {
+    const base::milliseconds next_step =
+        this->has_given_up ? this->schedule.end : this->schedule.give_up;
+    return std::clamp(next_step - elapsed, min_check_interval, check_interval);
 }
 
 void caller_drain::give_up() {
-    base::log(base::log_level::warning, "drain_timeout",
-              {{"responses", this->context.callers.undelivered().size()},
-               {"requests", this->context.requests.open_requests()},
-               {"is_idle", this->context.is_idle()}});
+    base::log(base::log_level::warning, "drain_timeout", this->log_fields());
     this->context.requests.give_up_requests();
     this->context.callers.reject_arriving("node_stopping", "the node stops");
 }
--- a/src/pearbarrow/fleet/caller_drain.h
+++ b/src/pearbarrow/fleet/caller_drain.h
@@ -2,14 +2,18 @@
 /// the process.
 #pragma once
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 
+#include <nlohmann/json.hpp>
+
 #include "pearbarrow/base/clock.h"
 #include "pearbarrow/forward/forward_log.h"
 #include "pearbarrow/forward/forward_service.h"
 #include "pearbarrow/net/event_loop.h"
 #include "pearbarrow/net/http.h"
+#include "pearbarrow/net/peer_rpc.h"
 
 namespace pearbarrow::fleet {
 
@@ -23,12 +27,26 @@
     base::milliseconds end{};
 };
 
+/// What other nodes still wait for.
+struct pending_node_work {
+    /// Whether reports of ended back ends have not reached all nodes.
+    bool has_open_reports = false;
+    /// Writes of turns and settlements that no majority has confirmed.
+    std::size_t unconfirmed_writes = 0;
+    /// Replies to other nodes, including calls that this node relays for them.
+    net::peer_backlog peers;
+
+    bool is_empty() const {
+        return !this->has_open_reports && this->unconfirmed_writes == 0 && this->peers.is_empty();
+    }
+};
+
 /// Returns the schedule of a node whose process must have ended `stop_timeout` after the order.
 drain_schedule make_drain_schedule(base::milliseconds stop_timeout);
 
-/// Accepts and serves requests until callers have been redirected, and then waits until nothing is
-/// owed: to callers, until every response has been delivered; to other nodes, until `is_idle`. What
-/// is still owed at the end of the schedule is logged.
+/// Accepts and serves requests until callers have been redirected, and then waits until every
+/// response has been delivered and other nodes wait for nothing. What is left near the end of the
+/// schedule is cancelled: its callers get an error response, and it is logged.
 class caller_drain {
   public:
     struct parts {
@@ -37,8 +55,7 @@
         net::http_server& callers;
         forward::forward_service& requests;
         forward::forward_log& log;
-        /// Whether this node owes nothing to other nodes.
-        std::function<bool()> is_idle;
+        std::function<pending_node_work()> node_work;
     };
 
     /// `done` runs once, when the process may end.
@@ -50,9 +67,12 @@
   private:
     void stop_accepting();
     void check();
+    /// Time until the next check, which is not later than the next step of the schedule.
+    base::milliseconds next_check(base::milliseconds elapsed) const;
     void give_up();
     void end();
     base::milliseconds time_since_start() const;
+    nlohmann::json log_fields() const;
 
     parts context;
     drain_schedule schedule;
--- a/src/pearbarrow/fleet/edge_node.cc
+++ b/src/pearbarrow/fleet/edge_node.cc
@@ -298,13 +298,14 @@
                             .callers = *callers_,
                             .requests = service_,
                             .log = log_,
-                            .is_idle = [this] { return owes_nothing_to_nodes(); }},
+                            .node_work = [this] { return node_work(); }},
         parts_.settings().stop_timeout, std::move(done));
 }
 
-bool edge_node::owes_nothing_to_nodes() const {
-    return end_monitor_.has_reported_all() && turns_.unconfirmed_writes() == 0 &&
-           relay_.open_calls() == 0;
+pending_node_work edge_node::node_work() {
+    return {.has_open_reports = !end_monitor_.has_reported_all(),
+            .unconfirmed_writes = turns_.unconfirmed_writes(),
+            .peers = parts_.rpc().backlog()};
 }
 
 }  // namespace pearbarrow::fleet
--- a/src/pearbarrow/fleet/edge_node.h
+++ b/src/pearbarrow/fleet/edge_node.h
@@ -41,8 +41,7 @@
     /// Returns the path of the health check of the service; empty if it is unknown.
     std::string health_path_of(const std::string& service) const;
     void respond_readiness(const std::shared_ptr<net::http_exchange>& exchange) const;
-    /// Whether all reports, settlements and relayed calls are complete.
-    bool owes_nothing_to_nodes() const;
+    pending_node_work node_work();
     void collect(base::metrics_registry& registry) const;
     /// Starts or stops polling for gaps in updates. Only services with a cold rate need it.
     void update_gap_polling();
--- a/src/pearbarrow/net/connection.cc
+++ b/src/pearbarrow/net/connection.cc
@@ -301,7 +301,8 @@
         return;
     }
     writing_ = true;
-    write_deadline_.set_after(options_.write_timeout);
+    unacknowledged_at_check_.reset();
+    write_deadline_.set_after(options_.write_timeout / 2);
     auto done = [self = shared_from_this()](const error_code& error, std::size_t size) {
         self->on_written(error, size);
     };
@@ -384,15 +385,16 @@
 }
 
 void connection::on_write_deadline() {
-    if (lingering_) {
-        const std::size_t left = unacknowledged_bytes();
-        const bool is_sending = std::exchange(received_while_lingering_, false) &&
-                                ++linger_times_while_sending_ < max_linger_times_while_sending;
-        if (left < lingering_bytes_ || is_sending) {
-            lingering_bytes_ = left;
-            write_deadline_.set_after(linger_time);
-            return;
-        }
+    // The kernel accepts more only when a good part of its buffer is free, so the peer may read
+    // for longer than the timeout before a write succeeds.
+    const std::size_t left = unacknowledged_bytes();
+    const bool is_read = !unacknowledged_at_check_.has_value() || left < *unacknowledged_at_check_;
+    const bool is_sending = std::exchange(received_while_lingering_, false) &&
+                            ++linger_times_while_sending_ < max_linger_times_while_sending;
+    if (is_read || is_sending) {
+        unacknowledged_at_check_ = left;
+        write_deadline_.set_after(lingering_ ? linger_time : options_.write_timeout / 2);
+        return;
     }
     close_with_error(base::make_error(absl::StatusCode::kUnavailable,
                                       "the other side takes no bytes",
@@ -407,7 +409,7 @@
     // Received bytes are read and discarded: closing a socket with unread bytes would make the
     // kernel discard the last response.
     lingering_ = true;
-    lingering_bytes_ = unacknowledged_bytes();
+    unacknowledged_at_check_ = unacknowledged_bytes();
     write_deadline_.set_after(linger_time);
     if (tls_ != nullptr) {
         tls_->stream.async_shutdown(
--- a/src/pearbarrow/net/connection.h
+++ b/src/pearbarrow/net/connection.h
@@ -42,7 +42,7 @@
     std::size_t unsent_bytes = 0;
     /// Bytes that the kernel had accepted and the peer had not acknowledged.
     std::size_t unacknowledged_bytes = 0;
-    /// Why the connection ended. Empty if this side closed it.
+    /// Why the connection ended. Empty if the user closed it.
     std::string reason;
 };
 
@@ -179,8 +179,8 @@
     bool open_ = true;
     bool closing_ = false;
     bool lingering_ = false;
-    /// Unacknowledged bytes when the peer was last seen to make progress while lingering.
-    std::size_t lingering_bytes_ = 0;
+    /// Unacknowledged bytes when the write deadline last expired; empty before.
+    std::optional<std::size_t> unacknowledged_at_check_;
     bool received_while_lingering_ = false;
     int linger_times_while_sending_ = 0;
     bool resets_after_writes_ = false;
--- a/src/pearbarrow/net/http_session.cc
+++ b/src/pearbarrow/net/http_session.cc
@@ -71,6 +71,7 @@
     }
     ending_sessions.clear();
     handler = nullptr;
+    options.on_undelivered = nullptr;
 }
 
 http_session::http_session(boost::asio::io_context& context, std::shared_ptr<http_server_core> core,
@@ -219,8 +220,8 @@
 
 bool http_session::announce_keep_alive(bool is_possible) {
     // A request that has arrived already is answered on its connection.
-    const bool is_needed = client_keeps_alive_ && is_request_arriving();
-    is_close_announced_ = !is_possible || !(keeps_alive() || is_needed);
+    const bool is_open_after = keeps_alive() || (client_keeps_alive_ && is_request_arriving());
+    is_close_announced_ = !is_possible || !is_open_after;
     return !is_close_announced_;
 }
 
@@ -234,6 +235,7 @@
                                        .body_size = response.body.size(),
                                        .keep_alive = false}) +
                  response.body);
+    request_id_.clear();
     is_response_complete_ = true;
     end_after_writes(body_framing::length);
 }
@@ -243,7 +245,7 @@
         refuse(408, "request_timeout", "the whole request did not arrive in time");
         return;
     }
-    if (idle_timeout_ < core_->options.request_timeout) {
+    if (!close_when_idle_ && idle_timeout_ < core_->options.request_timeout) {
         // The limits have changed meanwhile.
         const base::milliseconds rest = core_->options.request_timeout - idle_timeout_;
         idle_timeout_ = core_->options.request_timeout;
@@ -377,6 +379,9 @@
 void http_session::unregister() {
     ended_ = true;
     release_received();
+    // The session exists until its connection has ended, which may take seconds.
+    reader_ = nullptr;
+    std::string().swap(inbox_);
     request_deadline_.clear();
     core_->sessions.erase(shared_from_this());
 }
--- a/src/pearbarrow/net/listener.cc
+++ b/src/pearbarrow/net/listener.cc
@@ -44,7 +44,8 @@
 }  // namespace
 
 struct listener::core : std::enable_shared_from_this<listener::core> {
-    explicit core(boost::asio::io_context& context) : acceptor(context), retry(context) {}
+    explicit core(boost::asio::io_context& context)
+        : acceptor(context), retry(context), drain_timer(context) {}
 
     absl::Status open(const endpoint& listen) {
         error_code error;
@@ -105,18 +106,29 @@
 
     void drain() {
         drop_handshakes(acceptor.native_handle());
-        retry.expires_after(handshake_time);
-        retry.async_wait([self = shared_from_this()](const error_code& failed) {
-            if (!failed && !self->stopped) {
-                self->accept_established();
-                // A connection whose accept has completed is still passed on.
-                error_code ignored;
-                self->acceptor.close(ignored);
+        close_after(handshake_time);
+    }
+
+    /// Accepts the established connections and closes. Tries again later if an accept fails, e.g.
+    /// because no file descriptor is available.
+    void close_after(std::chrono::milliseconds delay) {
+        drain_timer.expires_after(delay);
+        drain_timer.async_wait([self = shared_from_this()](const error_code& failed) {
+            if (failed || self->stopped) {
+                return;
+            }
+            if (!self->accept_established()) {
+                self->close_after(accept_retry_delay);
+                return;
             }
+            // A connection whose accept has completed is still passed on.
+            error_code ignored;
+            self->acceptor.close(ignored);
         });
     }
 
-    void accept_established() {
+    /// Returns whether no established connection is left.
+    bool accept_established() {
         error_code error;
         acceptor.non_blocking(true, error);
         while (!error) {
@@ -126,6 +138,7 @@
                 handler(std::move(socket));
             }
         }
+        return error == boost::asio::error::would_block;
     }
 
     void close() {
@@ -133,10 +146,12 @@
         error_code ignored;
         acceptor.close(ignored);
         retry.cancel();
+        drain_timer.cancel();
     }
 
     tcp::acceptor acceptor;
     boost::asio::steady_timer retry;
+    boost::asio::steady_timer drain_timer;
     tcp::endpoint bound;
     socket_handler handler;
     bool stopped = false;
--- a/src/pearbarrow/operator/trace.cc
+++ b/src/pearbarrow/operator/trace.cc
@@ -28,10 +28,11 @@
                                                        "turn_replica_complete"};
 
 /// Events that end the hopes of a request, or of one attempt.
-constexpr std::array<std::string_view, 12> deciding_events{
-    "turn_refused",  "attempt_broken",       "attempt_refused", "attempt_failed",
-    "quota_refused", "resume_refused",       "request_refused", "program_turned_away",
-    "place_refused", "start_permit_refused", "suspect_refused", "response_undelivered"};
+constexpr std::array<std::string_view, 13> deciding_events{
+    "turn_refused",        "turn_not_stored", "attempt_broken",       "attempt_refused",
+    "attempt_failed",      "quota_refused",   "resume_refused",       "request_refused",
+    "program_turned_away", "place_refused",   "start_permit_refused", "suspect_refused",
+    "response_undelivered"};
 
 std::string text_field(const nlohmann::json& fields, const char* name) {
     const auto found = fields.find(name);
--- a/src/pearbarrow/turns/call_relay.h
+++ b/src/pearbarrow/turns/call_relay.h
@@ -44,7 +44,6 @@
     call_relay& operator=(const call_relay&) = delete;
 
     void set_view(const directory::storage_view& view) { this->view = view; }
-    std::size_t open_calls() const { return this->calls.size(); }
 
   private:
     void handle(const relay_request& request,
--- a/tests/unit/net/http_drain_test.cc
+++ b/tests/unit/net/http_drain_test.cc
@@ -266,3 +266,51 @@
     cr_assert(client.has("HTTP/1.1 413"));
     cr_assert(!client.was_reset);
 }
+
+Test(http_drain, response_that_is_read_slowly_but_steadily_arrives_whole) {
+    constexpr std::size_t body_size = std::size_t{512} * 1024;
+    event_loop loop;
+    http_server_options options;
+    options.write_timeout = std::chrono::milliseconds(400);
+    const auto server = serve(loop, respond_with(std::string(body_size, 'x')), std::move(options));
+    raw_client client(server->local_endpoint(), small_receive_buffer);
+    client.send(simple_request);
+    const auto reading = loop.every(std::chrono::milliseconds(50), [&] { client.receive(2'000); });
+    run_for(loop, std::chrono::milliseconds(2'000));
+    cr_assert(!client.is_closed());
+    reading->cancel();
+    cr_assert(
+        run_until(loop, [&] { return client.closed() || client.received.size() > body_size; }));
+    cr_assert(body_bytes(client.received) == body_size);
+}
+
+Test(http_drain, refused_request_keeps_no_memory_while_its_client_sends) {
+    event_loop loop;
+    http_server_options options;
+    options.max_receiving_bytes = 1024;
+    const auto server = serve(loop, echo, std::move(options));
+    raw_client client(server->local_endpoint());
+    client.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n" +
+                std::string(2'000, 'x'));
+    cr_assert(run_until(loop, [&] { return client.has("HTTP/1.1 503"); }));
+    for (int sent = 0; sent < 20; ++sent) {
+        client.send(std::string(2'000, 'x'));
+        run_for(loop, std::chrono::milliseconds(5));
+    }
+    cr_assert(server->undelivered().empty());
+    cr_assert(!client.was_reset);
+}
+
+Test(http_drain, destroyed_server_reports_nothing) {
+    event_loop loop;
+    bool was_reported = false;
+    http_server_options options;
+    options.on_undelivered = [&](const undelivered_response& /*response*/) { was_reported = true; };
+    auto server = serve(loop, respond_with(std::string(large_body_bytes, 'x')), std::move(options));
+    raw_client client(server->local_endpoint(), small_receive_buffer);
+    client.send(simple_request);
+    cr_assert(run_until(loop, [&] { return !server->undelivered().empty(); }));
+    server = nullptr;
+    run_for(loop, std::chrono::milliseconds(50));
+    cr_assert(!was_reported);
+}
--- a/tests/unit/net/net_fixture.h
+++ b/tests/unit/net/net_fixture.h
@@ -71,17 +71,23 @@
     }
     /// Appends the available bytes to `received`.
     void receive() {
-        char buffer[65536];
-        for (;;) {
-            const auto size = ::recv(socket_, buffer, sizeof(buffer), 0);
-            if (size <= 0) {
-                was_reset = was_reset || (size < 0 && errno == ECONNRESET);
-                closed_ = closed_ || size == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
-                return;
-            }
-            received.append(buffer, static_cast<std::size_t>(size));
+        while (receive(65536)) {
         }
     }
+    /// Appends up to `max_bytes` available bytes to `received`. Returns whether there were any.
+    bool receive(std::size_t max_bytes) {
+        std::string buffer(max_bytes, '\0');
+        const auto size = ::recv(socket_, buffer.data(), buffer.size(), 0);
+        if (size <= 0) {
+            was_reset = was_reset || (size < 0 && errno == ECONNRESET);
+            closed_ = closed_ || size == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+            return false;
+        }
+        received.append(buffer.data(), static_cast<std::size_t>(size));
+        return true;
+    }
+    /// Whether the server was seen to close the connection.
+    bool is_closed() const { return closed_; }
     /// Receives the available bytes and returns whether the server closed the connection.
     bool closed() {
         receive();
