A node ends once its responses are delivered

What callers saw: a pearbarrowd that gets SIGTERM ended although callers had not received their responses, and closed connections on which a part of a request had arrived. On each of 4 callers that read a history of 6.0 MB at 1 MB/s got 1.4 to 1.5 MB; the process ended 1.1 s after SIGTERM. Requests of callers and operators that had begun to arrive got no response.

Cause: the process ended when no exchange was open. An exchange ends when its last bytes are queued, and stopping the loop discards them.

When no request is in progress, the callers' server now stops accepting, and the process waits until it is drained, then until the operators' server is drained as well. Only then does the node refuse peer calls and leave the membership, since operators' requests use both. While a request is in progress the listener stays open, and new requests get 503 as before. After timing.drain_timeout_ms requests that are still arriving get 503, and what remains is logged, each response with its peer, stage and bytes. A response whose connection ends before all bytes were sent is logged likewise.

--- a/src/pearbarrow/node/node.cc
+++ b/src/pearbarrow/node/node.cc
@@ -20,6 +20,16 @@
 constexpr base::milliseconds offer_period{250};
 /// Draws of a program id until one falls into a shard of the node's region.
 constexpr int most_id_draws = 1'000;
+/// Limit for the log lines about responses of one listener that are given up.
+constexpr std::size_t max_undelivered_lines = 100;
+
+void log_response(const net::undelivered_response& response) {
+    base::log(base::log_level::warning, "response_undelivered",
+              {{"peer", response.peer},
+               {"stage", net::to_string(response.stage)},
+               {"bytes", response.bytes},
+               {"reason", response.reason.empty() ? "closed" : response.reason}});
+}
 
 net::endpoint to_endpoint(const settings::ip_endpoint& value) {
     return {value.address, value.port};
@@ -144,6 +154,7 @@
     const settings::node_settings& settings = context_.settings;
     net::http_server_options options;
     options.listen = to_endpoint(listen);
+    options.on_undelivered = log_response;
     options.max_header_bytes = settings.limits.max_header_bytes;
     options.max_body_bytes = settings.limits.max_body_bytes;
     options.max_connections = settings.limits.max_connections;
@@ -363,32 +374,72 @@
         return;
     }
     refuse_requests();
-    const bool answered = caller_server_->open_exchanges() == 0 && router_->open_requests() == 0;
-    if (answered || out_of_time) {
-        if (!answered) {
-            base::log(base::log_level::warning, "drain_timeout",
-                      {{"open_requests", caller_server_->open_exchanges()}});
-        }
-        stop_timer_->cancel();
-        say_farewell();
+    if (out_of_time) {
+        give_up();
+    } else if (!deliver_responses()) {
+        return;
     }
+    stop_timer_->cancel();
+    say_farewell();
 }
 
 void node::refuse_requests() {
-    // The listener stays open to the end: a caller gets an answer, not a refused connection.
+    // The listener stays open while requests are processed: callers get a response instead of a
+    // refused connection.
     refusing_ = true;
 }
 
+bool node::deliver_responses() {
+    if (!delivering_) {
+        if (caller_server_->open_exchanges() > 0 || router_->open_requests() > 0) {
+            return false;
+        }
+        delivering_ = true;
+        caller_server_->stop_accepting();
+    }
+    if (!caller_server_->is_drained()) {
+        return false;
+    }
+    // Operators' requests use peer calls and membership, so they end before the farewell.
+    if (!std::exchange(operators_stopping_, true)) {
+        operator_server_->stop_accepting();
+    }
+    return operator_server_->is_drained();
+}
+
+void node::give_up() {
+    std::size_t responses = 0;
+    for (net::http_server* server : {caller_server_.get(), operator_server_.get()}) {
+        responses += server->undelivered().size();
+        server->stop_accepting();
+        server->reject_arriving("node_stopping", "the node stops");
+    }
+    base::log(base::log_level::warning, "drain_timeout",
+              {{"responses", responses},
+               {"open_requests", caller_server_->open_exchanges()},
+               {"router_requests", router_->open_requests()}});
+}
+
 void node::say_farewell() {
     rpc_->stop_accepting();
-    operator_server_->stop_accepting();
     membership_.leave([this] {
+        log_undelivered();
         base::log(base::log_level::info, "stopped");
-        caller_server_->stop_accepting();
         callbacks_.on_stopped();
     });
 }
 
+void node::log_undelivered() const {
+    for (const net::http_server* server : {caller_server_.get(), operator_server_.get()}) {
+        std::vector<net::undelivered_response> given_up = server->undelivered();
+        given_up.resize(std::min(given_up.size(), max_undelivered_lines));
+        for (net::undelivered_response& response : given_up) {
+            response.reason = "node_stopped";
+            log_response(response);
+        }
+    }
+}
+
 void node::reload() {
     for (net::http_server* server : {caller_server_.get(), operator_server_.get()}) {
         const absl::Status status = server->reload_tls();
--- a/src/pearbarrow/node/node.h
+++ b/src/pearbarrow/node/node.h
@@ -60,7 +60,7 @@
     node& operator=(const node&) = delete;
 
     absl::Status start();
-    /// Planned stop: marks this node as draining, hands shards and cells over, finishes what its
+    /// Planned stop: marks this node as draining, hands shards and cells over, delivers what its
     /// callers wait for, takes its leave and runs `on_stopped`.
     void stop();
     /// Reads the TLS files again.
@@ -91,6 +91,12 @@
     bool has_successor() const;
     /// New requests of callers get 503 `node_stopping` from here on.
     void refuse_requests();
+    /// Ends the listeners of callers and then of operators. Returns whether nothing is owed to
+    /// either.
+    bool deliver_responses();
+    /// Rejects requests that are still arriving, since the time for the stop is over.
+    void give_up();
+    void log_undelivered() const;
     void say_farewell();
 
     base::random_source random_;
@@ -130,6 +136,8 @@
     bool ready_announced_ = false;
     bool stopping_ = false;
     bool refusing_ = false;
+    bool delivering_ = false;
+    bool operators_stopping_ = false;
     base::instant stop_started_;
     base::instant last_offer_;
 };
