The idle timeout starts when the response has left the process

Cause: the timeout started when the response was queued. Bytes are written in a later round of the event loop. A pause between the two delayed the response, but not the timeout, so that it expired before the next request could arrive in time.

The timeout now restarts when the last queued byte has been written.

--- a/src/pearbarrow/net/http_session.cc
+++ b/src/pearbarrow/net/http_session.cc
@@ -265,6 +265,10 @@
     if (const auto exchange = exchange_.lock(); exchange != nullptr) {
         exchange->on_client_progress();
     }
+    if (!responding_ && !ended_ && !has_request_bytes() && link_->pending_bytes() == 0) {
+        // The response has left the process only now.
+        restart_idle_timeout();
+    }
 }
 
 void http_session::on_lost(const absl::Status& status) {
--- a/tests/unit/net/http_drain_test.cc
+++ b/tests/unit/net/http_drain_test.cc
@@ -210,6 +210,28 @@
     cr_assert(run_until(loop, [&] { return client.has("done"); }));
 }
 
+Test(http_drain, idle_timeout_starts_when_the_response_has_left_the_process) {
+    event_loop loop;
+    http_server_options options;
+    options.request_timeout = std::chrono::milliseconds(1'000);
+    const auto server = serve(
+        loop,
+        [](const std::shared_ptr<http_exchange>& exchange) {
+            exchange->respond({.status = 200, .body = "done"});
+            // The process is paused before it writes the response.
+            std::this_thread::sleep_for(std::chrono::milliseconds(800));
+        },
+        std::move(options));
+    raw_client client(server->local_endpoint());
+    client.send(simple_request);
+    cr_assert(run_until(loop, [&] { return client.has("done"); }));
+    run_for(loop, std::chrono::milliseconds(500));
+    client.received.clear();
+    client.send(simple_request);
+    cr_assert(run_until(loop, [&] { return client.has("done") || client.closed(); }));
+    cr_assert(client.has("done"));
+}
+
 Test(http_drain, response_that_is_read_for_longer_than_the_idle_timeout_arrives_whole) {
     event_loop loop;
     http_server_options options;
