--- a/tests/process/chain_rig.py
+++ b/tests/process/chain_rig.py
@@ -160,6 +160,9 @@
         self.busy = set()
         self.faults = []
 
+    def new_program(self, name):
+        return Program(self, name)
+
     def count(self, what):
         self.counts[what] += 1
 
@@ -265,7 +268,7 @@
         try:
             await self.fleet.start(stand_ins.config(routes, services))
             await self.fleet.wait_until_ready()
-            programs = [Program(self, f"p{number}") for number in range(self.scenario.programs)]
+            programs = [self.new_program(f"p{number}") for number in range(self.scenario.programs)]
             tasks = [asyncio.create_task(program.run()) for program in programs]
             tasks.append(asyncio.create_task(self.fail()))
             await asyncio.sleep(self.scenario.seconds)
