--- a/tests/process/turn_rig.py
+++ b/tests/process/turn_rig.py
@@ -166,7 +166,8 @@
                 self.record(f"node {node.name}: ended with {node.process.returncode}")
             await asyncio.sleep(seconds)
             if empties_disk:
-                shutil.rmtree(node.folder / "data", ignore_errors=True)
+                # A busy disk takes seconds for it, in which the store must respond.
+                await asyncio.to_thread(shutil.rmtree, node.folder / "data", ignore_errors=True)
             await node.start()
             while node.role == "edge" and await self.fleet.readiness(node) != 200:
                 await asyncio.sleep(0.1)
