--- a/tests/process/disturbances.py
+++ b/tests/process/disturbances.py
@@ -35,6 +35,10 @@
         return any(first <= end and last >= begin
                    for node in nodes for first, last in self.spans[node.name])
 
+    def time_of(self, node, begin, end):
+        """How much of the time from `begin` to `end` the node was out."""
+        return sum(max(0, min(last, end) - max(first, begin)) for first, last in self.spans[node.name])
+
 
 class Disturbances:
     def __init__(self, rig):
