A back end that is not read is not silent

Cause: an edge stops reading from the back end of a slow caller. When it then gives the attempt up, the back end had not been heard for over 250 ms, which counted as its silence. The same when such a caller left or its time was up; giving up requests at the end of a stop made it frequent.

While reading is paused, a given-up attempt is watched, as one whose back end is heard: it counts if the back end is found to have ended.

--- a/src/pearbarrow/forward/forwarded_suspect.cc
+++ b/src/pearbarrow/forward/forwarded_suspect.cc
@@ -261,12 +261,16 @@
 }
 
 suspects::break_kind forwarded_request::kind_of_given_up_attempt() {
-    if (!was_backend_heard()) {
+    // While reading is paused, the back end is not heard although it may have sent everything.
+    if (!is_reading_paused_ && !was_backend_heard()) {
         return suspects::break_kind::silent;
     }
     if (suspect_status().possible_ends > 0) {
         return suspects::break_kind::connection_lost;
     }
+    if (is_reading_paused_) {
+        return suspects::break_kind::given_up;
+    }
     const bool sent_nothing = event_count_ == 0 && silence_of_attempt() >= max_time_between_signs;
     return sent_nothing ? suspects::break_kind::given_up_early : suspects::break_kind::given_up;
 }
