--- a/tests/unit/fleet/turns_test.cc
+++ b/tests/unit/fleet/turns_test.cc
@@ -186,6 +186,7 @@
     cr_assert(fleet.turn_of(fleet.program_in(0), "t1", "", "one ").whole);
     cr_assert(fleet.turn_of(fleet.program_in(0), "t2", "t1", "two ").whole);
     cr_assert(fleet.turn_of(fleet.program_in(1), "t3", "t2", "three").whole);
+    cr_assert(fleet.model->runs().size() == 3);
     cr_assert(fleet.model->runs().back().body ==
               "one i-model-1\ni-model-2\ni-model-3\ntwo i-model-1\ni-model-2\ni-model-3\nthree");
     // The second group now stores the whole history, so the first is no longer needed.
