--- a/tests/process/turn_rig.py
+++ b/tests/process/turn_rig.py
@@ -23,7 +23,7 @@
 MAX_TRIES = 8
 # A span in which at least this share of the first turns is served counts as served.
 SERVED_SHARE = 0.9
-LOGGED = ("turn_refused", "turn_not_stored", "stop_gave_up", "storage_member_dead",
+LOGGED = ("turn_refused", "turn_not_stored", "drain_timeout", "storage_member_dead",
           "turn_store_discarded", "turns_missing", "storage_reached_by_relay")
 
 
