--- a/src/pearbarrow/fleet/caller_drain.h
+++ b/src/pearbarrow/fleet/caller_drain.h
@@ -21,7 +21,7 @@
 struct drain_schedule {
     /// New connections are accepted until then. Load balancers have learned that the node stops.
     base::milliseconds stop_accepting{};
-    /// Requests in progress are given up, and their callers are told.
+    /// Requests in progress are cancelled with an error response.
     base::milliseconds give_up{};
     /// The process ends.
     base::milliseconds end{};
--- a/src/pearbarrow/forward/forwarded_request.h
+++ b/src/pearbarrow/forward/forwarded_request.h
@@ -41,8 +41,8 @@
     forwarded_request& operator=(const forwarded_request&) = delete;
 
     void start();
-    /// Ends the request because the node stops. The caller is told at once, also whether it may
-    /// have been executed.
+    /// Ends the request because the node stops. The response states whether the request may have
+    /// been executed.
     void give_up();
 
   private:
--- a/src/pearbarrow/net/http.h
+++ b/src/pearbarrow/net/http.h
@@ -170,8 +170,8 @@
     /// Responds to requests that have arrived in part with status 503. Called after
     /// `stop_accepting`.
     virtual void reject_arriving(std::string_view reason, std::string_view detail) = 0;
-    /// After `stop_accepting`: whether nothing is owed to clients. Every response has been
-    /// delivered or its connection has ended.
+    /// After `stop_accepting`: whether every response has been delivered or its connection has
+    /// ended.
     virtual bool is_drained() const = 0;
     /// Sets the limits for subsequent requests.
     virtual void set_limits(std::size_t max_header_bytes, std::size_t max_body_bytes,
--- a/src/pearbarrow/net/peer_rpc.h
+++ b/src/pearbarrow/net/peer_rpc.h
@@ -107,7 +107,7 @@
     std::function<void(absl::StatusOr<std::string>)> on_done;
 };
 
-/// What a node owes to its peers.
+/// Work of a node that its peers wait for.
 struct peer_backlog {
     /// Requests of other nodes that have no final reply, without long polls.
     std::size_t open_requests = 0;
--- a/src/pearbarrow/node/node.h
+++ b/src/pearbarrow/node/node.h
@@ -91,8 +91,8 @@
     bool has_successor() const;
     /// New requests of callers get 503 `node_stopping` from here on.
     void refuse_requests();
-    /// Ends the listeners of callers and then of operators. Returns whether nothing is owed to
-    /// either.
+    /// Ends the listeners of callers and then of operators. Returns whether all responses of both
+    /// have been delivered.
     bool deliver_responses();
     /// Rejects requests that are still arriving, since the time for the stop is over.
     void give_up();
--- a/tests/unit/net/http_client_test.cc
+++ b/tests/unit/net/http_client_test.cc
@@ -105,7 +105,6 @@
     cr_assert(failed.details.reason == "idle_timeout");
 }
 
-// The announced time was read from memory that had been freed.
 Test(http_client, idle_connection_is_closed_before_the_announced_time) {
     for (const std::string announced :
          {"timeout=1", "timeout=1, max=100", "max=100, timeout=1", "TIMEOUT=1,max=100"}) {
--- a/tests/unit/net/http_drain_test.cc
+++ b/tests/unit/net/http_drain_test.cc
@@ -1,4 +1,4 @@
-// What an HTTP server owes its clients once it accepts no more connections.
+// Responses and connections of an HTTP server that stops, and of connections that are idle.
 #include <chrono>
 #include <memory>
 #include <string>
@@ -47,7 +47,7 @@
 
 }  // namespace
 
-Test(http_drain, response_that_a_slow_reader_has_not_taken_is_owed) {
+Test(http_drain, response_that_a_slow_reader_has_not_taken_is_undelivered) {
     event_loop loop;
     const auto server =
         serve(loop, respond_with(std::string(large_body_bytes, 'x')), options_with_ids());
@@ -306,7 +306,7 @@
     cr_assert(body_bytes(client.received) == body_size);
 }
 
-Test(http_drain, refused_request_keeps_no_memory_while_its_client_sends) {
+Test(http_drain, refusal_for_lack_of_memory_reaches_a_client_that_still_sends) {
     event_loop loop;
     http_server_options options;
     options.max_receiving_bytes = 1024;
