Reject connections while the process has few free descriptors

Cause: the limit of 4,096 connections knows nothing of the descriptors that the system grants. Evidence: accept_failed in the log of the edge.

An edge and the embedded daemon now reject a connection of a caller by the number of its descriptor: the system assigns the lowest free one, so the number says how many are open. Half of the descriptors, or all but 200 and a tenth of them, are for callers. In the first half of the reserve the first request is rejected; beyond it, and beyond 64 excess connections, the 503 is sent at once and the connection closed, where it was closed without a response before. Counter pearbarrow_connections_rejected_total, log line connection_rejected.

--- a/src/pearbarrow/fleet/edge_node.cc
+++ b/src/pearbarrow/fleet/edge_node.cc
@@ -58,6 +58,7 @@
     net::http_server_options options;
     options.listen = to_endpoint(parts.settings().caller);
     options.buffered = parts.buffered();
+    options.descriptors = net::descriptor_limit::of_process();
     options.write_timeout = caller_write_timeout;
     options.max_pending_bytes = std::size_t{4} * 1024 * 1024;
     options.max_receiving_bytes = std::size_t{24} * 1024 * 1024;
@@ -130,6 +131,9 @@
     callers.on_undelivered = [this](const net::undelivered_response& response) {
         log_.undelivered(response);
     };
+    callers.on_connection_rejected = [this](std::string_view reason) {
+        log_.connection_rejected(reason);
+    };
     callers_ = net::make_http_server(parts_.loop(), std::move(callers),
                                      [this](std::shared_ptr<net::http_exchange> exchange) {
                                          service_.handle(std::move(exchange));
--- a/src/pearbarrow/forward/forward_log.cc
+++ b/src/pearbarrow/forward/forward_log.cc
@@ -51,6 +51,14 @@
                                      {"reason", reason}});
 }
 
+void forward_log::connection_rejected(std::string_view reason) {
+    metrics_
+        .add_counter("pearbarrow_connections_rejected_total",
+                     "Connections of callers that were rejected", {{"reason", std::string(reason)}})
+        .increment();
+    routine("connection_rejected", {{"reason", reason}});
+}
+
 void forward_log::count_response(std::string_view kind, int status, std::string_view reason,
                                  base::microseconds took) {
     metrics_
--- a/src/pearbarrow/forward/forward_log.h
+++ b/src/pearbarrow/forward/forward_log.h
@@ -44,6 +44,8 @@
     void notable(std::string_view event, nlohmann::json fields);
     /// Writes a line about a response that its caller did not receive as a whole, and counts it.
     void undelivered(const net::undelivered_response& response);
+    /// Logs and counts a connection of a caller that was rejected.
+    void connection_rejected(std::string_view reason);
     /// Counts a response. `kind` is that of the route, `status` the HTTP status and `reason` the
     /// reason code of a response created by this node.
     void count_response(std::string_view kind, int status, std::string_view reason,
--- a/src/pearbarrow/net/http.h
+++ b/src/pearbarrow/net/http.h
@@ -17,6 +17,7 @@
 
 #include "pearbarrow/base/clock.h"
 #include "pearbarrow/net/buffered_bytes.h"
+#include "pearbarrow/net/descriptor_limit.h"
 #include "pearbarrow/net/endpoint.h"
 #include "pearbarrow/net/event_loop.h"
 #include "pearbarrow/net/response_end.h"
@@ -138,6 +139,10 @@
     std::size_t max_header_bytes = std::size_t{16} * 1024;
     std::size_t max_body_bytes = std::size_t{8} * 1024 * 1024;
     std::size_t max_connections = 4096;
+    /// Rejects connections while the process has few free descriptors.
+    descriptor_limit descriptors;
+    /// Runs when a connection is rejected, with the reason.
+    std::function<void(std::string_view reason)> on_connection_rejected;
     /// Limit for the bytes of incomplete requests on all connections. A request that exceeds it
     /// gets status 503.
     std::size_t max_receiving_bytes = std::size_t{256} * 1024 * 1024;
--- a/src/pearbarrow/net/http_server.cc
+++ b/src/pearbarrow/net/http_server.cc
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <array>
+#include <boost/asio/buffer.hpp>
 #include <set>
 #include <utility>
 
@@ -9,9 +12,14 @@
 namespace pearbarrow::net {
 namespace {
 
-/// Limit for the excess connections that get a response. Further connections are closed without
-/// one.
-constexpr std::size_t max_rejections_with_response = 64;
+/// Limit for the excess connections whose first request is awaited. Further connections get the
+/// response at once and are closed.
+constexpr std::size_t max_waiting_rejections = 64;
+/// Bytes of a request that are read before a connection is closed. A connection that is closed with
+/// unread bytes is reset, and its client may lose the response.
+constexpr std::size_t max_discarded_bytes = std::size_t{16} * 1024;
+constexpr std::string_view too_many_connections = "too_many_connections";
+constexpr std::string_view too_few_descriptors = "too_few_descriptors";
 
 class asio_http_server final : public http_server {
   public:
@@ -79,10 +87,13 @@
     }
 
   private:
-    void accept(boost::asio::ip::tcp::socket socket) {
-        const std::size_t open = core_->sessions.size();
-        const std::size_t limit = core_->options.max_connections;
-        if (open >= limit + max_rejections_with_response) {
+    using decision = descriptor_limit::decision;
+    using tcp = boost::asio::ip::tcp;
+
+    void accept(tcp::socket socket) {
+        const decision decided = decide(socket);
+        if (decided == decision::reject_connection) {
+            reject(std::move(socket));
             return;
         }
         const connection_options limits{.max_pending_bytes = core_->options.max_pending_bytes,
@@ -92,12 +103,46 @@
         auto link = std::make_shared<connection>(context_, std::move(socket), tls_, limits);
         auto session = std::make_shared<http_session>(context_, core_, std::move(link));
         core_->sessions.insert(session);
-        session->start(open >= limit);
+        session->start(decided == decision::reject_first_request);
         if (core_->stopping) {
             session->close_when_idle();
         }
     }
 
+    decision decide(tcp::socket& socket) const {
+        const http_server_options& options = core_->options;
+        const decision by_count = decide_by_count();
+        const decision decided =
+            std::max(by_count, options.descriptors.decide(socket.native_handle()));
+        if (decided != decision::serve && options.on_connection_rejected) {
+            options.on_connection_rejected(by_count == decision::serve ? too_few_descriptors
+                                                                       : too_many_connections);
+        }
+        return decided;
+    }
+
+    decision decide_by_count() const {
+        const std::size_t open = core_->sessions.size();
+        const std::size_t limit = core_->options.max_connections;
+        if (open < limit) {
+            return decision::serve;
+        }
+        return open < limit + max_waiting_rejections ? decision::reject_first_request
+                                                     : decision::reject_connection;
+    }
+
+    /// Sends the response without waiting for a request, and closes.
+    void reject(tcp::socket socket) {
+        if (tls_ != nullptr) {
+            return;
+        }
+        boost::system::error_code ignored;
+        socket.non_blocking(true, ignored);
+        std::array<char, max_discarded_bytes> discarded;
+        socket.read_some(boost::asio::buffer(discarded), ignored);
+        socket.write_some(boost::asio::buffer(refusal_of_connection()), ignored);
+    }
+
     boost::asio::io_context& context_;
     std::shared_ptr<http_server_core> core_;
     listener listener_;
--- a/src/pearbarrow/net/http_session.cc
+++ b/src/pearbarrow/net/http_session.cc
@@ -19,9 +19,28 @@
 constexpr base::milliseconds first_request_timeout{1'000};
 /// After the idle timeout of a connection that is not idle: time until the next check.
 constexpr base::milliseconds busy_check_interval{1'000};
+constexpr char connection_refused_reason[] = "too_many_connections";
+constexpr char connection_refused_detail[] = "the server has as many connections as it takes";
+
+/// Formats an error response after which the connection ends.
+std::string format_refusal(int status, std::string_view reason, std::string_view detail) {
+    http_response response = problem_response(status, reason, detail);
+    if (status == 503) {
+        response.headers.add("Retry-After", refused_retry_after);
+    }
+    return format_response_head({.status = status,
+                                 .headers = &response.headers,
+                                 .body_size = response.body.size(),
+                                 .keep_alive = false}) +
+           response.body;
+}
 
 }  // namespace
 
+std::string refusal_of_connection() {
+    return format_refusal(503, connection_refused_reason, connection_refused_detail);
+}
+
 std::string_view to_string(delivery_stage stage) {
     switch (stage) {
         case delivery_stage::request_arriving:
@@ -162,7 +181,7 @@
 
 void http_session::on_head() {
     if (overloaded_) {
-        refuse(503, "too_many_connections", "the server has as many connections as it takes");
+        refuse(503, connection_refused_reason, connection_refused_detail);
     } else if (const auto& buffered = core_->options.buffered;
                buffered != nullptr && !buffered->admits(reader_->content_length())) {
         refuse(503, "memory_bound", "the server holds as many bytes as it may");
@@ -226,15 +245,7 @@
 }
 
 void http_session::refuse(int status, std::string_view reason, std::string_view detail) {
-    http_response response = problem_response(status, reason, detail);
-    if (status == 503) {
-        response.headers.add("Retry-After", refused_retry_after);
-    }
-    link_->write(format_response_head({.status = status,
-                                       .headers = &response.headers,
-                                       .body_size = response.body.size(),
-                                       .keep_alive = false}) +
-                 response.body);
+    link_->write(format_refusal(status, reason, detail));
     request_id_.clear();
     is_response_complete_ = true;
     end_after_writes(body_framing::length);
--- a/src/pearbarrow/net/http_session.h
+++ b/src/pearbarrow/net/http_session.h
@@ -16,6 +16,9 @@
 class http_session;
 class session_exchange;
 
+/// Returns the response to a client whose connection the server rejects.
+std::string refusal_of_connection();
+
 /// State shared by the sessions of one server.
 struct http_server_core {
     http_server_core(http_server_options server_options, http_handler server_handler)
--- a/src/pearbarrow/node/node.cc
+++ b/src/pearbarrow/node/node.cc
@@ -168,6 +168,19 @@
     return options;
 }
 
+net::http_server_options node::caller_options() const {
+    net::http_server_options options = listener_options(context_.settings.listen.caller);
+    options.descriptors = net::descriptor_limit::of_process();
+    options.on_connection_rejected = [this](std::string_view reason) {
+        context_.metrics
+            .add_counter("pearbarrow_connections_rejected_total",
+                         "Connections of callers that were rejected",
+                         {{"reason", std::string(reason)}})
+            .increment();
+    };
+    return options;
+}
+
 absl::Status node::open_listeners() {
     const settings::node_settings& settings = context_.settings;
     tenants_ = std::make_unique<gateway::configuration_directory>(
@@ -176,8 +189,7 @@
                                                          gateway_options());
     operator_api_ = std::make_unique<operators::operator_api>(context_.loop, *operator_service_,
                                                               context_.clock, operator_options());
-    caller_server_ = net::make_http_server(context_.loop, listener_options(settings.listen.caller),
-                                           gateway_->handler());
+    caller_server_ = net::make_http_server(context_.loop, caller_options(), gateway_->handler());
     operator_server_ = net::make_http_server(
         context_.loop, listener_options(settings.listen.operators), operator_api_->handler());
     for (const auto& open :
--- a/src/pearbarrow/node/node.h
+++ b/src/pearbarrow/node/node.h
@@ -80,6 +80,7 @@
     gateway::gateway_options gateway_options();
     operators::operator_api_options operator_options();
     net::http_server_options listener_options(const settings::ip_endpoint& listen) const;
+    net::http_server_options caller_options() const;
     std::unique_ptr<configuration_store> make_store(absl::Status& status);
     base::program_id draw_program_id();
     /// Whether the program hashes to a shard of this node's region.
