Report synced writes of storage members that take long

Each batch that is written and synced counts in the histogram pearbarrow_turn_store_sync_seconds; from 0.3 s on, turn_store_slow states its time and the number of changes.

--- a/src/pearbarrow/fleet/storage_node.cc
+++ b/src/pearbarrow/fleet/storage_node.cc
@@ -15,6 +15,8 @@
 
 constexpr char store_folder[] = "/turns";
 constexpr base::milliseconds backlog_poll_interval{20};
+/// Duration of a synced write from which on it is logged.
+constexpr base::milliseconds slow_sync_time{300};
 /// Part of the stop timeout that is reserved for the exit of the process.
 constexpr base::milliseconds exit_margin{400};
 /// Fraction of the operator's slack that shares hold beyond the burst. The rest covers members that
@@ -58,6 +60,9 @@
                            const settings::fleet_settings& settings)
     : started_at_(clock.now()),
       parts_(loop, clock, settings, [this](const auto& changed) { apply_changes(changed); }),
+      sync_seconds_(parts_.metrics().add_histogram(
+          "pearbarrow_turn_store_sync_seconds",
+          "Time to write and sync a batch of changes to the disk of a storage member")),
       start_limits_({.overage = settings.slow_start.overage, .slack = settings.slow_start.slack}) {}
 
 storage_node::~storage_node() = default;
@@ -69,6 +74,11 @@
     options.new_disk_is_complete = parts_.settings().first_start;
     options.clock = &parts_.clock();
     options.post = [this](std::function<void()> task) { parts_.loop().post(std::move(task)); };
+    options.on_synced = [this, alive = std::weak_ptr<int>(alive_)](const auto& batch) {
+        if (!alive.expired()) {
+            record_sync(batch);
+        }
+    };
     auto store = turns::open_rocksdb_turn_store(options);
     if (store.status().code() == absl::StatusCode::kDataLoss) {
         // Continue as a new disk, which copies all data from the other members before it may vote.
@@ -124,6 +134,17 @@
     return absl::OkStatus();
 }
 
+void storage_node::record_sync(const turns::synced_batch& batch) {
+    const auto seconds = std::chrono::duration<double>(batch.took);
+    this->sync_seconds_.observe(seconds.count());
+    if (batch.took >= slow_sync_time) {
+        base::log(
+            base::log_level::warning, "turn_store_slow",
+            {{"milliseconds", std::chrono::duration_cast<base::milliseconds>(batch.took).count()},
+             {"changes", batch.changes}});
+    }
+}
+
 void storage_node::collect(base::metrics_registry& registry) const {
     const auto set = [&](const char* name, const char* help, std::size_t value) {
         registry.add_gauge(name, help).set(static_cast<double>(value));
--- a/src/pearbarrow/fleet/storage_node.h
+++ b/src/pearbarrow/fleet/storage_node.h
@@ -38,6 +38,7 @@
   private:
     absl::Status open_store();
     void collect(base::metrics_registry& registry) const;
+    void record_sync(const turns::synced_batch& batch);
     /// Publishes the directory that the previous incarnation stored.
     void restore_directory();
     void apply_changes(const directory::directory_state::changes& changed);
@@ -49,6 +50,8 @@
     /// Start time of this incarnation, before which it has granted nothing.
     base::instant started_at_;
     node_parts parts_;
+    base::histogram sync_seconds_;
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
     std::unique_ptr<turns::turn_store> store_;
     std::unique_ptr<directory_copy> directory_copy_;
     /// Whether the directory that is being published comes from the disk.
--- a/src/pearbarrow/turns/rocksdb_turn_store.cc
+++ b/src/pearbarrow/turns/rocksdb_turn_store.cc
@@ -326,6 +326,7 @@
         for (const pending_write& write : writes) {
             add_to_batch(batch, write.change);
         }
+        const base::instant started_at = options_.clock->now();
         absl::Status status = database() == nullptr ? reopen_database() : absl::OkStatus();
         if (status.ok()) {
             status = write_batch(batch);
@@ -333,11 +334,17 @@
                 close_database();
             }
         }
-        options_.post([writes = std::move(writes), status] {
-            for (const pending_write& write : writes) {
-                write.done(status);
-            }
-        });
+        const synced_batch batch_written{.changes = writes.size(),
+                                         .took = options_.clock->now() - started_at};
+        options_.post(
+            [writes = std::move(writes), status, batch_written, on_synced = options_.on_synced] {
+                if (on_synced) {
+                    on_synced(batch_written);
+                }
+                for (const pending_write& write : writes) {
+                    write.done(status);
+                }
+            });
     }
 }
 
--- a/src/pearbarrow/turns/turn_store.h
+++ b/src/pearbarrow/turns/turn_store.h
@@ -116,6 +116,12 @@
     virtual absl::StatusOr<turn_record> read(const turn_id& turn) const = 0;
 };
 
+/// A batch of changes that was written and synced, or that failed.
+struct synced_batch {
+    std::size_t changes = 0;
+    base::microseconds took{};
+};
+
 struct turn_store_options {
     std::string folder;
     /// Id and completeness that an empty disk gets.
@@ -127,6 +133,8 @@
     const base::clock* clock = nullptr;
     /// Posts a task to the event loop; callable from any thread.
     std::function<void(std::function<void()>)> post;
+    /// Runs on the event loop after each batch, before the callbacks of its changes. May be empty.
+    std::function<void(const synced_batch&)> on_synced;
 };
 
 /// Opens the RocksDB store. One thread writes and syncs all pending changes as a batch. Returns
--- a/tests/unit/turns/turn_store_test.cc
+++ b/tests/unit/turns/turn_store_test.cc
@@ -5,6 +5,8 @@
 #include <csignal>
 #include <filesystem>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "../net/net_fixture.h"
 
@@ -34,6 +36,7 @@
         options.new_disk_is_complete = complete;
         options.clock = &clock;
         options.post = [this](std::function<void()> task) { loop.post(std::move(task)); };
+        options.on_synced = [this](const synced_batch& batch) { batches.push_back(batch); };
         auto opened = open_rocksdb_turn_store(options);
         cr_assert(opened.ok(), "%s", opened.status().ToString().c_str());
         store = *std::move(opened);
@@ -48,6 +51,7 @@
 
     base::system_clock_source clock;
     net::event_loop loop;
+    std::vector<synced_batch> batches;
     std::unique_ptr<turn_store> store;
 };
 
@@ -88,6 +92,17 @@
     cr_assert(again.store->read(turn_id("t2")).status().code() == absl::StatusCode::kNotFound);
 }
 
+Test(turn_store, synced_batches_are_reported_with_their_time) {
+    const temporary_folder folder;
+    opened_store opened(folder.path);
+    const base::instant started_at = opened.clock.now();
+    cr_assert(opened.write(turn_change("t1", "out")).ok());
+    cr_assert(opened.batches.size() == 1);
+    cr_assert(opened.batches.front().changes == 1);
+    cr_assert(opened.batches.front().took > base::microseconds{0});
+    cr_assert(opened.batches.front().took <= opened.clock.now() - started_at);
+}
+
 Test(turn_store, load_reads_turns_without_texts) {
     const temporary_folder folder;
     {
