Wait for the storage of a finished turn until the request's deadline

Callers saw the connection end in the middle of a response: a turn whose events had all been delivered was broken off (turn_not_stored) when no majority of the storage members had confirmed it within a fixed 4 s, although the request had more time left.

Cause: a fixed time gave up work that the caller still waited for.

The write now goes on until the request's deadline, and for 4 s at least. When the node stops, the drain gives it up and logs it, as before.

Test: two of three members are away for 0.5 s while the turn ends.

--- a/src/pearbarrow/forward/forward_context.h
+++ b/src/pearbarrow/forward/forward_context.h
@@ -39,7 +39,8 @@
     base::milliseconds default_timeout{30'000};
     /// Retry delay sent to a caller whose request was rejected and may soon be served.
     base::milliseconds retry_after{100};
-    /// Timeout for storing a turn that has ended.
+    /// Minimum of the timeout for storing a turn that has ended. The timeout is longer if the
+    /// request has more time left.
     base::milliseconds store_timeout{4'000};
     base::milliseconds connect_timeout{500};
     /// Time after a permit request within which a permit for a cold back end must be used. Members
--- a/src/pearbarrow/forward/forwarded_turn.cc
+++ b/src/pearbarrow/forward/forwarded_turn.cc
@@ -204,8 +204,9 @@
                                .input = exchange_->request().body,
                                .output = output_,
                                .retention_seconds = route_.retention_seconds});
-    turn_step_ = context_.turns.store(
-        std::move(request), context_.options.store_timeout, [this](const absl::Status& status) {
+    const base::milliseconds timeout = std::max(context_.options.store_timeout, time_left());
+    turn_step_ =
+        context_.turns.store(std::move(request), timeout, [this](const absl::Status& status) {
             steps_.storing = context_.clock.now() - turn_step_started_at_;
             context_.log.count_turn_step("store", status.ok() ? "stored" : "not_stored",
                                          steps_.storing);
--- a/tests/unit/fleet/turns_test.cc
+++ b/tests/unit/fleet/turns_test.cc
@@ -61,6 +61,31 @@
     cr_assert(!result->whole);
 }
 
+Test(turns, finished_turn_waits_for_a_majority_until_its_deadline) {
+    fleet_fixture fleet(3, 2, false);
+    fleet.store_timeout = base::milliseconds{100};
+    fleet.start_everything();
+    fleet.make_ready();
+    std::optional<client_response> result;
+    fleet.start_call(0, "/turn/x", "t1",
+                     {{"Pearbarrow-Program-Id", "program"},
+                      {"Pearbarrow-Token-Budget", "1000"},
+                      {"Pearbarrow-Token-Usage", "100,50"}},
+                     "a", result);
+    cr_assert(run_until(fleet.loop, [&] { return !fleet.model->runs().empty(); }));
+    for (const std::size_t member : {1U, 2U}) {
+        fleet.storages[member].reset();
+        fleet.storage_settings[member].first_start = false;
+    }
+    run_for(fleet.loop, base::milliseconds{500});
+    cr_assert(!result.has_value());
+    fleet.start_storage(1);
+    fleet.start_storage(2);
+    cr_assert(run_until(fleet.loop, [&] { return result.has_value(); }));
+    cr_assert(result->status == 200 && result->whole, "%d %s", result->status,
+              result->body.c_str());
+}
+
 Test(turns, successive_disk_losses_lose_no_turn) {
     fleet_fixture fleet;
     fleet.make_ready();
