Embedded daemon: respond to requests in progress when the stop is over

Callers saw the connection end without a response: a node that was stopped cut requests in progress when timing.drain_timeout_ms was over, and kept connections were not told that they would close.

From the moment at which the node rejects requests, each response announces the close of its connection.

test_a_call_in_progress_gets_a_response_when_the_stop_is_over: no response on, 503 and an error event after.

--- a/src/pearbarrow/node/node.cc
+++ b/src/pearbarrow/node/node.cc
@@ -22,6 +22,12 @@
 constexpr int most_id_draws = 1'000;
 /// Limit for the log lines about responses of one listener that are given up.
 constexpr std::size_t max_undelivered_lines = 100;
+/// Time reserved for the delivery of the last error responses.
+constexpr base::milliseconds max_last_response_time{200};
+
+base::milliseconds last_response_time(base::milliseconds drain_timeout) {
+    return std::min(max_last_response_time, drain_timeout / 20);
+}
 
 void log_response(const net::undelivered_response& response) {
     base::log(base::log_level::warning, "response_undelivered",
@@ -377,7 +383,9 @@
 
 void node::check_stopped() {
     const base::instant now = context_.now();
-    const bool out_of_time = now - stop_started_ > context_.settings.timing.drain_timeout;
+    const base::milliseconds timeout = context_.settings.timing.drain_timeout;
+    const base::microseconds elapsed = now - stop_started_;
+    const bool out_of_time = elapsed > timeout - last_response_time(timeout);
     if (!ownership_->idle() && !out_of_time) {
         if (now - last_offer_ > offer_period) {
             last_offer_ = now;
@@ -386,9 +394,10 @@
         return;
     }
     refuse_requests();
-    if (out_of_time) {
+    if (out_of_time && !std::exchange(has_given_up_, true)) {
         give_up();
-    } else if (!deliver_responses()) {
+    }
+    if (!deliver_responses() && elapsed <= timeout) {
         return;
     }
     stop_timer_->cancel();
@@ -398,7 +407,10 @@
 void node::refuse_requests() {
     // The listener stays open while requests are processed: callers get a response instead of a
     // refused connection.
-    refusing_ = true;
+    if (!std::exchange(refusing_, true)) {
+        caller_server_->disable_keep_alive();
+        operator_server_->disable_keep_alive();
+    }
 }
 
 bool node::deliver_responses() {
@@ -420,16 +432,18 @@
 }
 
 void node::give_up() {
-    std::size_t responses = 0;
+    base::log(base::log_level::warning, "drain_timeout",
+              {{"responses",
+                caller_server_->undelivered().size() + operator_server_->undelivered().size()},
+               {"open_requests", caller_server_->open_exchanges()},
+               {"router_requests", router_->open_requests()}});
+    router_->give_up();
+    delivering_ = true;
+    operators_stopping_ = true;
     for (net::http_server* server : {caller_server_.get(), operator_server_.get()}) {
-        responses += server->undelivered().size();
         server->stop_accepting();
         server->reject_arriving("node_stopping", "the node stops");
     }
-    base::log(base::log_level::warning, "drain_timeout",
-              {{"responses", responses},
-               {"open_requests", caller_server_->open_exchanges()},
-               {"router_requests", router_->open_requests()}});
 }
 
 void node::say_farewell() {
--- a/src/pearbarrow/node/node.h
+++ b/src/pearbarrow/node/node.h
@@ -95,7 +95,8 @@
     /// Ends the listeners of callers and then of operators. Returns whether all responses of both
     /// have been delivered.
     bool deliver_responses();
-    /// Rejects requests that are still arriving, since the time for the stop is over.
+    /// Ends requests in progress with an error response, and rejects those that are still arriving,
+    /// since the time for the stop is nearly over.
     void give_up();
     void log_undelivered() const;
     void say_farewell();
@@ -138,6 +139,7 @@
     bool stopping_ = false;
     bool refusing_ = false;
     bool delivering_ = false;
+    bool has_given_up_ = false;
     bool operators_stopping_ = false;
     base::instant stop_started_;
     base::instant last_offer_;
--- a/src/pearbarrow/node/peer_router.cc
+++ b/src/pearbarrow/node/peer_router.cc
@@ -44,6 +44,8 @@
     void cancel();
     /// Sends the request elsewhere when it waits for a node that is gone.
     void reconsider();
+    /// Ends the request with an error, since the node stops.
+    void give_up();
 
   private:
     void send();
@@ -53,6 +55,7 @@
     void retry_later();
     void finish(absl::StatusOr<wire::program_reply> reply);
     absl::Status out_of_time() const;
+    absl::Status failure(std::string_view message, std::string_view reason) const;
 
     peer_router& router_;
     std::uint64_t id_;
@@ -219,16 +222,23 @@
         });
 }
 
+void routed_request::give_up() {
+    finish(failure("this node stops before the program's owner has replied", "node_stopping"));
+}
+
 absl::Status routed_request::out_of_time() const {
+    return failure("the program's owner gave no answer in time", "owner_unavailable");
+}
+
+absl::Status routed_request::failure(std::string_view message, std::string_view reason) const {
     base::error_details details = base::details_of(last_error_);
     details.step = "route";
     details.peer = target_.value();
-    details.reason = "owner_unavailable";
+    details.reason = std::string(reason);
     const bool in_doubt = may_have_run_ || call_ != nullptr;
     details.was_executed = in_doubt ? base::executed::unknown : base::executed::no;
     details.retry_after = base::milliseconds(1'000);
-    return base::make_error(absl::StatusCode::kUnavailable,
-                            "the program's owner gave no answer in time", details);
+    return base::make_error(absl::StatusCode::kUnavailable, message, details);
 }
 
 void routed_request::finish(absl::StatusOr<wire::program_reply> reply) {
@@ -297,6 +307,15 @@
     }
 }
 
+void peer_router::give_up() {
+    const auto open = open_;
+    for (const auto& [id, weak] : open) {
+        if (const auto request = weak.lock()) {
+            request->give_up();
+        }
+    }
+}
+
 bool peer_router::is_gone(const base::node_id& node) const {
     const auto member = membership_.find(node);
     return health_.is_unreachable(node) || !member.has_value() || !member->is_live();
--- a/src/pearbarrow/node/peer_router.h
+++ b/src/pearbarrow/node/peer_router.h
@@ -33,6 +33,8 @@
 
     /// Turns requests away from nodes that are gone, after a change of the members.
     void update();
+    /// Ends each open request with an error, since the node stops.
+    void give_up();
     std::size_t open_requests() const { return open_.size(); }
     std::uint64_t retries() const { return retries_; }
 
--- a/tests/process/test_node_stop.py
+++ b/tests/process/test_node_stop.py
@@ -14,6 +14,7 @@
 KEY = "granite-cellar-key"
 SLOW_ENGINE = ("--min-answer-tokens", "150", "--max-answer-tokens", "200", "--time-scale", "4",
                "--cache-blocks", "1000000", "--prefill-token-us", "0.01")
+ENDLESS_ENGINE = ("--min-answer-tokens", "150", "--max-answer-tokens", "200", "--time-scale", "100")
 # Each character has six bytes in JSON, and counts as one byte of the prompt.
 LONG_MESSAGE = "\x01" * 1_000_000
 SLOW_READERS = 4
@@ -257,6 +258,36 @@
         self.assertGreater(lost[0]["bytes"], 1_000_000)
         self.assertEqual(len(events_of(node, "stopped")), 1)
 
+    def test_a_call_in_progress_gets_a_response_when_the_stop_is_over(self):
+        processes = fleet.Fleet(BUILD_DIR)
+        self.addCleanup(processes.close)
+        caller = fleet.Caller(KEY)
+        engine = processes.start_engine("engine-1", *ENDLESS_ENGINE)
+        node = processes.start_node("node-1", "zone-a", seeds=[],
+                                    extra="[timing]\ndrain_timeout_ms = 2000")
+        node.wait_ready()
+        node.wait_version(node.apply(objects_with(engine)))
+        called, streamed = (caller.open_program(node.caller) for _ in range(2))
+        stream = caller.stream(node.caller, streamed, fleet.model_call(1, "long", 200))
+        events = stream.events()
+        first = next(events)
+        self.addCleanup(stream.close)
+        response = []
+        calling = threading.Thread(target=lambda: response.append(
+            caller.call(node.caller, called, fleet.model_call(1, "long", 200))))
+        calling.start()
+        time.sleep(0.3)
+        code = node.stop(40)
+        calling.join(40)
+        print(response, flush=True)
+        status, headers, body = response[0]
+        self.assertEqual((status, body["reason"], body["executed"]), (503, "node_stopping", "unknown"))
+        self.assertGreaterEqual(int(headers["Retry-After"]), 1)
+        last = [first, *events][-1]
+        self.assertEqual((last["event"], json.loads(last["data"])["reason"]), ("error", "node_stopping"))
+        self.assertEqual(code, 0, node.log_tail())
+        self.assertEqual(events_of(node, "response_undelivered"), [])
+
 
 if __name__ == "__main__":
     unittest.main()
