--- a/tests/unit/net/tls_test.cc
+++ b/tests/unit/net/tls_test.cc
@@ -1,5 +1,14 @@
+#include <openssl/bio.h>
+#include <openssl/ssl.h>
+
+#include <array>
+#include <atomic>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <memory>
+#include <string>
+#include <thread>
 
 #include "http_fixture.h"
 #include "peer_fixture.h"
@@ -33,6 +42,33 @@
     return files;
 }
 
+/// Sends the whole request in pieces, and only then reads the response. The client checks nothing.
+std::string exchange_blocking(const endpoint& server, const std::string& request) {
+    const std::unique_ptr<SSL_CTX, decltype(&SSL_CTX_free)> context(
+        SSL_CTX_new(TLS_client_method()), &SSL_CTX_free);
+    const std::unique_ptr<BIO, decltype(&BIO_free_all)> client(BIO_new_ssl_connect(context.get()),
+                                                               &BIO_free_all);
+    BIO_set_conn_hostname(client.get(), to_string(server).c_str());
+    std::size_t sent = 0;
+    while (sent < request.size()) {
+        const int written =
+            BIO_write(client.get(), request.data() + sent, static_cast<int>(request.size() - sent));
+        if (written <= 0) {
+            break;
+        }
+        sent += static_cast<std::size_t>(written);
+    }
+    std::string response;
+    std::array<char, 4096> buffer{};
+    for (;;) {
+        const int size = BIO_read(client.get(), buffer.data(), static_cast<int>(buffer.size()));
+        if (size <= 0) {
+            return response;
+        }
+        response.append(buffer.data(), static_cast<std::size_t>(size));
+    }
+}
+
 tls_files trusting_only(const test_authority& authority) {
     return {.client_authorities = authority.authority_file()};
 }
@@ -53,6 +89,30 @@
     }
 }
 
+Test(tls, refusal_of_a_body_that_is_still_being_sent_is_not_lost) {
+    // The client writes to a connection that its peer may have reset.
+    std::signal(SIGPIPE, SIG_IGN);
+    const test_authority authority("ours");
+    event_loop loop;
+    http_server_options options;
+    options.tls = without_authorities(authority.issue("server"));
+    options.max_body_bytes = 1'000;
+    const auto server = serve(loop, echo, options);
+    const std::string body(3'000'000, 'x');
+    const std::string request =
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) +
+        "\r\n\r\n" + body;
+    std::atomic<bool> is_done = false;
+    std::string response;
+    std::thread client([&] {
+        response = exchange_blocking(server->local_endpoint(), request);
+        is_done = true;
+    });
+    cr_expect(run_until(loop, [&] { return is_done.load(); }));
+    client.join();
+    cr_assert(response.find("HTTP/1.1 413") == 0, "'%s'", response.c_str());
+}
+
 Test(tls, server_with_untrusted_or_mismatched_certificate_is_rejected) {
     const test_authority ours("ours");
     const test_authority others("others");
@@ -86,6 +146,8 @@
 }
 
 Test(tls, plain_or_idle_connection_on_tls_port_is_closed) {
+    // The client writes to a connection that its peer may have reset.
+    std::signal(SIGPIPE, SIG_IGN);
     const test_authority authority("ours");
     event_loop loop;
     http_server_options options;
