--- a/tests/process/stop_rig.py
+++ b/tests/process/stop_rig.py
@@ -136,6 +136,8 @@
     expected: int = -1
     # When the caller began with it or, if it is owed, with its connection.
     made_at: float = 0.0
+    # How long its caller waited for bytes of the body that had not arrived.
+    waited: float = 0.0
 
 
 @dataclasses.dataclass
@@ -261,7 +263,9 @@
         received = 0
         while received < size:
             if not self.buffer:
+                asked_at = time.monotonic()
                 await self.receive(16_384 if rate else 262_144)
+                request.waited += time.monotonic() - asked_at
             part = self.buffer[:size - received]
             self.buffer = self.buffer[len(part):]
             received += len(part)
