Rig of stopped edges: slow readers end when planned

Cause, in the rig: a caller paced itself anew in each chunk, so that the time by which a sleep takes longer than asked was never made up for.

A slow reader now paces itself over the whole body, so that it ends at the planned time.

--- a/tests/process/stop_rig.py
+++ b/tests/process/stop_rig.py
@@ -128,6 +128,8 @@
     began_at: float = 0.0
     # The time after its last byte.
     sent_at: float = 0.0
+    # When the head of its response had arrived.
+    body_at: float = 0.0
     ended_at: float = 0.0
     # "whole", "closed" (also a reset), "refused" (at connect), "unsent" (the process had ended).
     end: str = ""
@@ -257,21 +259,22 @@
         part, self.buffer = self.buffer.split(mark, 1)
         return part
 
-    async def discard(self, size, request, rate):
-        """Receives a body, at `rate` bytes per second if that is not 0."""
-        began = time.monotonic()
+    async def discard(self, size, request, read_by):
+        """Receives a body or a chunk of it. Reads steadily until `read_by` if that is not 0."""
         received = 0
         while received < size:
             if not self.buffer:
                 asked_at = time.monotonic()
-                await self.receive(16_384 if rate else 262_144)
+                await self.receive(16_384 if read_by else 262_144)
                 request.waited += time.monotonic() - asked_at
             part = self.buffer[:size - received]
             self.buffer = self.buffer[len(part):]
             received += len(part)
             request.received += len(part)
-            if rate:
-                ahead = received / rate - (time.monotonic() - began)
+            if read_by:
+                reading_time = max(0, read_by - request.body_at)
+                due_at = request.body_at + reading_time * request.received / request.expected
+                ahead = due_at - self.rig.record.now()
                 if ahead > 0.002:
                     await asyncio.sleep(ahead)
 
@@ -282,7 +285,7 @@
         except EOFError:
             pass
 
-    async def read_response(self, request, is_head=False, rate=0):
+    async def read_response(self, request, is_head=False, read_by=0.0):
         """Reads the response of `request`. Returns whether the connection is kept."""
         request.is_owed = self.answered == 0 and \
             (request.began_at or request.sent_at) - self.connected_at < FIRST_REQUEST_DELAY
@@ -295,16 +298,17 @@
             request.status = int(lines[0].split()[1])
             headers = {name.lower(): value.strip()
                        for name, value in (line.split(":", 1) for line in lines[1:])}
+            request.body_at = self.rig.record.now()
             if is_head:
                 pass
             elif headers.get("transfer-encoding") == "chunked":
                 size = 1
                 while size:
                     size = int(await self.receive_until(b"\r\n"), 16)
-                    await self.discard(size, request, rate)
+                    await self.discard(size, request, read_by)
                     await self.receive_until(b"\r\n")
             elif "content-length" in headers:
-                await self.discard(int(headers["content-length"]), request, rate)
+                await self.discard(int(headers["content-length"]), request, read_by)
             else:
                 await self.discard_until_end(request)
             request.end = "whole"
@@ -379,7 +383,8 @@
                 f"Pearbarrow-Deadline-Ms: {ROUTE_TIMEOUT_MS}\r\n"
                 f"Content-Length: {body}\r\n{more}\r\n").encode()
 
-    async def call(self, stop, kind, receive_buffer=0, rate=0, body_delay=0, is_head=False, **more):
+    async def call(self, stop, kind, receive_buffer=0, read_by=0.0, body_delay=0, is_head=False,
+                   **more):
         """Sends a request on a connection of its own. False: nothing listens any more."""
         request = self.new_request(stop, kind)
         if "size" in more and not is_head:
@@ -395,7 +400,7 @@
                 await asyncio.sleep(body_delay)
                 await link.send(b"" if is_head else b"prompt")
                 request.sent_at = self.record.now()
-                await link.read_response(request, is_head=is_head, rate=rate)
+                await link.read_response(request, is_head=is_head, read_by=read_by)
                 return True
         except ConnectionError as error:
             request.end = "unsent" if isinstance(error, LifeOver) else "refused"
@@ -438,7 +443,7 @@
             end = stop.at + self.random.uniform(4.0, 6.0)
             await asyncio.sleep(max(0, begin - self.record.now()))
             await self.call(stop, kind, receive_buffer=receive_buffer, size=size,
-                            rate=size / (end - begin))
+                            read_by=end)
 
         await asyncio.gather(*(caller() for _ in range(4)))
 
