Writes of turns do not wait for a missing minority until the deadline

The write now continues for the other members for 4 s after a majority has confirmed it. Gauge pearbarrow_turn_writes_open. The test has one silent member and a timeout of a minute.

--- a/src/pearbarrow/fleet/edge_node.cc
+++ b/src/pearbarrow/fleet/edge_node.cc
@@ -239,6 +239,10 @@
         .add_gauge("pearbarrow_storage_relayed_calls_total",
                    "Calls to storage members that went through a peer")
         .set(static_cast<double>(members_.relayed_calls()));
+    registry
+        .add_gauge("pearbarrow_turn_writes_open",
+                   "Writes of turns and settlements that not every storage member has confirmed")
+        .set(static_cast<double>(turns_.open_writes()));
     const turns::admission_counts admission = turns_.counts();
     registry
         .add_gauge("pearbarrow_turns_waiting",
--- a/src/pearbarrow/turns/majority_write.cc
+++ b/src/pearbarrow/turns/majority_write.cc
@@ -133,8 +133,8 @@
     const auto confirmed = static_cast<std::size_t>(std::count_if(
         members_.begin(), members_.end(),
         [](const member_write& write) { return write.confirmed && !write.is_replaced; }));
-    if (confirmed > voters / 2) {
-        is_confirmed_ = true;
+    if (confirmed > voters / 2 && !std::exchange(is_confirmed_, true)) {
+        minority_timer_ = loop_.after(options_.minority_timeout, [this] { end(); });
         report(absl::OkStatus());
     }
     if (confirmed == voters && voters > 0) {
@@ -160,6 +160,7 @@
 
 void majority_write::end() {
     timeout_timer_.reset();
+    minority_timer_.reset();
     if (const auto over = std::exchange(callbacks_.over, nullptr); over) {
         over();
     }
--- a/src/pearbarrow/turns/majority_write.h
+++ b/src/pearbarrow/turns/majority_write.h
@@ -26,8 +26,8 @@
     struct callbacks {
         /// Runs once, when a majority has confirmed or the timeout has expired.
         std::function<void(absl::Status)> done;
-        /// Runs once, as the last callback, when every member has confirmed or the timeout has
-        /// expired.
+        /// Runs once, as the last callback, when every member has confirmed, or the timeout or that
+        /// of the minority has expired.
         std::function<void()> over;
     };
 
@@ -79,6 +79,7 @@
     /// Whether a majority has confirmed.
     bool is_confirmed_ = false;
     std::unique_ptr<net::timer_handle> timeout_timer_;
+    std::unique_ptr<net::timer_handle> minority_timer_;
 };
 
 }  // namespace pearbarrow::turns
--- a/src/pearbarrow/turns/turn_client.h
+++ b/src/pearbarrow/turns/turn_client.h
@@ -59,6 +59,8 @@
     const turn_admission& admission_of(const base::program_id& program);
     /// Number of writes that no majority has confirmed yet.
     std::size_t unconfirmed_writes() const;
+    /// Number of writes that not every member has confirmed yet.
+    std::size_t open_writes() const { return writes_.size(); }
     /// Returns the counts summed over all groups.
     admission_counts counts() const;
     /// Returns the replica group that stores the program's turns.
--- a/src/pearbarrow/turns/turn_operation.h
+++ b/src/pearbarrow/turns/turn_operation.h
@@ -47,6 +47,8 @@
     /// member may be overloaded and each retransmission adds work for it. Requests that store a
     /// turn are retransmitted with exponentially increasing timeouts.
     base::milliseconds call_timeout{1'500};
+    /// How long a write that a majority has confirmed continues for the other members.
+    base::milliseconds minority_timeout{4'000};
     /// If a member has not returned the chain after this time, the other members are queried too.
     base::milliseconds chain_patience{60};
     admission_options admission;
--- a/tests/unit/turns/turn_client_test.cc
+++ b/tests/unit/turns/turn_client_test.cc
@@ -130,6 +130,23 @@
     cr_assert(!result->ok());
 }
 
+Test(turn_client, stored_turn_is_not_sent_to_a_missing_member_until_its_timeout) {
+    member_group group({{}, {}, {.silent = true}});
+    group.client = std::make_unique<turn_client>(
+        group.loop, group.clock, *group.caller,
+        client_options{.zone = "a", .minority_timeout = milliseconds(50)});
+    group.client->set_view(group.view);
+    bool stored = false;
+    finish_request request;
+    request.records.push_back({.turn = turn_id("turn")});
+    const auto step =
+        group.client->store(request, std::chrono::minutes(1),
+                            [&](const absl::Status& status) { stored = status.ok(); });
+    cr_assert(run_until(group.loop, [&] { return stored; }));
+    cr_assert(group.client->open_writes() == 1);
+    cr_assert(run_until(group.loop, [&] { return group.client->open_writes() == 0; }));
+}
+
 // A call that outlived the client would run a callback of a destroyed caller.
 Test(turn_client, destroyed_client_leaves_no_calls_in_flight) {
     net::event_loop loop;
