Reject streams that arrive late at an edge that stops

Streams whose request is complete more than 0.3 s after the listener closes get 503 node_stopping with executed: no and Retry-After.

--- a/src/pearbarrow/fleet/caller_drain.cc
+++ b/src/pearbarrow/fleet/caller_drain.cc
@@ -13,6 +13,8 @@
 /// How long load balancers need to redirect callers. They poll readiness once a second, and act on
 /// the second failure.
 constexpr base::milliseconds redirect_time{2'600};
+/// How long requests that were sent before the listener closed may take to arrive.
+constexpr base::milliseconds max_arrival_time{300};
 /// Time reserved for the exit of the process.
 constexpr base::milliseconds max_exit_time{400};
 /// Time reserved for the delivery of the last error responses.
@@ -29,6 +31,8 @@
 drain_schedule make_drain_schedule(base::milliseconds stop_timeout) {
     drain_schedule schedule;
     schedule.stop_accepting = std::min(redirect_time, stop_timeout * 2 / 5);
+    schedule.reject_streams =
+        schedule.stop_accepting + std::min(max_arrival_time, stop_timeout / 20);
     schedule.end = stop_timeout - std::min(max_exit_time, stop_timeout / 10);
     schedule.give_up = schedule.end - std::min(max_last_response_time, stop_timeout / 20);
     return schedule;
@@ -76,6 +80,9 @@
         this->end();
         return;
     }
+    if (elapsed >= this->schedule.reject_streams) {
+        this->context.requests.reject_streams();
+    }
     if (elapsed >= this->schedule.give_up && !std::exchange(this->has_given_up, true)) {
         this->give_up();
     }
--- a/src/pearbarrow/fleet/caller_drain.h
+++ b/src/pearbarrow/fleet/caller_drain.h
@@ -21,6 +21,8 @@
 struct drain_schedule {
     /// New connections are accepted until then. Load balancers have learned that the node stops.
     base::milliseconds stop_accepting{};
+    /// Streams that begin later are rejected, since the node might have to break them off.
+    base::milliseconds reject_streams{};
     /// Requests in progress are cancelled with an error response.
     base::milliseconds give_up{};
     /// The process ends.
--- a/src/pearbarrow/forward/forward_context.h
+++ b/src/pearbarrow/forward/forward_context.h
@@ -27,6 +27,9 @@
 namespace pearbarrow::forward {
 
 /// The active configuration with the lookup tables derived from it.
+/// Reason of requests that are rejected or ended because the node stops.
+inline constexpr char stopping_reason[] = "node_stopping";
+
 struct active_configuration {
     directory::configuration config;
     directory::route_table routes;
--- a/src/pearbarrow/forward/forward_service.cc
+++ b/src/pearbarrow/forward/forward_service.cc
@@ -48,6 +48,10 @@
         reject(*exchange, 404, "no_route", facts->request_id);
         return;
     }
+    if (rejects_streams_ && route->kind == directory::request_kind::stream) {
+        reject(*exchange, 503, stopping_reason, facts->request_id);
+        return;
+    }
     if (!identify_caller(*exchange, *active, *route, *facts)) {
         return;
     }
--- a/src/pearbarrow/forward/forward_service.h
+++ b/src/pearbarrow/forward/forward_service.h
@@ -23,6 +23,8 @@
     void handle(std::shared_ptr<net::http_exchange> exchange);
     bool is_configured() const { return context_.active != nullptr; }
     std::size_t open_requests() const { return requests_.size(); }
+    /// Rejects new streams, which the node might have to break off when it stops.
+    void reject_streams() { rejects_streams_ = true; }
     /// Ends all requests in flight because the node stops.
     void give_up_requests();
 
@@ -38,6 +40,7 @@
     std::map<std::uint64_t, std::unique_ptr<forwarded_request>> requests_;
     net::ended_objects<std::unique_ptr<forwarded_request>> ended_;
     std::uint64_t last_request_ = 0;
+    bool rejects_streams_ = false;
 };
 
 }  // namespace pearbarrow::forward
--- a/src/pearbarrow/forward/forwarded_request.cc
+++ b/src/pearbarrow/forward/forwarded_request.cc
@@ -14,8 +14,6 @@
 
 /// A caller with more queued bytes reads slowly and is cut off when its response is broken off.
 constexpr std::size_t max_pending_bytes_at_abort = std::size_t{64} * 1024;
-/// Reason of responses to requests that a stopping node gives up.
-constexpr char stopping_reason[] = "node_stopping";
 
 std::string seconds_text(base::milliseconds time) {
     return fmt::format("{:.3f}", static_cast<double>(time.count()) / 1000.0);
--- a/tests/unit/fleet/caller_drain_test.cc
+++ b/tests/unit/fleet/caller_drain_test.cc
@@ -11,7 +11,8 @@
     for (const int timeout : {100, 500, 1'000, 3'000, 5'000, 7'500, 8'000, 60'000, 86'400'000}) {
         const auto schedule = make_drain_schedule(milliseconds(timeout));
         cr_assert(schedule.stop_accepting > milliseconds(0));
-        cr_assert(schedule.stop_accepting < schedule.give_up);
+        cr_assert(schedule.stop_accepting < schedule.reject_streams);
+        cr_assert(schedule.reject_streams < schedule.give_up);
         cr_assert(schedule.give_up < schedule.end);
         cr_assert(schedule.end < milliseconds(timeout));
     }
--- a/tests/unit/forward/forward_service_test.cc
+++ b/tests/unit/forward/forward_service_test.cc
@@ -124,3 +124,14 @@
     net::testing::run_for(node.loop, std::chrono::milliseconds(5));
     cr_assert(*node.caller.open == 3);
 }
+
+Test(forward_service, stream_that_a_stopping_node_might_break_off_is_rejected_unexecuted) {
+    silent_members_fixture node;
+    node.service->reject_streams();
+    const auto exchange = node.ask();
+    cr_assert(exchange->answer.has_value() && exchange->answer->status == 503);
+    cr_assert(exchange->answer->body.find("node_stopping") != std::string::npos);
+    cr_assert(exchange->answer->body.find(R"("executed":"no")") != std::string::npos);
+    cr_assert(exchange->answer->headers.find("Retry-After").has_value());
+    cr_assert(*node.caller.open == 0);
+}
