--- a/src/pearbarrow/net/http_server.cc
+++ b/src/pearbarrow/net/http_server.cc
@@ -134,7 +134,7 @@
     /// Sends the response without waiting for a request, and closes.
     void reject(tcp::socket socket) {
         if (tls_ != nullptr) {
-            return;
+            return;  // The client could not read a response before the handshake.
         }
         boost::system::error_code ignored;
         socket.non_blocking(true, ignored);
