--- a/tests/process/lethal_rig.py
+++ b/tests/process/lethal_rig.py
@@ -60,6 +60,17 @@
     # What happens to the edge that has the try: "", "kill", "freeze"; and at which try.
     edge_fault: str = ""
     edge_fault_try: int = 1
+    # What the directory says before the back end ends, `notice` earlier: "", "draining", "gone".
+    announcement: str = ""
+    notice: float = 0.9
+    # Nodes that are all killed when a back end ends: "", "edges", "all"; at which ends of a request,
+    # none: at each. They start again after `herd_downtime`.
+    herd: str = ""
+    herd_ends: tuple = ()
+    herd_downtime: float = 1.2
+    # Time between two orderly departures of back ends, which serve on for `departure_notice`; 0: none.
+    departure_interval: float = 0.0
+    departure_notice: float = 2.0
     # Time between two crashes that no request causes; 0: none.
     crash_interval: float = 0.0
     # Faults of nodes in series: kills, freezes and restarts each so many seconds; 0: none.
@@ -112,6 +123,35 @@
     "only_crashes": Scenario(lethal_requests=0, crash_interval=0.7, seconds_after=12),
     "only_broken_streams": Scenario(lethal_requests=0, breaks_off=True, seconds_after=6),
     "nodes_fail_beside": Scenario(lethal_requests=2, node_fault_interval=0.8, sends=12),
+    "draining_back_ends": Scenario(announcement="draining"),
+    "draining_back_ends_get": Scenario(announcement="draining", kind="get"),
+    "unlisted_back_ends": Scenario(announcement="gone", notice=0.3),
+    "unlisted_back_ends_silent":
+        Scenario(announcement="gone", notice=0.3, ending="silent", downtime=2.5, patience=1.0),
+    "all_edges_killed_at_each_end": Scenario(herd="edges"),
+    "all_edges_killed_at_each_end_late_caller": Scenario(herd="edges", min_pause=6.0, max_pause=6.0,
+                                                         sends=6),
+    "all_edges_killed_at_each_end_resumed": Scenario(herd="edges", kind="resumed", moment="event"),
+    "all_edges_killed_at_the_first_end": Scenario(herd="edges", herd_ends=(1,)),
+    "all_edges_killed_at_the_second_end": Scenario(herd="edges", herd_ends=(2,)),
+    "all_edges_killed_at_the_third_end": Scenario(herd="edges", herd_ends=(3,)),
+    "three_lethal_all_edges_killed_at_the_second_end":
+        Scenario(herd="edges", herd_ends=(2,), lethal_requests=3, edges=12, back_ends=30),
+    "all_nodes_killed_at_the_first_end": Scenario(herd="all", herd_ends=(1,)),
+    "all_nodes_killed_at_each_end": Scenario(herd="all"),
+    "all_nodes_killed_at_each_end_unlisted": Scenario(herd="all", announcement="gone", notice=0.3),
+    "all_edges_killed_at_each_end_get": Scenario(herd="edges", kind="get", sends=3),
+    "all_edges_killed_at_each_end_24_edges":
+        Scenario(herd="edges", lethal_requests=2, edges=24, members=5, back_ends=24),
+    "only_departures": Scenario(lethal_requests=0, departure_interval=0.5, seconds_after=10),
+    "departures_and_crashes":
+        Scenario(lethal_requests=2, departure_interval=0.7, crash_interval=1.5, sends=12),
+    "soak_herds": Scenario(is_soak=True, lethal_requests=6, node_fault_interval=0.9, crash_interval=2.5,
+                           departure_interval=2.0, herd="random", sends=12, seconds_after=2),
+    "soak_herds_many_nodes":
+        Scenario(is_soak=True, lethal_requests=6, node_fault_interval=0.5, crash_interval=2.5,
+                 departure_interval=2.0, herd="random", sends=12, seconds_after=2, edges=24, members=5,
+                 back_ends=24),
     "soak": Scenario(is_soak=True, lethal_requests=6, node_fault_interval=0.9, crash_interval=2.5,
                      sends=12, seconds_after=2),
     "soak_many_nodes": Scenario(is_soak=True, lethal_requests=6, node_fault_interval=0.5,
@@ -125,6 +165,9 @@
            dict(ending="silent", downtime=2.5)]
 MOMENTS = ["queued", "head", "event", "error", "left"]
 KINDS = ["turn", "resumed", "get"]
+ANNOUNCEMENTS = [dict(), dict(), dict(announcement="draining", notice=0.5), dict(announcement="gone", notice=0.3)]
+# A lethal end of a soak with herds takes the nodes with it this often.
+HERD_SHARE = 0.3
 
 
 class BackEnd(stand_ins.Runner):
@@ -206,11 +249,33 @@
             await self.end_under(identity)
 
     async def end_under(self, identity):
-        if not self.is_ending:
+        own = self.rig.scenario_of(identity)
+        life = self.lives
+        if own.announcement and not self.is_ending:
+            self.announce(own.announcement)
+            await asyncio.sleep(own.notice)
+        if not self.is_ending and life == self.lives:
             self.rig.on_lethal_end(self, identity)
-            self.begin_end(self.rig.scenario_of(identity))
+            self.begin_end(own)
         await asyncio.sleep(3600)
 
+    def announce(self, announcement):
+        """Has the directory show that the back end leaves."""
+        self.record(f"runner {self.name}: {announcement}")
+        if announcement == "draining":
+            self.rig.fleet.store.put_json(f"servers/{self.name}", self.entry("draining"))
+        else:
+            self.rig.fleet.store.remove(f"servers/{self.name}")
+
+    async def depart(self, announcement, notice):
+        """Leaves as announced, and returns as another process. Requests in progress are cut."""
+        life = self.lives
+        self.announce(announcement)
+        await asyncio.sleep(notice)
+        if not self.is_ending and life == self.lives:
+            self.record(f"runner {self.name}: departs")
+            self.begin_end(dataclasses.replace(self.rig.scenario, ending="closed"))
+
     def begin_end(self, scenario):
         """Ends the process without a word to the directory."""
         self.is_ending = True
@@ -371,7 +436,10 @@
         return dataclasses.replace(self.scenario, moment=self.random.choice(MOMENTS),
                                    kind=self.random.choice(KINDS),
                                    patience=self.random.choice([0.0, 0.6, 1.0]),
-                                   **self.random.choice(ENDINGS))
+                                   **self.random.choice(ENDINGS), **self.choose_announcement())
+
+    def choose_announcement(self):
+        return self.random.choice(ANNOUNCEMENTS) if self.scenario.herd == "random" else {}
 
     def spawn(self, work):
         task = asyncio.create_task(work)
@@ -387,6 +455,34 @@
             edge = self.edge_of[identity]
             edge.signal(signal.SIGKILL if scenario.edge_fault == "kill" else signal.SIGSTOP)
             self.broken_by_faults.add(edge)
+        herd = scenario.herd
+        if herd == "random":
+            herd = self.random.choice(["edges", "edges", "all"]) if self.random.random() < HERD_SHARE else ""
+        if herd and (not scenario.herd_ends or len(self.ends[request]) in scenario.herd_ends):
+            nodes = self.fleet.edges if herd == "edges" else self.fleet.nodes
+            self.spawn(self.kill_herd(nodes))
+
+    async def kill_herd(self, nodes):
+        """Kills the nodes at the same moment; those that another fault has are left to it."""
+        chosen = [node for node in nodes if node not in self.busy_nodes]
+        self.busy_nodes.update(chosen)
+        for node in chosen:
+            node.signal(signal.SIGKILL)
+        await asyncio.gather(*(node.process.wait() for node in chosen))
+        await asyncio.sleep(self.scenario.herd_downtime)
+        for node in chosen:
+            if not self.is_over:
+                await node.start()
+        self.busy_nodes.difference_update(chosen)
+
+    async def wait_for_edges(self):
+        """Callers of a herd scenario come back when the edges are ready."""
+        until = time.monotonic() + 15
+        for edge in self.fleet.edges:
+            while time.monotonic() < until and not self.is_over:
+                if edge not in self.busy_nodes and await self.fleet.readiness(edge) == 200:
+                    break
+                await asyncio.sleep(0.05)
 
     def next_edge(self, previous):
         usable = [edge for edge in self.fleet.edges if edge not in self.broken_by_faults]
@@ -396,6 +492,8 @@
     async def repeat(self, caller, sends, pause):
         edge = None
         for _ in range(sends):
+            if self.scenario.herd and not self.scenario.is_soak and caller not in self.calm:
+                await self.wait_for_edges()
             edge = self.next_edge(edge)
             self.edge_of[f"{caller.name}.{caller.tries + 1}"] = edge
             if await caller.send(edge) or self.is_over:
@@ -428,6 +526,14 @@
                 self.record(f"runner {back_end.name}: crashes")
                 back_end.begin_end(dataclasses.replace(self.scenario, ending="closed"))
 
+    async def depart_in_series(self):
+        while not self.is_over:
+            await asyncio.sleep(self.scenario.departure_interval)
+            running = [back_end for back_end in self.fleet.runners if not back_end.is_ending]
+            if running:
+                announcement = self.random.choice(["draining", "gone"])
+                self.spawn(self.random.choice(running).depart(announcement, self.scenario.departure_notice))
+
     async def fail_nodes(self):
         """Kills, stops, freezes and reloads nodes in series. In a soak, the faults of different nodes
         overlap; a majority of the members is left alone."""
@@ -478,6 +584,8 @@
                 self.spawn(self.call_calmly(number))
             if scenario.crash_interval:
                 self.spawn(self.crash_in_series())
+            if scenario.departure_interval:
+                self.spawn(self.depart_in_series())
             await asyncio.sleep(0.5)
             if scenario.node_fault_interval:
                 self.spawn(self.fail_nodes())
--- a/tests/process/stream_rig.py
+++ b/tests/process/stream_rig.py
@@ -53,6 +53,15 @@
     second_restart_at: float = 0.0
     # An edge is killed when the process ends.
     kills_edge: bool = False
+    # Nodes that are all killed at `ends_at`: "", "edges", "all". They start again after `herd_downtime`.
+    herd: str = ""
+    herd_downtime: float = 1.2
+    # How the back ends of the old version leave around the kill: "" (they serve on), "before" (their
+    # entries are gone 0.1 s before it), "during" (they drain, and are gone while the nodes are away).
+    departure: str = ""
+    # Callers name the request that began their stream.
+    names_stream: bool = True
+    tries: int = TRIES
     # A part of the streams begins so long before the others.
     warm_up: float = 0.0
     streams: int = 60
@@ -88,6 +97,19 @@
     "warm_reset": Scenario(ending="reset", downtime=0, events=40, warm_up=3.0),
     "warm_edge_killed": Scenario(ending="reset", downtime=0, events=40, warm_up=3.0,
                                  kills_edge=True),
+    **{f"edges_killed_{departure or 'serving'}{'' if named else '_unnamed'}":
+       Scenario(reports=True, ending="", restarts=0, herd="edges", departure=departure,
+                names_stream=named, tries=25, edges=4)
+       for departure in ("before", "during", "") for named in (True, False)},
+    **{f"nodes_killed_{departure or 'serving'}_unnamed":
+       Scenario(reports=True, ending="", restarts=0, herd="all", departure=departure,
+                names_stream=False, tries=30, edges=4)
+       for departure in ("before", "")},
+    "edges_killed_unstated": Scenario(identity="unstated", ending="", restarts=0, herd="edges", tries=25,
+                                      edges=4),
+    "edges_killed_sole_version_unnamed":
+        Scenario(reports=True, ending="", restarts=0, herd="edges", names_stream=False, tries=25, edges=4,
+                 old_back_ends=0, new_back_ends=9),
     "soak": Scenario(is_soak=True, reports=True, ending="", streams=40, seconds=25, edges=4),
     "soak_unreported": Scenario(is_soak=True, ending="", streams=40, seconds=25, edges=4),
 }
@@ -191,7 +213,8 @@
                    "Pearbarrow-Token-Usage": "100,288", "Pearbarrow-Deadline-Ms": "8000"}
         if self.events:
             headers["Last-Event-Id"] = str(self.events[-1][0])
-            headers["Resumes"] = self.began_as
+            if self.rig.scenario.names_stream:
+                headers["Resumes"] = self.began_as
         try:
             reader, writer = await asyncio.open_connection("127.0.0.1", node.caller)
         except OSError:
@@ -223,7 +246,7 @@
 
     async def run(self):
         node = self.rig.random.choice(self.rig.fleet.edges)
-        for number in range(1, TRIES + 1):
+        for number in range(1, self.rig.scenario.tries + 1):
             end = await self.attempt(number, node)
             self.ends.append(end)
             if end == "whole" or end in ("stream_version_gone", "stream_version_unknown"):
@@ -297,6 +320,34 @@
                 self.spawn(self.restart(back_end, "v3"))
             if scenario.swaps:
                 self.spawn(self.restart(self.new[0], "v2"))
+        if scenario.herd:
+            await self.kill_herd()
+
+    def remove_entries(self, back_ends):
+        for back_end in back_ends:
+            self.record(f"runner {back_end.name}: its entry is gone")
+            self.fleet.store.remove(f"servers/{back_end.name}")
+
+    async def kill_herd(self):
+        """Kills all edges, or all nodes, at the same moment and starts them again."""
+        scenario = self.scenario
+        await asyncio.sleep(scenario.ends_at - 0.1)
+        if scenario.departure == "before":
+            self.remove_entries(self.old)
+        elif scenario.departure == "during":
+            for back_end in self.old:
+                self.fleet.store.put_json(f"servers/{back_end.name}", back_end.entry("draining"))
+        await asyncio.sleep(0.1)
+        nodes = self.fleet.edges if scenario.herd == "edges" else self.fleet.nodes
+        for node in nodes:
+            node.signal(signal.SIGKILL)
+        await asyncio.gather(*(node.process.wait() for node in nodes))
+        await asyncio.sleep(scenario.herd_downtime / 2)
+        if scenario.departure == "during":
+            self.remove_entries(self.old)
+        await asyncio.sleep(scenario.herd_downtime / 2)
+        for node in nodes:
+            await node.start()
 
     async def fail_at_random(self):
         """Back ends restart at either version, break streams off or fall silent, and nodes fail."""
