--- a/src/pearbarrow/forward/backend_pool.cc
+++ b/src/pearbarrow/forward/backend_pool.cc
@@ -81,6 +81,9 @@
 
 void backend_pool::apply(const directory::backend_changes& step, base::instant now) {
     revision_ = step.revision;
+    if (!watched_since_.has_value()) {
+        watched_since_ = now;
+    }
     for (const directory::backend& backend : step.present) {
         apply_present(backend, now);
     }
--- a/src/pearbarrow/forward/backend_pool.h
+++ b/src/pearbarrow/forward/backend_pool.h
@@ -254,6 +254,10 @@
     /// Returns the number of back ends in use although they have vanished from the list.
     std::size_t lapsed_count(base::instant now) const;
     std::uint64_t revision() const { return revision_; }
+    /// Returns how long this node has known the list of back ends.
+    base::microseconds watched_for(base::instant now) const {
+        return watched_since_.has_value() ? now - *watched_since_ : base::microseconds{0};
+    }
     const pool_options& options() const { return options_; }
 
   private:
@@ -422,6 +426,8 @@
     std::map<std::string, stream_work, std::less<>> streams_;
     round_trip_estimates round_trips_;
     std::uint64_t revision_ = 0;
+    /// When this node received its first list.
+    std::optional<base::instant> watched_since_;
 };
 
 }  // namespace pearbarrow::forward
--- a/src/pearbarrow/forward/forwarded_attempt.cc
+++ b/src/pearbarrow/forward/forwarded_attempt.cc
@@ -399,7 +399,8 @@
                              {"sent", ran},
                              {"events", event_count_},
                              {"attempt", attempts_},
-                             {"fingerprint", fingerprint().digest}};
+                             {"fingerprint", fingerprint().digest},
+                             {"leaving", context_.pool.is_leaving(target_.incarnation())}};
     add_response_end(fields);
     context_.log.notable("attempt_broken", std::move(fields));
     if (may_have_ended_backend(details)) {
--- a/src/pearbarrow/forward/forwarded_request.h
+++ b/src/pearbarrow/forward/forwarded_request.h
@@ -29,6 +29,14 @@
 
 namespace pearbarrow::forward {
 
+/// What states the software version of a stream that is resumed.
+enum class version_source {
+    /// The reservation of the request that began it.
+    record,
+    /// All back ends of the service have had one version for as long as a stream can last.
+    sole_version,
+};
+
 class forwarded_request {
   public:
     /// `on_finished` runs once, when no work is left. The object may then be destroyed.
@@ -336,6 +344,7 @@
     /// other requests.
     std::optional<turns::stream_software> software_;
     std::uint32_t software_choices_ = 0;
+    version_source version_source_ = version_source::record;
     bool must_start_anew_ = false;
 
     /// When the first bytes came on the connection of the current attempt, possibly in an earlier
--- a/src/pearbarrow/forward/forwarded_stream.cc
+++ b/src/pearbarrow/forward/forwarded_stream.cc
@@ -11,6 +11,16 @@
 /// Maximum number of choices for one request. Each is reserved at the storage members.
 constexpr std::uint32_t max_software_choices = 4;
 
+std::string_view to_string(version_source source) {
+    switch (source) {
+        case version_source::record:
+            return "record";
+        case version_source::sole_version:
+            return "sole_version";
+    }
+    return "unknown";
+}
+
 }  // namespace
 
 bool forwarded_request::is_resumed() const {
@@ -99,8 +109,10 @@
         return false;
     }
     software_ = is_named ? prepared.resumed->software : std::nullopt;
+    version_source_ = version_source::record;
     if (!software_.has_value() || !software_->version.is_known) {
         software_ = sole_software();
+        version_source_ = version_source::sole_version;
     }
     if (!software_.has_value()) {
         reject_resumed(503, "stream_version_unknown",
@@ -159,8 +171,11 @@
 }
 
 void forwarded_request::log_resumed() {
+    const base::microseconds watched = context_.pool.watched_for(context_.clock.now());
     context_.log.notable("stream_resumed", {{"request", facts_.request_id},
                                             {"resumes", facts_.resumed_stream},
+                                            {"version_source", to_string(version_source_)},
+                                            {"watched_ms", watched.count() / 1000},
                                             {"service", software_->service},
                                             {"began_version", software_->version.name},
                                             {"backend", target_.id},
--- a/src/pearbarrow/suspects/suspect_exchange.cc
+++ b/src/pearbarrow/suspects/suspect_exchange.cc
@@ -58,10 +58,15 @@
     }
     this->fetch_call = this->rpc.call(
         base::node_id(), peer, wire::suspect_fetch, "", this->options.fetch_timeout,
-        {.on_part = nullptr, .on_done = [this, retry](const absl::StatusOr<std::string>& reply) {
+        {.on_part = nullptr,
+         .on_done = [this, retry, peer](const absl::StatusOr<std::string>& reply) {
              const auto report = reply.ok() ? wire::decode<suspect_report>(*reply)
                                             : absl::StatusOr<suspect_report>(reply.status());
              if (report.ok()) {
+                 base::log(base::log_level::info, "suspects_fetched",
+                           {{"peer", net::to_string(peer)},
+                            {"suspects", report->suspects.size()},
+                            {"current", report->is_current}});
                  this->add(report->suspects);
                  this->fetched += report->is_current ? 1 : 0;
              }
