--- a/src/pearbarrow/forward/forwarded_suspect.cc
+++ b/src/pearbarrow/forward/forwarded_suspect.cc
@@ -123,11 +123,9 @@
         return;
     }
     if (status_ >= server_error_status) {
-        if (!context_.pool.is_leaving(target_.incarnation())) {
-            // The examination continues without its handle.
-            (void)context_.suspects->examine(current_attempt(),
-                                             suspects::break_kind::error_response, nullptr);
-        }
+        // The examination continues without its handle.
+        (void)context_.suspects->examine(current_attempt(), suspects::break_kind::error_response,
+                                         nullptr);
     } else if (suspect_status().possible_ends > 0) {
         context_.suspects->on_completed(fingerprint());
     }
@@ -225,9 +223,6 @@
     if (context_.suspects == nullptr || details.was_executed == base::executed::no) {
         return false;
     }
-    if (context_.pool.is_leaving(target_.incarnation())) {
-        return false;
-    }
     if (details.reason == silent_reason) {
         return true;
     }
@@ -252,7 +247,7 @@
 }
 
 void forwarded_request::examine_silence() {
-    if (context_.suspects == nullptr || context_.pool.is_leaving(target_.incarnation())) {
+    if (context_.suspects == nullptr) {
         return;
     }
     // The examination continues without its handle.
--- a/tests/unit/fleet/lethal_requests_test.cc
+++ b/tests/unit/fleet/lethal_requests_test.cc
@@ -233,38 +233,63 @@
     cr_assert(callers.ended() <= max_ends, "%u back ends ended", callers.ended());
 }
 
-Test(lethal_requests, ends_that_back_ends_announced_block_nothing) {
-    lethal_fixture callers(4);
+namespace {
+
+/// Has the back end that runs the request announce that it leaves.
+emulator::runner* drain_back_end_of(lethal_fixture& callers, const std::string& id) {
+    for (emulator::runner& runner : callers.fleet.runners) {
+        if (runner.is_running() && !runner.runs().empty() &&
+            runner.runs().back().request_id == id) {
+            callers.fleet.store.put("servers/" + runner.id(),
+                                    runner.list_entry("model", "draining"));
+            return &runner;
+        }
+    }
+    return nullptr;
+}
+
+}  // namespace
+
+Test(lethal_requests, request_that_ends_draining_back_ends_ends_at_most_three) {
+    lethal_fixture callers(6);
     callers.downtime = base::milliseconds{60'000};
+    for (emulator::runner& runner : callers.fleet.runners) {
+        runner.set_fault(emulator::runner_fault::hang);
+    }
     int ended = 0;
-    for (int index = 0; index < 3; ++index) {
+    for (int index = 0; index < 5; ++index) {
         const std::string id = "a" + std::to_string(index);
         std::optional<client_response> response;
-        for (emulator::runner& runner : callers.fleet.runners) {
-            runner.set_fault(emulator::runner_fault::hang);
-        }
         callers.fleet.start_call(0, "/turn/x", id, callers.headers_of(lethal_turn), lethal_marker,
                                  response);
-        cr_assert(run_until(callers.fleet.loop, [&] { return callers.runs_of(id) == 1; }));
-        for (emulator::runner& runner : callers.fleet.runners) {
-            if (runner.is_running() && !runner.runs().empty() &&
-                runner.runs().back().request_id == id) {
-                callers.fleet.store.put("servers/" + runner.id(),
-                                        runner.list_entry("model", "draining"));
-                run_for(callers.fleet.loop, base::milliseconds{500});
-                runner.crash();
-                ++ended;
-            }
+        cr_assert(run_until(callers.fleet.loop,
+                            [&] { return callers.runs_of(id) == 1 || response.has_value(); }));
+        if (emulator::runner* draining = drain_back_end_of(callers, id); draining != nullptr) {
+            run_for(callers.fleet.loop, base::milliseconds{500});
+            draining->crash();
+            ++ended;
         }
         cr_assert(run_until(callers.fleet.loop, [&] { return response.has_value(); }));
     }
-    cr_assert(ended == 3);
-    for (emulator::runner& runner : callers.fleet.runners) {
-        runner.set_fault(emulator::runner_fault::none);
+    cr_assert(ended == static_cast<int>(max_ends), "%d back ends ended", ended);
+}
+
+Test(lethal_requests, orderly_departures_block_nothing) {
+    lethal_fixture callers(6);
+    callers.downtime = base::milliseconds{60'000};
+    for (int index = 0; index < 4; ++index) {
+        const std::string id = "a" + std::to_string(index);
+        std::optional<client_response> response;
+        callers.fleet.start_call(0, "/turn/x", id, callers.headers_of(lethal_turn), lethal_marker,
+                                 response);
+        cr_assert(run_until(callers.fleet.loop, [&] { return callers.runs_of(id) == 1; }));
+        emulator::runner* draining = drain_back_end_of(callers, id);
+        cr_assert(draining != nullptr);
+        cr_assert(run_until(callers.fleet.loop, [&] { return response.has_value(); }));
+        cr_assert(response->status == 200 && response->whole, "%s", response->body.c_str());
+        draining->crash();
+        run_for(callers.fleet.loop, base::milliseconds{300});
     }
-    const auto response =
-        callers.fleet.call(1, "/turn/x", "b", callers.headers_of(lethal_turn), lethal_marker);
-    cr_assert(!is_blocked(response), "%s", response.body.c_str());
 }
 
 Test(lethal_requests, restarted_edge_knows_blocked_requests) {
