Record the attempt of a turn in its reservation (BUDGET)

Callers saw a request under which three back ends had ended being sent on. A first try was known to its edge alone until it had broken off, and all reports live in memory, so a herd that took the edges in the moment of the end took the only knowledge of the attempt with it.

Class: harm that was sent is counted by a witness that may be lost. The reservation of a turn or resumable stream is written to a majority of disks before a back end receives the request. It now contains a hash of the content, and once settled what is known of the back end. The reply to the next reservation contains all earlier ones, so every edge knows all tries before it sends one, whichever nodes were lost. An open reservation counts; one settled in doubt counts until the back end has shown that it goes on, which corrects it. No message and no write is added for a request that has not failed. An edge that starts again examines the attempts that its predecessor announced. The guess about lost edges (node_unreachable) is left to requests without a reservation.

--- a/src/pearbarrow/forward/backend_pool.cc
+++ b/src/pearbarrow/forward/backend_pool.cc
@@ -360,6 +360,18 @@
     return ids;
 }
 
+std::optional<directory::backend> backend_pool::find_listed(dispatch::backend_key backend) const {
+    const auto found = by_key_.find(backend);
+    const bool is_listed = found != by_key_.end() && found->second->listed;
+    return is_listed ? std::optional(found->second->backend) : std::nullopt;
+}
+
+std::optional<directory::backend> backend_pool::find_listed(const std::string& id) const {
+    const auto found = entries_.find(id);
+    const bool is_listed = found != entries_.end() && found->second.listed;
+    return is_listed ? std::optional(found->second.backend) : std::nullopt;
+}
+
 bool backend_pool::is_leaving(const directory::backend_incarnation& incarnation) const {
     const auto found = entries_.find(incarnation.id);
     return found == entries_.end() || !found->second.listed || found->second.backend.draining;
--- a/src/pearbarrow/forward/backend_pool.h
+++ b/src/pearbarrow/forward/backend_pool.h
@@ -167,6 +167,9 @@
     std::optional<directory::software_version> sole_version(const std::string& service,
                                                             base::milliseconds period,
                                                             base::instant now) const;
+    /// Returns the back end if it is listed.
+    std::optional<directory::backend> find_listed(dispatch::backend_key backend) const;
+    std::optional<directory::backend> find_listed(const std::string& id) const;
     // Processes of back ends, pool_processes.cc.
     /// Records that the back end was heard on a connection whose first bytes came at
     /// `first_heard_at`.
--- a/src/pearbarrow/forward/forwarded_attempt.cc
+++ b/src/pearbarrow/forward/forwarded_attempt.cc
@@ -81,6 +81,7 @@
     if (suspected_ends_ > 0 && are_trials_paused()) {
         suspects::suspect_status status = suspect_status();
         status.retry_after = context_.options.paused_trial_retry;
+        status.resolves_soon = true;
         hold(status);
         return;
     }
--- a/src/pearbarrow/forward/forwarded_request.h
+++ b/src/pearbarrow/forward/forwarded_request.h
@@ -178,9 +178,24 @@
     choice_request placement_request() const;
 
     // Requests under which back ends have ended, forwarded_suspect.cc.
+    /// Returns what the tries of one request share.
+    suspects::request_content content() const;
     /// Returns the fingerprint, which is computed once.
     const suspects::request_fingerprint& fingerprint();
     suspects::suspect_status suspect_status();
+    /// Counts the earlier attempts of the request of which only the storage members know.
+    void add_recorded_attempts(const turns::prepared_turn& prepared);
+    suspects::suspected_end recorded_end(const turns::recorded_attempt& attempt) const;
+    /// Returns whether the back end of a recorded attempt may have ended.
+    bool is_in_doubt(const turns::reservation& attempt) const;
+    /// Returns the id of the request that reserved the turn.
+    std::string unscoped(const turns::turn_id& turn) const;
+    /// States in the reservation what is known of the back end of the current attempt.
+    void record_doubt(turns::attempt_doubt doubt);
+    static turns::attempt_doubt doubt_of(suspects::break_kind kind);
+    /// Returns the attempt for its examination. If its back end goes on, the reservation is
+    /// corrected.
+    suspects::backend_attempt examined_attempt(suspects::break_kind kind);
     /// Returns true if the request is blocked or held back. It has then been rejected, or goes on
     /// later.
     bool stop_if_suspected();
@@ -381,6 +396,13 @@
     bool attempt_open_ = false;
 
     std::optional<suspects::request_fingerprint> fingerprint_;
+    /// Hash of the content; 0 until it is computed.
+    std::uint64_t content_hash_ = 0;
+    turns::attempt_doubt doubt_ = turns::attempt_doubt::none;
+    dispatch::backend_key doubted_backend_ = 0;
+    /// The settled reservation of an attempt in doubt, which may be corrected later; empty until it
+    /// is settled.
+    std::shared_ptr<turns::reservation> doubted_reservation_;
     /// Ends and possible ends under earlier attempts of this request, at any node, when it was last
     /// checked.
     std::size_t suspected_ends_ = 0;
--- a/src/pearbarrow/forward/forwarded_suspect.cc
+++ b/src/pearbarrow/forward/forwarded_suspect.cc
@@ -23,22 +23,87 @@
 
 }  // namespace
 
+suspects::request_content forwarded_request::content() const {
+    const net::http_request& request = exchange_->request();
+    return {.tenant = facts_.tenant,
+            .program = facts_.program,
+            .session = facts_.session,
+            .previous_turn = facts_.turn.has_value() ? facts_.turn->previous_turn : "",
+            .host = facts_.host,
+            .method = request.method,
+            .target = request.target,
+            .body = request.body};
+}
+
 const suspects::request_fingerprint& forwarded_request::fingerprint() {
     if (!fingerprint_.has_value()) {
-        const net::http_request& request = exchange_->request();
-        fingerprint_ = suspects::fingerprint_of(
-            {.tenant = facts_.tenant,
-             .program = facts_.program,
-             .session = facts_.session,
-             .previous_turn = facts_.turn.has_value() ? facts_.turn->previous_turn : "",
-             .host = facts_.host,
-             .method = request.method,
-             .target = request.target,
-             .body = request.body});
+        fingerprint_ = suspects::fingerprint_of(content());
     }
     return *fingerprint_;
 }
 
+std::string forwarded_request::unscoped(const turns::turn_id& turn) const {
+    const std::size_t prefix = scoped("x").size() - 1;
+    return turn.value().substr(std::min(prefix, turn.value().size()));
+}
+
+bool forwarded_request::is_in_doubt(const turns::reservation& attempt) const {
+    if (!attempt.settled || attempt.doubt == turns::attempt_doubt::possible_end) {
+        return true;
+    }
+    return attempt.doubt == turns::attempt_doubt::given_up &&
+           !context_.pool.find_listed(attempt.doubted_backend).has_value();
+}
+
+void forwarded_request::add_recorded_attempts(const turns::prepared_turn& prepared) {
+    if (context_.suspects == nullptr) {
+        return;
+    }
+    suspects::suspect recorded;
+    for (const turns::recorded_attempt& attempt : prepared.same_content) {
+        if (is_in_doubt(attempt.reserved)) {
+            recorded.unproved.push_back(recorded_end(attempt));
+        } else if (attempt.reserved.doubt == turns::attempt_doubt::none &&
+                   suspect_status().possible_ends > 0) {
+            context_.suspects->conclude(fingerprint(), unscoped(attempt.reserved.turn), "");
+        }
+    }
+    if (recorded.unproved.empty()) {
+        return;
+    }
+    recorded.scope = fingerprint().scope;
+    recorded.digest = fingerprint().digest;
+    recorded.tenant = facts_.tenant;
+    recorded.route = route_.name;
+    recorded.is_reserved = true;
+    context_.suspects->add_recorded(recorded);
+    context_.log.notable("earlier_attempts_recorded",
+                         {{"request", facts_.request_id},
+                          {"fingerprint", fingerprint().digest},
+                          {"program", facts_.program},
+                          {"possible_ends", suspect_status().possible_ends},
+                          {"attempts", suspects::to_json(recorded)}});
+}
+
+suspects::suspected_end forwarded_request::recorded_end(
+    const turns::recorded_attempt& attempt) const {
+    const turns::reservation& reserved = attempt.reserved;
+    const auto age = static_cast<std::uint64_t>(attempt.age.count());
+    suspects::suspected_end end{.request = unscoped(reserved.turn),
+                                .evidence = suspects::end_evidence::reserved,
+                                .age_ms = age,
+                                .sent_age_ms = std::max<std::uint64_t>(1, age)};
+    if (reserved.doubt == turns::attempt_doubt::possible_end) {
+        end.evidence = suspects::end_evidence::connection_lost;
+    }
+    if (const auto backend = context_.pool.find_listed(reserved.doubted_backend);
+        backend.has_value()) {
+        end.backend = backend->id;
+        end.started_at = backend->started_at;
+    }
+    return end;
+}
+
 suspects::suspect_status forwarded_request::suspect_status() {
     if (context_.suspects == nullptr || context_.suspects->table().is_empty()) {
         return {};
@@ -54,7 +119,8 @@
 
 bool forwarded_request::stop_if_suspected() {
     const suspects::suspect_status status = suspect_status();
-    suspected_ends_ = status.possible_ends;
+    // The bound holds for an attempt of which just the reservation is known. It needs no trial yet.
+    suspected_ends_ = status.is_only_reserved ? 0 : status.possible_ends;
     if (status.is_blocked) {
         reject_blocked(status);
         return true;
@@ -102,7 +168,8 @@
     if (!held_since_.has_value()) {
         held_since_ = now;
     }
-    const bool may_wait = now - *held_since_ < max_hold_time && time_left() > 2 * hold_interval;
+    const bool may_wait = status.resolves_soon && now - *held_since_ < max_hold_time &&
+                          time_left() > 2 * hold_interval;
     if (may_wait) {
         hold_timer_ = context_.loop.after(hold_interval, [this] { advance(); });
         return;
@@ -124,9 +191,12 @@
     }
     if (status_ >= server_error_status) {
         // The examination continues without its handle.
-        (void)context_.suspects->examine(current_attempt(), suspects::break_kind::error_response,
-                                         nullptr);
-    } else if (suspect_status().possible_ends > 0) {
+        constexpr suspects::break_kind kind = suspects::break_kind::error_response;
+        (void)context_.suspects->examine(examined_attempt(kind), kind, nullptr);
+        return;
+    }
+    doubt_ = turns::attempt_doubt::none;
+    if (suspect_status().possible_ends > 0) {
         context_.suspects->on_completed(fingerprint());
     }
 }
@@ -159,7 +229,34 @@
             .request = facts_.request_id,
             .tenant = facts_.tenant,
             .route = route_.name,
-            .sent_at = attempt_started_at_};
+            .sent_at = attempt_started_at_,
+            .is_reserved = facts_.turn.has_value()};
+}
+
+suspects::backend_attempt forwarded_request::examined_attempt(suspects::break_kind kind) {
+    suspects::backend_attempt attempt = current_attempt();
+    record_doubt(doubt_of(kind));
+    if (!facts_.turn.has_value() || doubt_ != turns::attempt_doubt::possible_end) {
+        return attempt;
+    }
+    doubted_reservation_ = std::make_shared<turns::reservation>();
+    attempt.on_went_on = [&turns = context_.turns, reserved = doubted_reservation_] {
+        reserved->doubt = turns::attempt_doubt::given_up;
+        if (reserved->settled) {
+            turns.settle(*reserved);
+        }
+    };
+    return attempt;
+}
+
+void forwarded_request::record_doubt(turns::attempt_doubt doubt) {
+    doubt_ = doubt;
+    doubted_backend_ = dispatch::key_of(target_.id, target_.started_at);
+}
+
+turns::attempt_doubt forwarded_request::doubt_of(suspects::break_kind kind) {
+    return suspects::leaves_doubt(kind) ? turns::attempt_doubt::possible_end
+                                        : turns::attempt_doubt::given_up;
 }
 
 void forwarded_request::announce_trial() {
@@ -236,7 +333,7 @@
     const auto kind = details.reason == silent_reason ? kind_of_given_up_attempt()
                                                       : suspects::break_kind::connection_lost;
     examination_ = context_.suspects->examine(
-        current_attempt(), kind,
+        examined_attempt(kind), kind,
         [this, reason = details.reason] { conclude_failed_attempt(true, reason); });
 }
 
@@ -250,8 +347,9 @@
     if (context_.suspects == nullptr) {
         return;
     }
+    const suspects::break_kind kind = kind_of_given_up_attempt();
     // The examination continues without its handle.
-    (void)context_.suspects->examine(current_attempt(), kind_of_given_up_attempt(), nullptr);
+    (void)context_.suspects->examine(examined_attempt(kind), kind, nullptr);
     is_trial_ = false;
 }
 
--- a/src/pearbarrow/forward/forwarded_turn.cc
+++ b/src/pearbarrow/forward/forwarded_turn.cc
@@ -39,7 +39,8 @@
             .turn = turns::turn_id(scoped(facts_.request_id)),
             .tokens = facts_.turn->max_tokens,
             .backend = provisional_key_,
-            .software = software_};
+            .software = software_,
+            .content = content_hash_};
 }
 
 turns::reservation forwarded_request::settled(std::uint64_t tokens) const {
@@ -47,6 +48,8 @@
     settled.tokens = tokens;
     settled.settled = true;
     settled.backend = executing_backend();
+    settled.doubt = doubt_;
+    settled.doubted_backend = doubt_ == turns::attempt_doubt::none ? 0 : doubted_backend_;
     if (settled.software.has_value() && !is_resumed()) {
         const base::instant now = context_.clock.now();
         const auto age =
@@ -67,6 +70,9 @@
     if (is_resumable_stream() && !is_resumed() && !software_.has_value()) {
         choose_software();
     }
+    if (content_hash_ == 0) {
+        content_hash_ = suspects::content_hash(content());
+    }
     turns::turn_request request{
         .wanted = reserved(), .budget = facts_.turn->token_budget, .previous = {}};
     if (is_resumable_stream() && !facts_.resumed_stream.empty()) {
@@ -100,6 +106,7 @@
     copied_turns_ = std::move(prepared.copied_records);
     other_tokens_ = prepared.other_tokens;
     previous_backend_ = prepared.previous_backend;
+    add_recorded_attempts(prepared);
     if (is_resumed() && !adopt_software(prepared)) {
         return;
     }
@@ -177,7 +184,14 @@
         return;
     }
     settled_ = true;
-    context_.turns.settle(settled(tokens));
+    turns::reservation value = settled(tokens);
+    if (doubted_reservation_ != nullptr) {
+        // The back end may have shown meanwhile that it goes on.
+        const bool went_on = doubted_reservation_->doubt == turns::attempt_doubt::given_up;
+        value.doubt = went_on ? turns::attempt_doubt::given_up : value.doubt;
+        *doubted_reservation_ = value;
+    }
+    context_.turns.settle(value);
 }
 
 /// A back end that has sent an event has read the prompt.
--- a/src/pearbarrow/operator/trace.cc
+++ b/src/pearbarrow/operator/trace.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <set>
 #include <utility>
 
 #include <spdlog/fmt/fmt.h>
@@ -176,6 +177,30 @@
     return framing == "chunks" ? "its last chunk arrived" : "its whole length arrived";
 }
 
+/// Returns the tries of which only the storage members knew, a line for each.
+std::string recorded_tries_text(const request_trace& trace) {
+    std::set<std::string> tries;
+    for (const trace_line& line : trace.lines) {
+        if (line.event != "earlier_attempts_recorded") {
+            continue;
+        }
+        for (const nlohmann::json& attempt : line.fields.value("attempts", nlohmann::json())) {
+            tries.insert(text_field(attempt, "request"));
+        }
+    }
+    std::string text;
+    for (const trace_line& line : trace.lines) {
+        if (contains(end_events, line.event)) {
+            tries.erase(text_field(line.fields, "request"));
+        }
+    }
+    for (const std::string& request : tries) {
+        text += fmt::format(
+            "   try {} has no known result; the storage members hold its reservation\n", request);
+    }
+    return text;
+}
+
 }  // namespace
 
 std::optional<std::string> response_end_text(const request_trace& trace) {
@@ -204,10 +229,10 @@
                              text_field(line.fields, "backend")}] = &line;
         }
     }
-    if (last_of_attempt.empty()) {
+    std::string text = recorded_tries_text(trace);
+    if (last_of_attempt.empty() && text.empty()) {
         return std::nullopt;
     }
-    std::string text;
     std::size_t ended = 0;
     std::size_t in_doubt = 0;
     for (const trace_line& line : trace.lines) {
--- a/src/pearbarrow/suspects/end_monitor.cc
+++ b/src/pearbarrow/suspects/end_monitor.cc
@@ -82,11 +82,13 @@
       exchange(exchange),
       identities(identities),
       options(std::move(options)),
+      started_at(clock.now()),
       ended_inquiries(loop) {
     this->exchange.on_new_suspect([this](const std::string& digest) {
         this->loop.post([this, held = std::weak_ptr(this->alive), digest] {
             if (!held.expired()) {
                 this->doubt_earlier_attempts(digest);
+                this->examine_predecessor(digest);
             }
         });
     });
@@ -107,6 +109,18 @@
     return std::make_unique<detachable_callback>(std::move(callback));
 }
 
+void end_monitor::add_recorded(const suspect& recorded) {
+    const bool was_blocked = this->table().status_of(recorded.digest, this->clock.now()).is_blocked;
+    this->exchange.add({recorded});
+    if (!was_blocked && this->table().status_of(recorded.digest, this->clock.now()).is_blocked) {
+        this->log_blocked(recorded.digest);
+    }
+    this->metrics
+        .add_counter("pearbarrow_suspects_recorded_total",
+                     "Earlier attempts that only the storage members knew")
+        .increment(static_cast<double>(recorded.unproved.size()));
+}
+
 void end_monitor::conclude(const request_fingerprint& fingerprint, const std::string& request,
                            const std::string& backend) {
     this->exchange.conclude(fingerprint.digest, request, backend);
@@ -186,6 +200,43 @@
     }
 }
 
+void end_monitor::examine_predecessor(const std::string& digest) {
+    const base::instant now = this->clock.now();
+    const auto known = this->table().find(digest, now);
+    if (!known.has_value() || !this->options.find_backend) {
+        return;
+    }
+    for (const suspected_end& end : known->unproved) {
+        const bool was_sent_before = now - base::milliseconds(end.age_ms) < this->started_at;
+        const bool is_own = end.evidence == end_evidence::sent && !end.is_excused &&
+                            end.node == this->options.node && was_sent_before;
+        const bool is_waiting = std::any_of(
+            this->waiting.begin(), this->waiting.end(), [&](const waiting_attempt& each) {
+                return each.attempt.request == end.request && each.attempt.target.id == end.backend;
+            });
+        const auto target =
+            is_own && !is_waiting ? this->options.find_backend(end.backend) : std::nullopt;
+        if (!target.has_value() || target->started_at != end.started_at) {
+            continue;
+        }
+        const waiting_attempt added{
+            .attempt = {.target = *target,
+                        .fingerprint = {.scope = known->scope, .digest = digest},
+                        .request = end.request,
+                        .tenant = known->tenant,
+                        .route = known->route,
+                        .sent_at = now - base::milliseconds(end.sent_age_ms),
+                        .is_reserved = known->is_reserved},
+            .kind = break_kind::connection_lost,
+            .broken_at = now,
+            .done = std::make_shared<std::function<void()>>(),
+            .is_reported = true};
+        this->log_attempt("predecessor_attempt_examined", added, to_string(end.evidence));
+        this->waiting.push_back(added);
+        this->examine_waiting(added);
+    }
+}
+
 void end_monitor::start_inquiry(const waiting_attempt& first) {
     const inquiry_key key{key_of(first.attempt.target), first.kind};
     this->inquiries[key] = std::make_unique<end_inquiry>(
@@ -275,6 +326,9 @@
 
 void end_monitor::report_going_on(const inquiry_key& key) {
     for (waiting_attempt& each : this->take_waiting(key.first, key.second)) {
+        if (each.attempt.on_went_on) {
+            std::exchange(each.attempt.on_went_on, nullptr)();
+        }
         run_once(each.done);
         if (each.kind == break_kind::silent) {
             this->watch_responding(std::move(each));
@@ -347,6 +401,13 @@
 }
 
 void end_monitor::apply(const directory::backend_changes& changes) {
+    const bool has_just_started =
+        this->clock.now() - this->started_at < this->options.late_evidence_time;
+    if (has_just_started && !this->table().is_empty()) {
+        for (const suspect& known : this->table().all(this->clock.now())) {
+            this->examine_predecessor(known.digest);
+        }
+    }
     if (this->waiting.empty()) {
         return;
     }
@@ -363,10 +424,14 @@
 }
 
 void end_monitor::on_completed(const request_fingerprint& fingerprint) {
+    const bool is_unreported =
+        this->table().status_of(fingerprint.digest, this->clock.now()).is_only_reserved;
     if (this->exchange.excuse(fingerprint.digest)) {
         base::log(base::log_level::info, "suspect_excused",
                   {{"fingerprint", fingerprint.digest}, {"reason", "completed"}});
-        this->exchange.report({fingerprint.digest}, nullptr);
+        if (!is_unreported) {
+            this->exchange.report({fingerprint.digest}, nullptr);
+        }
     }
 }
 
@@ -411,7 +476,8 @@
                      .digest = attempt.fingerprint.digest,
                      .tenant = attempt.tenant,
                      .route = attempt.route,
-                     .service = attempt.target.service};
+                     .service = attempt.target.service,
+                     .is_reserved = attempt.is_reserved};
     (is_proof(evidence) ? reported.ends : reported.unproved).push_back(std::move(end));
     return reported;
 }
--- a/src/pearbarrow/suspects/end_monitor.h
+++ b/src/pearbarrow/suspects/end_monitor.h
@@ -39,6 +39,8 @@
     base::milliseconds watch_time{5'000};
     /// How long an end is remembered for further attempts that it broke.
     base::milliseconds end_memory{10'000};
+    /// Returns a listed back end by its id. May be empty.
+    std::function<std::optional<directory::backend>(const std::string& id)> find_backend;
     /// Limit for the attempts that wait for proof, and for inquiries.
     std::size_t max_unresolved = 1'024;
 };
@@ -51,6 +53,10 @@
     std::string tenant;
     std::string route;
     base::instant sent_at{};
+    /// Whether storage members have recorded the attempt before it was sent.
+    bool is_reserved = false;
+    /// Runs when the back end of an attempt in doubt has shown that it goes on. May be empty.
+    std::function<void()> on_went_on = nullptr;
 };
 
 /// An examination in progress. Destroying it prevents the callback; the examination continues.
@@ -78,7 +84,10 @@
     /// its back end is found to have ended soon, by this or by another attempt.
     [[nodiscard]] std::unique_ptr<examination> examine(backend_attempt attempt, break_kind kind,
                                                        std::function<void()> done);
-    /// The attempt ended without a doubt about its back end.
+    /// Adds attempts that storage members have recorded and of which their nodes may not have told.
+    /// Nobody else is told, since every edge that prepares the request learns of them.
+    void add_recorded(const suspect& recorded);
+    /// The attempt ended without a doubt about its back end. `backend`: empty if it is not known.
     void conclude(const request_fingerprint& fingerprint, const std::string& request,
                   const std::string& backend);
     /// Another process responded at the address of the back end.
@@ -118,6 +127,8 @@
     /// Starts an inquiry for a waiting attempt, or lets it join one.
     void examine_waiting(const waiting_attempt& added);
     void start_inquiry(const waiting_attempt& first);
+    /// Examines the attempts of an earlier process of this node, of which nobody knows the result.
+    void examine_predecessor(const std::string& digest);
     /// Earlier attempts of the request left no doubt, and now do, since it is a suspect.
     void doubt_earlier_attempts(const std::string& digest);
     void on_verdict(const inquiry_key& key, inquiry_verdict verdict);
@@ -149,6 +160,7 @@
     suspect_exchange& exchange;
     identity_source& identities;
     end_monitor_options options;
+    base::instant started_at;
     std::map<inquiry_key, std::unique_ptr<end_inquiry>> inquiries;
     net::ended_objects<std::unique_ptr<end_inquiry>> ended_inquiries;
     std::map<incarnation_key, known_end> ends;
--- a/src/pearbarrow/suspects/request_fingerprint.h
+++ b/src/pearbarrow/suspects/request_fingerprint.h
@@ -34,6 +34,10 @@
     std::string digest;
 };
 
+/// Returns a hash of the content for records that belong to the program already. It is cheaper than
+/// the fingerprint, and never 0.
+std::uint64_t content_hash(const request_content& content);
+
 std::uint64_t scope_of(std::string_view tenant, std::string_view program);
 request_fingerprint fingerprint_of(const request_content& content);
 
--- a/src/pearbarrow/suspects/suspect_exchange.cc
+++ b/src/pearbarrow/suspects/suspect_exchange.cc
@@ -63,10 +63,12 @@
              const auto report = reply.ok() ? wire::decode<suspect_report>(*reply)
                                             : absl::StatusOr<suspect_report>(reply.status());
              if (report.ok()) {
-                 base::log(base::log_level::info, "suspects_fetched",
-                           {{"peer", net::to_string(peer)},
-                            {"suspects", report->suspects.size()},
-                            {"current", report->is_current}});
+                 if (report->is_current || !report->suspects.empty()) {
+                     base::log(base::log_level::info, "suspects_fetched",
+                               {{"peer", net::to_string(peer)},
+                                {"suspects", report->suspects.size()},
+                                {"current", report->is_current}});
+                 }
                  this->add(report->suspects);
                  this->fetched += report->is_current ? 1 : 0;
              }
@@ -233,7 +235,8 @@
     for (const std::string& digest : digests) {
         auto known = this->known.find(digest, this->clock.now());
         const bool is_first_attempt =
-            known.has_value() && known->ends.size() + known->unproved.size() == 1 &&
+            known.has_value() && !known->is_reserved &&
+            known->ends.size() + known->unproved.size() == 1 &&
             this->known.status_of(digest, this->clock.now()).possible_ends == 1;
         if (!is_first_attempt) {
             continue;
--- a/src/pearbarrow/suspects/suspect_exchange.h
+++ b/src/pearbarrow/suspects/suspect_exchange.h
@@ -5,9 +5,10 @@
 /// with it, so a node that has missed earlier reports learns of them with the next one. A node that
 /// no report reaches does not block the request.
 ///
-/// An edge that has just been lost may have had the first attempt of a request, of which nobody
-/// knows. If an edge does not confirm the first report of a suspect and was reachable shortly
-/// before, or has just started, one more back end counts as one that may have ended.
+/// An edge that has just been lost may have had the first attempt of a request without a
+/// reservation, of which nobody knows. If an edge does not confirm the first report of a suspect
+/// and was reachable shortly before, or has just started, one more back end counts as one that may
+/// have ended.
 #pragma once
 
 #include <cstdint>
--- a/src/pearbarrow/suspects/suspect_messages.cc
+++ b/src/pearbarrow/suspects/suspect_messages.cc
@@ -18,6 +18,8 @@
             return "node_unreachable";
         case end_evidence::error_response:
             return "error_response";
+        case end_evidence::reserved:
+            return "reserved";
     }
     return "unknown";
 }
@@ -26,6 +28,10 @@
     return evidence == end_evidence::connection_refused || evidence == end_evidence::replaced;
 }
 
+bool is_open(end_evidence evidence) {
+    return evidence == end_evidence::sent || evidence == end_evidence::reserved;
+}
+
 nlohmann::json to_json(const suspect& known) {
     nlohmann::json attempts = nlohmann::json::array();
     for (const std::vector<suspected_end>* list : {&known.ends, &known.unproved}) {
--- a/src/pearbarrow/suspects/suspect_messages.h
+++ b/src/pearbarrow/suspects/suspect_messages.h
@@ -27,10 +27,14 @@
     node_unreachable = 5,
     /// The back end responded with an error, and has not shown since that it goes on.
     error_response = 6,
+    /// The storage members hold a reservation for the attempt, and know no result.
+    reserved = 7,
 };
 
 std::string_view to_string(end_evidence evidence);
 bool is_proof(end_evidence evidence);
+/// Whether the attempt may still be under way.
+bool is_open(end_evidence evidence);
 
 /// An attempt under which a back end has ended, or may have ended.
 struct suspected_end {
@@ -69,8 +73,11 @@
     /// Attempts without proof. Separate from `ends`, which older builds count without a look at the
     /// evidence.
     std::vector<suspected_end> unproved;
+    /// Whether storage members record each attempt before it is sent. Older nodes omit it.
+    bool is_reserved = false;
 
-    MSGPACK_DEFINE(scope, digest, tenant, route, service, ends, trial, trial_age_ms, unproved);
+    MSGPACK_DEFINE(scope, digest, tenant, route, service, ends, trial, trial_age_ms, unproved,
+                   is_reserved);
 };
 
 /// Sent to all nodes, and in reply to a node that has started.
--- a/src/pearbarrow/suspects/suspect_table.cc
+++ b/src/pearbarrow/suspects/suspect_table.cc
@@ -34,16 +34,24 @@
     if (is_proof(evidence)) {
         return 2;
     }
-    return evidence == end_evidence::sent ? 0 : 1;
+    return is_open(evidence) ? 0 : 1;
+}
+
+/// A reservation does not name the back end of its attempt.
+bool is_backend_unknown(const suspected_end& attempt) {
+    return attempt.backend.empty();
 }
 
 bool is_same_attempt(const suspected_end& left, const suspected_end& right) {
-    return left.request == right.request && left.backend == right.backend &&
-           left.started_at == right.started_at;
+    const bool is_same_backend =
+        left.backend == right.backend && left.started_at == right.started_at;
+    return left.request == right.request &&
+           (is_same_backend || is_backend_unknown(left) || is_backend_unknown(right));
 }
 
 bool is_same_process(const suspected_end& left, const suspected_end& right) {
-    return left.backend == right.backend && left.started_at == right.started_at;
+    return !is_backend_unknown(left) && left.backend == right.backend &&
+           left.started_at == right.started_at;
 }
 
 }  // namespace
@@ -105,8 +113,25 @@
 
 bool suspect_table::is_end(const held_attempt& attempt, base::instant now) const {
     const end_evidence evidence = attempt.end.evidence;
-    return is_proof(evidence) || (evidence != end_evidence::sent &&
-                                  now - attempt.ended_at >= this->options.resolution_time);
+    const base::milliseconds limit =
+        is_open(evidence) ? this->options.open_attempt_time : this->options.resolution_time;
+    return is_proof(evidence) || now - attempt.ended_at >= limit;
+}
+
+bool suspect_table::shows_trouble(const entry& known) {
+    const auto counts = [](const held_attempt& held) { return !held.end.is_excused; };
+    return std::count_if(known.attempts.begin(), known.attempts.end(), counts) > 1 ||
+           std::any_of(known.attempts.begin(), known.attempts.end(), [&](const auto& held) {
+               return counts(held) && held.end.evidence != end_evidence::reserved;
+           });
+}
+
+bool suspect_table::resolves_soon(const entry& known, base::instant now) const {
+    return std::any_of(known.attempts.begin(), known.attempts.end(), [&](const auto& held) {
+        const bool is_announced = held.end.evidence == end_evidence::sent;
+        return !held.end.is_excused && !is_proof(held.end.evidence) &&
+               (is_announced || now - held.ended_at < this->options.settle_time);
+    });
 }
 
 bool suspect_table::is_well_formed(const suspect& reported) {
@@ -131,6 +156,10 @@
         known.description.trial.clear();
         ++this->scopes[reported.scope];
     }
+    known.description.is_reserved = known.description.is_reserved || reported.is_reserved;
+    if (known.description.service.empty()) {
+        known.description.service = reported.service;
+    }
     const bool was_blocked = this->is_blocked(known, now);
     for (const suspected_end& end : reported.ends) {
         add_attempt(known, end, now);
@@ -155,20 +184,30 @@
             held.ended_at = added.ended_at;
         }
     };
+    const auto complete = [&added](held_attempt& held) {
+        if (is_backend_unknown(held.end) && !is_backend_unknown(added.end)) {
+            held.end.backend = added.end.backend;
+            held.end.started_at = added.end.started_at;
+            held.end.evidence = added.end.evidence;
+            held.end.node = added.end.node;
+            held.sent_at = added.sent_at;
+            held.ended_at = added.ended_at;
+        }
+    };
     for (held_attempt& held : known.attempts) {
         if (is_same_attempt(held.end, end)) {
+            complete(held);
             strengthen(held);
             held.end.is_excused = held.end.is_excused || end.is_excused;
             return;
         }
     }
     // Attempts that one end broke off are kept once, so that they do not displace other ends.
-    const bool has_broken_off = !end.is_excused && end.evidence != end_evidence::sent;
+    const bool has_broken_off = !end.is_excused && !is_open(end.evidence);
     for (held_attempt& held : known.attempts) {
         const bool is_same_end = has_broken_off && !held.end.is_excused &&
-                                 held.end.evidence != end_evidence::sent &&
-                                 is_same_process(held.end, end) && added.sent_at <= held.ended_at &&
-                                 held.sent_at <= added.ended_at;
+                                 !is_open(held.end.evidence) && is_same_process(held.end, end) &&
+                                 added.sent_at <= held.ended_at && held.sent_at <= added.ended_at;
         if (is_same_end) {
             strengthen(held);
             return;
@@ -224,8 +263,10 @@
     }
     bool has_counted = false;
     for (held_attempt& held : found->second.attempts) {
-        const bool is_meant = held.end.request == request && held.end.backend == backend &&
-                              !is_proof(held.end.evidence);
+        const bool is_meant =
+            held.end.request == request &&
+            (backend.empty() || held.end.backend == backend || is_backend_unknown(held.end)) &&
+            !is_proof(held.end.evidence);
         has_counted = has_counted || (is_meant && !held.end.is_excused);
         held.end.is_excused = held.end.is_excused || is_meant;
     }
@@ -253,11 +294,16 @@
         if (held.end.is_excused || is_proof(held.end.evidence)) {
             continue;
         }
-        const bool is_open = held.end.evidence == end_evidence::sent;
-        const auto left = is_open ? open_attempt_retry
-                                  : std::chrono::ceil<base::milliseconds>(
-                                        held.ended_at + this->options.settle_time - now);
-        shortest = std::min(shortest, std::max(left, open_attempt_retry));
+        if (held.end.evidence == end_evidence::sent) {
+            shortest = std::min(shortest, open_attempt_retry);
+            continue;
+        }
+        const auto left =
+            std::chrono::ceil<base::milliseconds>(held.ended_at + this->options.settle_time - now);
+        const bool is_too_old = held.end.evidence == end_evidence::reserved && left.count() <= 0;
+        if (!is_too_old) {
+            shortest = std::min(shortest, std::max(left, open_attempt_retry));
+        }
     }
     return shortest;
 }
@@ -270,6 +316,8 @@
     const entry& known = found->second;
     suspect_status status{.ends = this->ends(known, now), .possible_ends = possible_ends(known)};
     status.is_blocked = this->is_blocked(known, now);
+    status.is_only_reserved = status.possible_ends > 0 && !shows_trouble(known);
+    status.resolves_soon = this->resolves_soon(known, now);
     if (status.is_blocked) {
         status.retry_after = std::chrono::ceil<base::milliseconds>(known.last_end() +
                                                                    this->options.block_time - now);
@@ -307,7 +355,7 @@
 std::vector<suspect> suspect_table::all(base::instant now) const {
     std::vector<suspect> found;
     for (const auto& [digest, known] : this->entries) {
-        if (possible_ends(known) > 0 && !this->is_expired(known, now)) {
+        if (!this->is_expired(known, now)) {
             found.push_back(described(known, now));
         }
     }
@@ -321,7 +369,7 @@
                                                                         base::instant now) const {
     std::vector<const entry*> active;
     for (const auto& [digest, known] : this->entries) {
-        const bool is_active = known.description.service == service && possible_ends(known) > 0 &&
+        const bool is_active = known.description.service == service && shows_trouble(known) &&
                                now - known.last_end() < this->options.isolation_time;
         if (is_active && !this->is_blocked(known, now)) {
             active.push_back(&known);
@@ -345,7 +393,7 @@
     std::set<std::string> unavailable;
     for (const auto& [digest, known] : this->entries) {
         for (const held_attempt& held : known.attempts) {
-            if (!held.end.is_excused && held.end.evidence != end_evidence::sent) {
+            if (!held.end.is_excused && !is_open(held.end.evidence)) {
                 unavailable.insert(held.end.backend);
             }
         }
--- a/src/pearbarrow/suspects/suspect_table.h
+++ b/src/pearbarrow/suspects/suspect_table.h
@@ -41,6 +41,8 @@
     base::milliseconds settle_time{4'000};
     /// An attempt that could not be resolved for this long counts as an end.
     base::milliseconds resolution_time{10'000};
+    /// The same for an attempt of which no result is known. It may still be under way.
+    base::milliseconds open_attempt_time{60'000};
     /// How long after its last end a suspect keeps a back end to itself.
     base::milliseconds isolation_time{3'000};
     /// Further trials of the service wait while the back ends that trials ended within this time
@@ -59,6 +61,10 @@
     bool is_blocked = false;
     /// Whether the request is not blocked, but may not be sent before its attempts are resolved.
     bool is_held = false;
+    /// Whether an attempt may be resolved soon, so that a request that is held back should wait.
+    bool resolves_soon = false;
+    /// Whether the only attempt that counts is one of which just the reservation is known.
+    bool is_only_reserved = false;
     /// Time until the request may be tried again.
     base::milliseconds retry_after{0};
 };
@@ -86,7 +92,8 @@
     /// Excuses a request that was completed from its attempts, or one that an operator released.
     /// Returns whether it was a suspect.
     bool excuse(const std::string& digest, base::instant now);
-    /// Excuses the request from one attempt that ended no back end. Returns whether it counted.
+    /// Excuses the request from one attempt that ended no back end; `backend` is empty if it is not
+    /// known. Returns whether it counted.
     bool excuse_attempt(const std::string& digest, const std::string& request,
                         const std::string& backend);
     /// Records that a suspect is sent to the back end.
@@ -94,7 +101,7 @@
     suspect_status status_of(const std::string& digest, base::instant now) const;
     /// Returns what is known of a suspect, for reports and logs; nothing if it is unknown.
     std::optional<suspect> find(const std::string& digest, base::instant now) const;
-    /// Returns the suspects that are not excused from all their attempts.
+    /// Returns the suspects that are remembered, with the attempts from which they are excused.
     std::vector<suspect> all(base::instant now) const;
     /// Assigns the suspects of the service to different back ends. A suspect keeps the one that it
     /// was last sent to. `backends` are the ids that may be chosen, in an order on which all nodes
@@ -135,6 +142,9 @@
     template <typename Predicate>
     static std::size_t count_ends(const entry& known, Predicate counts);
     static std::size_t possible_ends(const entry& known);
+    /// Whether more is known of the request than the reservation of one attempt.
+    static bool shows_trouble(const entry& known);
+    bool resolves_soon(const entry& known, base::instant now) const;
     std::size_t ends(const entry& known, base::instant now) const;
     /// Returns whether the attempt counts as an end, not only as a possible one.
     bool is_end(const held_attempt& attempt, base::instant now) const;
--- a/src/pearbarrow/turns/budget_check.cc
+++ b/src/pearbarrow/turns/budget_check.cc
@@ -4,14 +4,33 @@
 
 namespace pearbarrow::turns {
 
+namespace {
+
+int rank_of(attempt_doubt doubt) {
+    switch (doubt) {
+        case attempt_doubt::none:
+            return 0;
+        case attempt_doubt::given_up:
+            return 1;
+        case attempt_doubt::possible_end:
+            return 2;
+    }
+    return 0;
+}
+
+}  // namespace
+
 bool supersedes(const reservation& next, const reservation& held) {
     if (next.settled != held.settled) {
         return next.settled;
     }
+    if (next.settled) {
+        return rank_of(next.doubt) < rank_of(held.doubt);
+    }
     const auto choice_of = [](const reservation& value) {
         return value.software.has_value() ? value.software->choice : 0;
     };
-    return !next.settled && choice_of(next) > choice_of(held);
+    return choice_of(next) > choice_of(held);
 }
 
 void reservation_union::add(const std::vector<reservation>& reservations) {
@@ -28,6 +47,16 @@
     return found == entries_.end() ? nullptr : &found->second;
 }
 
+std::vector<reservation> reservation_union::others_with_content(const reservation& wanted) const {
+    std::vector<reservation> others;
+    for (const auto& [turn, value] : entries_) {
+        if (wanted.content != 0 && value.content == wanted.content && turn != wanted.turn) {
+            others.push_back(value);
+        }
+    }
+    return others;
+}
+
 std::uint64_t reservation_union::total_without(const turn_id& except) const {
     std::uint64_t total = 0;
     for (const auto& [turn, value] : entries_) {
--- a/src/pearbarrow/turns/budget_check.h
+++ b/src/pearbarrow/turns/budget_check.h
@@ -30,6 +30,8 @@
     void add(const std::vector<reservation>& reservations);
     /// Returns the reservation of the turn, or null if no member knows one.
     const reservation* find(const turn_id& turn) const;
+    /// Returns the reservations of other turns with the same content, if that is known.
+    std::vector<reservation> others_with_content(const reservation& wanted) const;
     /// Returns the sum of tokens over all turns except `except`.
     std::uint64_t total_without(const turn_id& except) const;
     /// Returns the back end that executed the turn or, if that is unknown, the one that executed
--- a/src/pearbarrow/turns/turn_index.cc
+++ b/src/pearbarrow/turns/turn_index.cc
@@ -192,16 +192,19 @@
     return found;
 }
 
-std::vector<reservation_age> turn_index::provisional_ages(const base::program_id& program,
-                                                          base::instant now) const {
+std::vector<reservation_age> turn_index::ages(const reservation& wanted, base::instant now) const {
     std::vector<reservation_age> ages;
-    const auto found = programs_.find(program);
+    const auto found = programs_.find(wanted.program);
     if (found == programs_.end()) {
         return ages;
     }
     for (const auto& [turn, known] : found->second.reservations) {
         const auto& software = known.value.software;
-        if (!known.value.settled && software.has_value() && software->is_provisional) {
+        const bool is_provisional =
+            !known.value.settled && software.has_value() && software->is_provisional;
+        const bool has_content =
+            wanted.content != 0 && known.value.content == wanted.content && turn != wanted.turn;
+        if (is_provisional || has_content) {
             const auto age = std::chrono::duration_cast<base::milliseconds>(now - known.since);
             ages.push_back({turn, static_cast<std::uint32_t>(age.count())});
         }
--- a/src/pearbarrow/turns/turn_index.h
+++ b/src/pearbarrow/turns/turn_index.h
@@ -65,9 +65,9 @@
     void add(const stored_reservation& entry, base::instant now);
 
     std::vector<reservation> reservations(const base::program_id& program) const;
-    /// Returns the ages of the program's open reservations of provisional streams.
-    std::vector<reservation_age> provisional_ages(const base::program_id& program,
-                                                  base::instant now) const;
+    /// Returns the ages of the program's open reservations of provisional streams, and of its other
+    /// reservations with the content of `wanted`.
+    std::vector<reservation_age> ages(const reservation& wanted, base::instant now) const;
     /// Returns the turns of a chain, oldest first, or nothing if a part of it is missing.
     std::optional<std::vector<turn_id>> chain(const turn_id& last) const;
     /// Returns the turn that this one continues; empty if there is none or the turn is not stored.
--- a/src/pearbarrow/turns/turn_operation.h
+++ b/src/pearbarrow/turns/turn_operation.h
@@ -99,6 +99,13 @@
     std::optional<base::milliseconds> silence;
 };
 
+/// An earlier attempt of a request, as the storage members know it.
+struct recorded_attempt {
+    reservation reserved;
+    /// Time since it was reserved; 0 if the members do not know it.
+    base::milliseconds age{0};
+};
+
 struct prepared_turn {
     turn_outcome outcome = turn_outcome::unavailable;
     std::string chain_text;
@@ -115,6 +122,8 @@
     /// Time since that request was reserved, if its reservation is open and provisional; 0 if the
     /// members do not know it.
     base::milliseconds resumed_age{0};
+    /// The other reservations of the program with the content of this one.
+    std::vector<recorded_attempt> same_content;
     std::size_t members_answered = 0;
     /// What each member had done. Set only if the outcome is `unavailable`.
     std::vector<member_progress> progress;
--- a/src/pearbarrow/turns/turn_preparation.cc
+++ b/src/pearbarrow/turns/turn_preparation.cc
@@ -128,10 +128,9 @@
     member.confirmed_complete = reply->is_complete;
     member.reservation = reply->is_complete ? "done" : "incomplete";
     known_.add(reply->reservations);
-    for (const reservation_age& age : reply->provisional_ages) {
-        if (age.turn == request_.resumed) {
-            resumed_age_ = std::max(resumed_age_, base::milliseconds{age.milliseconds});
-        }
+    for (const reservation_age& age : reply->ages) {
+        base::milliseconds& longest = ages_[age.turn];
+        longest = std::max(longest, base::milliseconds{age.milliseconds});
     }
     if (options_.loads != nullptr) {
         options_.loads->apply_totals(reply->load);
@@ -364,7 +363,10 @@
                          .view_revision = view_revision_};
     if (const reservation* resumed = known_.find(request_.resumed); resumed != nullptr) {
         result.resumed = *resumed;
-        result.resumed_age = resumed_age_;
+        result.resumed_age = age_of(request_.resumed);
+    }
+    for (const reservation& other : known_.others_with_content(request_.wanted)) {
+        result.same_content.push_back({.reserved = other, .age = age_of(other.turn)});
     }
     if (outcome == turn_outcome::unavailable) {
         result.progress = progress();
@@ -372,6 +374,11 @@
     done(std::move(result));
 }
 
+base::milliseconds turn_preparation::age_of(const turn_id& turn) const {
+    const auto found = ages_.find(turn);
+    return found == ages_.end() ? base::milliseconds{0} : found->second;
+}
+
 std::vector<member_progress> turn_preparation::progress() const {
     std::vector<member_progress> all;
     const auto add = [&](const member_state& state) {
--- a/src/pearbarrow/turns/turn_preparation.h
+++ b/src/pearbarrow/turns/turn_preparation.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -86,6 +87,8 @@
     bool end_if_outdated(const member_state& member,
                          const std::optional<directory::storage_view>& newer);
     std::vector<member_progress> progress() const;
+    /// Returns the age of a reservation, 0 if no member has reported it.
+    base::milliseconds age_of(const turn_id& turn) const;
     static std::list<member_state> states_of(const directory::storage_view& group);
     std::size_t count(bool member_state::*flag) const;
     bool all_report_absent() const;
@@ -112,7 +115,8 @@
     bool rereading_ = false;
     std::uint64_t view_revision_ = 0;
     std::uint32_t group_ = 0;
-    base::milliseconds resumed_age_{0};
+    /// Ages of reservations, the longest of those that members reported.
+    std::map<turn_id, base::milliseconds> ages_;
     std::unique_ptr<net::timer_handle> timeout_;
     std::unique_ptr<net::timer_handle> chain_timer_;
 };
--- a/src/pearbarrow/turns/turn_replica.cc
+++ b/src/pearbarrow/turns/turn_replica.cc
@@ -228,7 +228,7 @@
                                     const responder_ptr& responder) {
     reserve_reply reply{.is_complete = complete_,
                         .reservations = index_.reservations(request.wanted.program)};
-    reply.provisional_ages = index_.provisional_ages(request.wanted.program, clock_.now());
+    reply.ages = index_.ages(request.wanted, clock_.now());
     if (request.wants_chain && !request.previous.value().empty()) {
         std::vector<turn_record> chain;
         reply.chain = read_chain(request.previous, chain);
--- a/src/pearbarrow/turns/turn_types.h
+++ b/src/pearbarrow/turns/turn_types.h
@@ -2,8 +2,8 @@
 ///
 /// A turn is identified by the id of the request that created it and is immutable, so copies on
 /// several members need no ordering: any copy is valid. A reservation only changes from reserved to
-/// settled, and its software to a later choice, so two copies merge without conflicts
-/// (`supersedes`).
+/// settled, its software to a later choice, and the doubt about its attempt to a lesser one, so two
+/// copies merge without conflicts (`supersedes`).
 #pragma once
 
 #include <cstdint>
@@ -69,7 +69,19 @@
     MSGPACK_DEFINE(service, version, choice, is_provisional, connection_age_ms);
 };
 
-/// Tokens reserved for a turn, or its actual cost once settled.
+/// What the node that served an attempt knows of its back end when it settles the reservation.
+enum class attempt_doubt : std::uint8_t {
+    /// The back end has responded or has rejected the request, or nothing was sent.
+    none,
+    /// The back end may have ended under the attempt.
+    possible_end,
+    /// The attempt was given up while its back end went on.
+    given_up,
+};
+
+/// Tokens reserved for a turn, or its actual cost once settled. It is confirmed before a back end
+/// receives the request, so it is also the record of the attempt: an open reservation is an attempt
+/// of which no result is known.
 struct reservation {
     base::program_id program;
     turn_id turn;
@@ -85,8 +97,15 @@
     /// The turn that this one continues, which is kept until the reservation is settled. Empty if
     /// there is none or the reservation is settled; older nodes omit it.
     turn_id previous;
-
-    MSGPACK_DEFINE(program, turn, tokens, settled, backend, software, previous);
+    /// Hash of the content of the request, which all tries of one request share; 0 if unknown.
+    /// Older nodes omit it and the next two fields.
+    std::uint64_t content = 0;
+    attempt_doubt doubt = attempt_doubt::none;
+    /// Back end of an attempt in doubt; 0 if there is none.
+    dispatch::backend_key doubted_backend = 0;
+
+    MSGPACK_DEFINE(program, turn, tokens, settled, backend, software, previous, content, doubt,
+                   doubted_backend);
 };
 
 /// Returns whether `next` replaces `held`, a reservation of the same turn.
@@ -138,10 +157,11 @@
     /// group's view as known to the member; without members if the member knows only that a newer
     /// view exists.
     std::optional<directory::storage_view> newer;
-    /// Ages of the open reservations of provisional streams; older nodes omit them.
-    std::vector<reservation_age> provisional_ages;
+    /// Ages of the open reservations of provisional streams, and of the reservations with the
+    /// content of the requested one; older nodes omit them.
+    std::vector<reservation_age> ages;
 
-    MSGPACK_DEFINE(is_complete, reservations, chain, chain_text, load, newer, provisional_ages);
+    MSGPACK_DEFINE(is_complete, reservations, chain, chain_text, load, newer, ages);
 };
 
 struct read_request {
@@ -262,4 +282,5 @@
 
 }  // namespace pearbarrow::turns
 
+MSGPACK_ADD_ENUM(pearbarrow::turns::attempt_doubt);
 MSGPACK_ADD_ENUM(pearbarrow::turns::chain_result);
--- a/tests/unit/suspects/suspect_table_test.cc
+++ b/tests/unit/suspects/suspect_table_test.cc
@@ -86,6 +86,64 @@
     cr_assert(known.status("a").is_blocked);
 }
 
+namespace {
+
+suspect reserved(const std::string& name, const std::vector<std::string>& requests) {
+    suspect reported = suspect_at(name, {});
+    reported.is_reserved = true;
+    for (const std::string& request : requests) {
+        reported.unproved.push_back({.request = request, .evidence = end_evidence::reserved});
+    }
+    return reported;
+}
+
+}  // namespace
+
+Test(suspect_table, reservations_of_unknown_back_ends_count_one_by_one) {
+    table_fixture known;
+    known.merge(reserved("a", {"a.1"}));
+    cr_assert(known.status("a").possible_ends == 1 && known.status("a").is_only_reserved);
+    known.merge(reserved("a", {"a.1", "a.2"}));
+    cr_assert(known.status("a").possible_ends == 2 && !known.status("a").is_only_reserved);
+    known.merge(reserved("a", {"a.3"}));
+    cr_assert(known.status("a").is_held && !known.status("a").is_blocked);
+}
+
+Test(suspect_table, reservation_and_report_of_one_attempt_count_once) {
+    for (const bool is_reserved_first : {true, false}) {
+        table_fixture known;
+        suspect reported = suspect_at("a", {"b1"});
+        const suspect record = reserved("a", {reported.ends.front().request});
+        known.merge(is_reserved_first ? record : reported);
+        known.merge(is_reserved_first ? reported : record);
+        cr_assert(known.status("a").possible_ends == 1 && known.status("a").ends == 1);
+    }
+}
+
+Test(suspect_table, reservation_is_excused_by_the_id_of_its_request) {
+    table_fixture known;
+    known.merge(reserved("a", {"a.1", "a.2"}));
+    cr_assert(known.table.excuse_attempt(digest_of("a"), "a.1", "b1"));
+    cr_assert(known.status("a").possible_ends == 1);
+}
+
+Test(suspect_table, reservation_without_a_result_keeps_no_back_end_to_itself) {
+    table_fixture known;
+    known.merge(reserved("a", {"a.1"}));
+    const isolation_plan plan = known.table.plan("model", {"b1", "b2", "b3"}, known.now);
+    cr_assert(plan.trials.empty() && plan.reserved.empty());
+}
+
+Test(suspect_table, attempts_without_a_result_block_the_request_after_a_time) {
+    table_fixture known;
+    known.merge(reserved("a", {"a.1", "a.2", "a.3"}));
+    cr_assert(known.status("a").resolves_soon);
+    known.now += milliseconds{5'000};
+    cr_assert(known.status("a").is_held && !known.status("a").resolves_soon);
+    known.now += suspect_options().open_attempt_time;
+    cr_assert(known.status("a").is_blocked);
+}
+
 Test(suspect_table, completed_request_is_excused) {
     table_fixture known;
     known.merge(suspect_at("a", {"b1", "b2"}));
--- a/tests/unit/turns/budget_check_test.cc
+++ b/tests/unit/turns/budget_check_test.cc
@@ -26,6 +26,35 @@
     cr_assert(known.total_without(turn_id("a")) == 0);
 }
 
+Test(budget_check, doubt_about_a_settled_attempt_only_decreases) {
+    const auto in_doubt = [](attempt_doubt doubt) {
+        reservation value = of("a", 10, true);
+        value.doubt = doubt;
+        return value;
+    };
+    const std::vector<attempt_doubt> order{attempt_doubt::none, attempt_doubt::given_up,
+                                           attempt_doubt::possible_end};
+    for (std::size_t next = 0; next < order.size(); ++next) {
+        for (std::size_t held = 0; held < order.size(); ++held) {
+            cr_assert(supersedes(in_doubt(order[next]), in_doubt(order[held])) == (next < held));
+        }
+        cr_assert(supersedes(in_doubt(order[next]), of("a", 50)));
+    }
+}
+
+Test(budget_check, other_reservations_with_the_same_content_are_found) {
+    const auto with_content = [](const std::string& turn, std::uint64_t content) {
+        reservation value = of(turn, 10);
+        value.content = content;
+        return value;
+    };
+    reservation_union known;
+    known.add({with_content("a", 7), with_content("b", 8), with_content("c", 7), of("d", 10)});
+    const auto others = known.others_with_content(with_content("c", 7));
+    cr_assert(others.size() == 1 && others.front().turn == turn_id("a"));
+    cr_assert(known.others_with_content(of("e", 10)).empty());
+}
+
 Test(budget_check, total_of_at_most_half_the_budget_needs_no_reread) {
     reservation_union known;
     known.add({of("a", 20)});
--- a/tests/unit/turns/turn_index_test.cc
+++ b/tests/unit/turns/turn_index_test.cc
@@ -53,6 +53,23 @@
     cr_assert(!index.adds_information(held.front()));
 }
 
+Test(turn_index, ages_of_reservations_with_the_same_content_are_returned) {
+    turn_index index({});
+    const auto add = [&index](const std::string& turn, std::uint64_t content, base::instant now) {
+        stored_reservation entry = reservation_of(index, turn, 50, false);
+        entry.value.content = content;
+        index.add(entry, now);
+        return entry.value;
+    };
+    add("a", 7, base::instant{});
+    add("b", 8, base::instant{});
+    add("unknown", 0, base::instant{});
+    const reservation wanted = add("c", 7, base::instant{} + seconds{2});
+    const auto ages = index.ages(wanted, base::instant{} + seconds{3});
+    cr_assert(ages.size() == 1 && ages.front().turn == turn_id("a"));
+    cr_assert(ages.front().milliseconds == 3'000);
+}
+
 Test(turn_index, listing_continues_where_the_last_one_ended) {
     turn_index index({});
     index.add(turn_of(index, "a", ""), {});
