--- a/src/pearbarrow/forward/forwarded_processes.cc
+++ b/src/pearbarrow/forward/forwarded_processes.cc
@@ -89,6 +89,12 @@
         .has_value();
 }
 
+bool forwarded_request::has_version_left() const {
+    const version_status status =
+        context_.pool.status_of(software_->service, software_->version, context_.clock.now());
+    return status.usable == 0 && !status.may_return;
+}
+
 bool forwarded_request::settle_began_version(const turns::reservation& began,
                                              base::milliseconds age) {
     service_ = software_->service;
@@ -100,7 +106,8 @@
     if (began.settled && std::exchange(began_at_, began.backend) == 0) {
         context_.pool.on_process_doubted(began.backend, context_.clock.now());
     }
-    if (!software_->is_provisional || has_sole_version()) {
+    const bool has_watched = context_.pool.watched_for(context_.clock.now()) >= sole_version_time;
+    if (!software_->is_provisional || (has_watched && has_sole_version()) || has_version_left()) {
         return true;
     }
     began_at_ = began.backend;
--- a/src/pearbarrow/forward/forwarded_request.h
+++ b/src/pearbarrow/forward/forwarded_request.h
@@ -33,10 +33,19 @@
 enum class version_source {
     /// The reservation of the request that began it.
     record,
+    /// The reservations of earlier tries with the same content, if the caller names none.
+    same_content,
     /// All back ends of the service have had one version for as long as a stream can last.
     sole_version,
 };
 
+/// The stream that a caller resumes without naming the request that began it.
+struct unnamed_stream {
+    std::optional<turns::recorded_attempt> began;
+    /// Whether earlier tries had several versions.
+    bool is_ambiguous = false;
+};
+
 class forwarded_request {
   public:
     /// `on_finished` runs once, when no work is left. The object may then be destroyed.
@@ -132,6 +141,10 @@
     /// Adopts the software that began the resumed stream. Returns false if the request was
     /// rejected.
     bool adopt_software(const turns::prepared_turn& prepared);
+    /// Returns the record of the named stream.
+    static std::optional<turns::recorded_attempt> recorded_of(const turns::prepared_turn& prepared);
+    /// Finds the stream that is resumed among the earlier tries of the request.
+    static unnamed_stream find_unnamed_stream(const std::vector<turns::recorded_attempt>& attempts);
     /// Returns the software of a resumed stream whose reservation does not contain it.
     std::optional<turns::stream_software> sole_software() const;
     // The processes of a stream and of its continuation, forwarded_processes.cc.
@@ -153,6 +166,8 @@
     void ask_process(const directory::backend& target, std::function<void(process_statement)> done);
     void on_process_statement(const directory::backend& target, process_statement statement);
     void log_wait(std::string_view reason, const std::string& backend, base::microseconds left);
+    /// Returns whether no back end of the stream's version is left, so that it cannot go on.
+    bool has_version_left() const;
     /// Returns whether all back ends of the service have had one version for long.
     bool has_sole_version() const;
     void record_process();
--- a/src/pearbarrow/forward/forwarded_stream.cc
+++ b/src/pearbarrow/forward/forwarded_stream.cc
@@ -15,6 +15,8 @@
     switch (source) {
         case version_source::record:
             return "record";
+        case version_source::same_content:
+            return "same_content";
         case version_source::sole_version:
             return "sole_version";
     }
@@ -95,6 +97,10 @@
     const std::string service = choose_service();
     const base::milliseconds max_age = route_.timeout_ms > 0 ? base::milliseconds{route_.timeout_ms}
                                                              : context_.options.default_timeout;
+    // A node that has just started does not know which versions have left.
+    if (context_.pool.watched_for(context_.clock.now()) < max_age) {
+        return std::nullopt;
+    }
     const auto version = context_.pool.sole_version(service, max_age, context_.clock.now());
     if (!version.has_value()) {
         return std::nullopt;
@@ -102,14 +108,55 @@
     return turns::stream_software{.service = service, .version = *version};
 }
 
+std::optional<turns::recorded_attempt> forwarded_request::recorded_of(
+    const turns::prepared_turn& prepared) {
+    if (!prepared.resumed.has_value()) {
+        return std::nullopt;
+    }
+    return turns::recorded_attempt{.reserved = *prepared.resumed, .age = prepared.resumed_age};
+}
+
+/// A try that is settled without a back end has brought no event.
+unnamed_stream forwarded_request::find_unnamed_stream(
+    const std::vector<turns::recorded_attempt>& attempts) {
+    unnamed_stream found;
+    for (const turns::recorded_attempt& attempt : attempts) {
+        const auto& software = attempt.reserved.software;
+        const bool has_no_event = attempt.reserved.settled && attempt.reserved.backend == 0;
+        if (!software.has_value() || !software->version.is_known || has_no_event) {
+            continue;
+        }
+        if (!found.began.has_value()) {
+            found.began = attempt;
+            continue;
+        }
+        const auto& known = found.began->reserved.software;
+        found.is_ambiguous = found.is_ambiguous || known->service != software->service ||
+                             known->version != software->version;
+        // The least certain one decides whether the process has to be examined.
+        if (software->is_provisional && !known->is_provisional) {
+            found.began = attempt;
+        }
+    }
+    return found;
+}
+
 bool forwarded_request::adopt_software(const turns::prepared_turn& prepared) {
     const bool is_named = !facts_.resumed_stream.empty();
     if (is_named && !prepared.resumed.has_value()) {
         reject_resumed(409, "unknown_stream", "there is no such stream to resume", std::nullopt);
         return false;
     }
-    software_ = is_named ? prepared.resumed->software : std::nullopt;
-    version_source_ = version_source::record;
+    const auto unnamed = is_named ? unnamed_stream() : find_unnamed_stream(prepared.same_content);
+    if (unnamed.is_ambiguous) {
+        reject_resumed(503, "stream_version_unknown",
+                       "earlier tries of the stream began at several software versions",
+                       std::nullopt);
+        return false;
+    }
+    const auto began = is_named ? recorded_of(prepared) : unnamed.began;
+    software_ = began.has_value() ? began->reserved.software : std::nullopt;
+    version_source_ = is_named ? version_source::record : version_source::same_content;
     if (!software_.has_value() || !software_->version.is_known) {
         software_ = sole_software();
         version_source_ = version_source::sole_version;
@@ -124,7 +171,7 @@
                        "the route no longer uses the service that began the stream", std::nullopt);
         return false;
     }
-    return !is_named || settle_began_version(*prepared.resumed, prepared.resumed_age);
+    return !began.has_value() || settle_began_version(began->reserved, began->age);
 }
 
 void forwarded_request::reject_resumed(int status, std::string_view reason, std::string_view detail,
@@ -153,9 +200,7 @@
         reject_placement();
         return;
     }
-    const version_status status =
-        context_.pool.status_of(service_, software_->version, context_.clock.now());
-    if (status.usable > 0 || status.may_return) {
+    if (!has_version_left()) {
         reject_resumed(503, "stream_version_unavailable",
                        "no back end of the software version that began the stream can take it now",
                        spread(context_.options.retry_after));
--- a/tests/unit/fleet/stream_versions_test.cc
+++ b/tests/unit/fleet/stream_versions_test.cc
@@ -122,6 +122,46 @@
     cr_assert(pair.version_of("a").empty());
 }
 
+Test(stream_versions, unnamed_stream_continues_at_the_version_of_its_record) {
+    for (const std::string version : {"v1", "v2"}) {
+        two_versions_fixture pair;
+        auto headers = pair.headers_of("p");
+        pair.begin_broken_at(version, 0, "a", headers);
+        headers.add("Last-Event-Id", "1");
+        pair.set_fault(runner_fault::none);
+        const auto rest = pair.fleet.call(1, "/stream/x", "b", headers, "input");
+        cr_assert(rest.whole, "%d %s", rest.status, rest.body.c_str());
+        cr_assert(pair.version_of("b") == version);
+    }
+}
+
+Test(stream_versions, unnamed_stream_that_began_at_two_versions_starts_anew) {
+    two_versions_fixture pair;
+    auto headers = pair.headers_of("p");
+    pair.begin_broken_at("v1", 0, "a", headers);
+    pair.begin_broken_at("v2", 0, "b", headers);
+    headers.add("Last-Event-Id", "1");
+    pair.set_fault(runner_fault::none);
+    const auto rest = pair.fleet.call(1, "/stream/x", "c", headers, "input");
+    cr_assert(rest.status == 503);
+    cr_assert(rest.body.find("stream_version_unknown") != std::string::npos);
+    cr_assert(rest.body.find("\"start_anew\":true") != std::string::npos);
+}
+
+Test(stream_versions, edge_that_has_just_started_infers_no_sole_version) {
+    two_versions_fixture pair;
+    pair.withdraw("v2", false);
+    run_for(pair.fleet.loop, base::milliseconds{2'000});
+    pair.fleet.edges[1].reset();
+    pair.fleet.start_edge(1);
+    cr_assert(run_until(pair.fleet.loop, [&] { return pair.fleet.edges[1]->node.is_ready(); }));
+    auto headers = pair.headers_of("p");
+    headers.add("Last-Event-Id", "1");
+    const auto rest = pair.fleet.call(1, "/stream/x", "a", headers, "input");
+    cr_assert(rest.status == 503);
+    cr_assert(rest.body.find("stream_version_unknown") != std::string::npos);
+}
+
 Test(stream_versions, stream_without_budget_continues_at_its_version) {
     two_versions_fixture pair;
     const net::http_headers headers{{"Pearbarrow-Deadline-Ms", "2500"},
