--- a/tests/process/test_lethal_herds.py
+++ b/tests/process/test_lethal_herds.py
@@ -31,6 +31,9 @@
     def test_request_whose_nodes_are_killed_at_each_end_ends_at_most_three(self):
         self.check("all_nodes_killed_at_each_end")
 
+    def test_requests_end_at_most_three_while_nodes_fail_in_herds_and_back_ends_depart(self):
+        self.check("soak_herds_recorded")
+
     def test_request_whose_nodes_are_killed_at_the_first_end_ends_at_most_three(self):
         self.check("all_nodes_killed_at_the_first_end")
 
