--- a/src/pearbarrow/suspects/suspect_exchange.cc
+++ b/src/pearbarrow/suspects/suspect_exchange.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "pearbarrow/base/hash.h"
 #include "pearbarrow/base/log.h"
 #include "pearbarrow/wire/codec.h"
 
@@ -26,7 +27,7 @@
           [this](std::string_view payload) { return this->correction_of(payload); }) {
     rpc.register_method(wire::suspect_fetch, [this](std::string_view /*payload*/, auto responder) {
         responder->finish(wire::encode(suspect_report{
-            .suspects = this->known.all(this->clock.now()), .is_current = this->is_current()}));
+            .suspects = this->known.all(this->clock.now()), .is_current = this->has_records()}));
     });
 }
 
@@ -35,6 +36,23 @@
            this->clock.now() - this->started_at >= this->options.max_start_time;
 }
 
+/// A node that serves without a reply, since the time is up, knows nothing of the time before its
+/// start.
+bool suspect_exchange::has_records() const {
+    return this->fetched > 0 || this->peers.peer_count() == 0 ||
+           this->clock.now() - this->started_at >= this->options.lost_node_time;
+}
+
+net::endpoint suspect_exchange::record_source() const {
+    const std::vector<net::endpoint> members = this->storage_members();
+    if (members.empty()) {
+        return this->peers.random_peer([](const auto& /*peer*/) { return true; });
+    }
+    // Members are killed less often than edges. The offset spreads the requests of many edges.
+    const std::size_t offset = base::stable_hash(net::to_string(this->options.self));
+    return members[(offset + this->fetches) % members.size()];
+}
+
 void suspect_exchange::start() {
     this->fetch();
 }
@@ -46,10 +64,12 @@
         return;
     }
     ++this->fetches;
-    const net::endpoint peer = this->peers.random_peer([](const auto& /*peer*/) { return true; });
+    const net::endpoint peer = this->record_source();
     const auto retry = [this] {
+        const bool is_awaited = this->fetched == 0 &&
+                                this->clock.now() - this->started_at < this->options.max_start_time;
         const base::milliseconds delay =
-            this->fetched == 0 ? this->options.initial_fetch_retry : this->options.fetch_retry;
+            is_awaited ? this->options.initial_fetch_retry : this->options.fetch_retry;
         this->fetch_timer = this->loop.after(delay, [this] { this->fetch(); });
     };
     if (peer.port == 0) {
--- a/src/pearbarrow/suspects/suspect_exchange.h
+++ b/src/pearbarrow/suspects/suspect_exchange.h
@@ -33,14 +33,14 @@
     net::endpoint self;
     suspect_options table;
     base::milliseconds fetch_timeout{500};
-    /// Delay before the next fetch, before and after the first reply.
+    /// Delay before the next fetch, while the node waits for the first reply and later.
     base::milliseconds initial_fetch_retry{20};
     base::milliseconds fetch_retry{100};
     /// Time after the start from which on a node without a reply counts as current.
     base::milliseconds max_start_time{500};
     /// Number of peers that a node asks when it starts, and of replies after which it stops. A peer
     /// may have started just before.
-    std::uint32_t max_fetches = 30;
+    std::uint32_t max_fetches = 60;
     std::uint32_t wanted_fetches = 3;
     base::milliseconds expiry_interval{5'000};
     /// How long before the first report of a suspect the loss of a node may explain it.
@@ -93,6 +93,10 @@
     std::vector<std::string> add_unreachable_nodes(const std::vector<std::string>& digests);
     /// Returns an edge that was lost recently; port 0 if there is none.
     net::endpoint recently_lost_edge() const;
+    /// Whether the node knows what happened before its start, or has run for long.
+    bool has_records() const;
+    /// Returns the peer to ask for records: a storage member once these are known.
+    net::endpoint record_source() const;
     void fetch();
     std::vector<net::endpoint> storage_members() const;
     /// Expires suspects as long as there are any.
--- a/src/pearbarrow/suspects/suspect_messages.h
+++ b/src/pearbarrow/suspects/suspect_messages.h
@@ -83,7 +83,7 @@
 /// Sent to all nodes, and in reply to a node that has started.
 struct suspect_report {
     std::vector<suspect> suspects;
-    /// Whether the sender knows what its peers knew when it started.
+    /// Whether the sender knows what its peers knew when it started, or has run for long.
     bool is_current = true;
 
     MSGPACK_DEFINE(suspects, is_current);
--- a/tests/unit/suspects/suspect_exchange_test.cc
+++ b/tests/unit/suspects/suspect_exchange_test.cc
@@ -6,6 +6,7 @@
 
 #include "../net/net_fixture.h"
 #include "pearbarrow/base/random.h"
+#include "pearbarrow/wire/codec.h"
 
 #include <criterion/criterion.h>
 
@@ -108,6 +109,22 @@
     cr_assert(run_until(nodes.loop, [&] { return nodes.second.exchange->is_current(); }));
 }
 
+Test(suspect_exchange, node_without_a_reply_is_no_source_of_records) {
+    two_nodes nodes;
+    nodes.first.exchange->start();
+    cr_assert(run_until(nodes.loop, [&] { return nodes.first.exchange->is_current(); }));
+    bool is_done = false;
+    const auto call = nodes.second.rpc->call(
+        base::node_id(), nodes.first.rpc->local_endpoint(), wire::suspect_fetch, "",
+        base::milliseconds{1'000},
+        {.on_part = nullptr, .on_done = [&](const absl::StatusOr<std::string>& reply) {
+             const auto report = wire::decode<suspect_report>(*reply);
+             cr_assert(report.ok() && !report->is_current);
+             is_done = true;
+         }});
+    cr_assert(run_until(nodes.loop, [&] { return is_done; }));
+}
+
 Test(suspect_exchange, node_whose_peers_do_not_reply_is_current_after_a_while) {
     net::event_loop loop;
     const net::testing::raw_server silent;
