Attempts lost with their edge keep no back end from other requests

After a herd of edges was lost, each request in progress has an attempt of which just the reservation is known. When its next attempt was given up, it counted as one that may have ended its back end, and the one after that as a last trial, which keeps a back end to itself for 3 s.

Such an attempt counts for the bound only: it makes no doubt of an attempt that was given up, and reserves no back end.

--- a/src/pearbarrow/forward/forwarded_suspect.cc
+++ b/src/pearbarrow/forward/forwarded_suspect.cc
@@ -120,7 +120,7 @@
 bool forwarded_request::stop_if_suspected() {
     const suspects::suspect_status status = suspect_status();
     // The bound holds for an attempt of which just the reservation is known. It needs no trial yet.
-    suspected_ends_ = status.is_only_reserved ? 0 : status.possible_ends;
+    suspected_ends_ = status.shows_trouble() ? status.possible_ends : 0;
     if (status.is_blocked) {
         reject_blocked(status);
         return true;
@@ -358,7 +358,7 @@
     if (!is_reading_paused_ && !was_backend_heard()) {
         return suspects::break_kind::silent;
     }
-    if (suspect_status().possible_ends > 0) {
+    if (suspect_status().shows_trouble()) {
         return suspects::break_kind::connection_lost;
     }
     if (is_reading_paused_) {
--- a/src/pearbarrow/suspects/suspect_exchange.cc
+++ b/src/pearbarrow/suspects/suspect_exchange.cc
@@ -137,11 +137,11 @@
     std::vector<std::string> blocked;
     std::vector<std::string> new_suspects;
     for (const suspect& each : observed) {
-        const bool was_suspect = this->known.status_of(each.digest, now).possible_ends > 0;
+        const bool was_suspect = this->known.status_of(each.digest, now).shows_trouble();
         if (this->known.merge(each, now)) {
             blocked.push_back(each.digest);
         }
-        if (!was_suspect && this->known.status_of(each.digest, now).possible_ends > 0) {
+        if (!was_suspect && this->known.status_of(each.digest, now).shows_trouble()) {
             new_suspects.push_back(each.digest);
         }
     }
--- a/src/pearbarrow/suspects/suspect_table.cc
+++ b/src/pearbarrow/suspects/suspect_table.cc
@@ -106,6 +106,12 @@
     return count_ends(known, [](const held_attempt& /*held*/) { return true; });
 }
 
+std::size_t suspect_table::observed_ends(const entry& known) {
+    return count_ends(known, [](const held_attempt& held) {
+        return held.end.evidence != end_evidence::reserved;
+    });
+}
+
 std::size_t suspect_table::ends(const entry& known, base::instant now) const {
     return count_ends(known,
                       [this, now](const held_attempt& held) { return this->is_end(held, now); });
@@ -422,7 +428,7 @@
                 continue;
             }
             plan.trials[digest] = backend;
-            const bool is_last_trial = possible_ends(*known) + 1 >= this->options.max_ends;
+            const bool is_last_trial = observed_ends(*known) + 1 >= this->options.max_ends;
             if (is_last_trial && plan.reserved.size() < max_reserved) {
                 plan.reserved.insert(backend);
             }
--- a/src/pearbarrow/suspects/suspect_table.h
+++ b/src/pearbarrow/suspects/suspect_table.h
@@ -67,6 +67,10 @@
     bool is_only_reserved = false;
     /// Time until the request may be tried again.
     base::milliseconds retry_after{0};
+
+    /// Whether a back end may have ended, apart from a single attempt that may just have been lost
+    /// with its edge.
+    bool shows_trouble() const { return this->possible_ends > 0 && !this->is_only_reserved; }
 };
 
 /// Back ends of a service that are reserved for suspects.
@@ -142,6 +146,8 @@
     template <typename Predicate>
     static std::size_t count_ends(const entry& known, Predicate counts);
     static std::size_t possible_ends(const entry& known);
+    /// The same without attempts of which just the reservation is known.
+    static std::size_t observed_ends(const entry& known);
     /// Whether more is known of the request than the reservation of one attempt.
     static bool shows_trouble(const entry& known);
     bool resolves_soon(const entry& known, base::instant now) const;
--- a/tests/unit/suspects/suspect_table_test.cc
+++ b/tests/unit/suspects/suspect_table_test.cc
@@ -134,6 +134,17 @@
     cr_assert(plan.trials.empty() && plan.reserved.empty());
 }
 
+Test(suspect_table, lost_attempts_reserve_no_back_end_for_the_last_trial) {
+    table_fixture known;
+    known.merge(reserved("a", {"a.1"}));
+    known.merge(unproved("a", {{"b1", end_evidence::connection_lost}}));
+    const std::vector<std::string> backends{"b1", "b2", "b3", "b4", "b5"};
+    cr_assert(known.table.plan("model", backends, known.now).trials.size() == 1);
+    cr_assert(known.table.plan("model", backends, known.now).reserved.empty());
+    known.merge(unproved("a", {{"b2", end_evidence::connection_lost}}));
+    cr_assert(known.status("a").is_held);
+}
+
 Test(suspect_table, attempts_without_a_result_block_the_request_after_a_time) {
     table_fixture known;
     known.merge(reserved("a", {"a.1", "a.2", "a.3"}));
