--- a/tests/process/test_operations.py
+++ b/tests/process/test_operations.py
@@ -22,7 +22,7 @@
 class Operations(unittest.TestCase):
     def test_the_page_shows_what_the_commands_print(self):
         found = examples()
-        self.assertEqual(len(found), 7)
+        self.assertEqual(len(found), 8)
         for command, expected in found:
             words = command.split()
             words[0] = os.path.join(BUILD_DIR, "bin", words[0])
