Count the attempt that all nodes took with them at their restart (BUDGET)

Callers saw a plain request, which has no reservation, end a fourth back end after all nodes had been killed at its first end. The first report of a suspect counts one attempt more if an edge was lost within the last 5 s. When every node had just started, none of them counted as lost, since a fleet that starts for the first time has lost nothing.

Whether a process has a predecessor is known from its settings (first_start), so it is no longer derived from the age of the other nodes.

Resumed streams of the rig have a route of their own, since those of a soak went to one that does not resume.

--- a/src/pearbarrow/fleet/node_parts.cc
+++ b/src/pearbarrow/fleet/node_parts.cc
@@ -51,7 +51,8 @@
 suspects::suspect_exchange_options suspect_options(const settings::fleet_settings& settings) {
     return {.self = to_endpoint(settings.peer),
             .table = {.max_ends = settings.suspects.max_ends,
-                      .block_time = settings.suspects.block_time}};
+                      .block_time = settings.suspects.block_time},
+            .is_first_start = settings.first_start};
 }
 
 }  // namespace
--- a/src/pearbarrow/suspects/suspect_exchange.cc
+++ b/src/pearbarrow/suspects/suspect_exchange.cc
@@ -8,6 +8,17 @@
 #include "pearbarrow/wire/codec.h"
 
 namespace pearbarrow::suspects {
+namespace {
+
+directory::multicast_options multicast_options_of(const suspect_exchange_options& options) {
+    directory::multicast_options multicast{.self = options.self, .method = wire::suspect_report};
+    // A process without a predecessor has lost nothing.
+    multicast.recent_start_time =
+        options.is_first_start ? base::milliseconds{0} : options.lost_node_time;
+    return multicast;
+}
+
+}  // namespace
 
 suspect_exchange::suspect_exchange(net::event_loop& loop, net::peer_rpc& rpc,
                                    const base::clock& clock, directory::directory_exchange& peers,
@@ -20,7 +31,7 @@
       known(this->options.table),
       started_at(clock.now()),
       multicast(
-          loop, rpc, clock, {.self = this->options.self, .method = wire::suspect_report},
+          loop, rpc, clock, multicast_options_of(this->options),
           [this] { return this->peers.confirmed_peers(); },
           [this] { return this->storage_members(); },
           [this](std::string_view payload) { this->merge(payload); },
@@ -216,14 +227,10 @@
 
 void suspect_exchange::update_lost_nodes(const directory::multicast_result& result) {
     std::vector<net::endpoint> lost = result.unreached;
-    // When a whole fleet starts, no node has lost anything.
-    const bool has_older_node = result.reached > result.recently_started.size();
+    lost.insert(lost.end(), result.recently_started.begin(), result.recently_started.end());
     const bool has_just_started =
         this->clock.now() - this->started_at < this->options.lost_node_time;
-    if (has_older_node || !has_just_started) {
-        lost.insert(lost.end(), result.recently_started.begin(), result.recently_started.end());
-    }
-    if (has_older_node && has_just_started) {
+    if (has_just_started && !this->options.is_first_start) {
         lost.push_back(this->options.self);
     }
     std::map<net::endpoint, base::instant> since;
--- a/src/pearbarrow/suspects/suspect_exchange.h
+++ b/src/pearbarrow/suspects/suspect_exchange.h
@@ -45,6 +45,8 @@
     base::milliseconds expiry_interval{5'000};
     /// How long before the first report of a suspect the loss of a node may explain it.
     base::milliseconds lost_node_time{5'000};
+    /// Whether the whole fleet starts for the first time, so that this process has no predecessor.
+    bool is_first_start = false;
 };
 
 class suspect_exchange {
--- a/tests/process/lethal_rig.py
+++ b/tests/process/lethal_rig.py
@@ -55,8 +55,11 @@
     max_pause: float = 0.4
     # Callers leave after this time; 0: after a gap of `GAP_S`.
     patience: float = 0.0
-    # "turn", "resumed" (a stream that is resumed) or "get" (a GET, two attempts).
+    # "turn", "resumed" (a stream that is resumed), "bare" (the same without a program) or "get" (a GET,
+    # two attempts).
     kind: str = "turn"
+    # Attempts that one try of a turn or stream may have.
+    attempts: int = 1
     # Kinds from which a soak chooses.
     kinds: tuple = ("turn", "resumed", "get")
     # What happens to the edge that has the try: "", "kill", "freeze"; and at which try.
@@ -143,6 +146,18 @@
     "all_nodes_killed_at_each_end": Scenario(herd="all"),
     "all_nodes_killed_at_each_end_unlisted": Scenario(herd="all", announcement="gone", notice=0.3),
     "all_edges_killed_at_each_end_get": Scenario(herd="edges", kind="get", sends=3),
+    "all_edges_killed_at_the_first_end_get":
+        Scenario(herd="edges", herd_ends=(1,), kind="get", sends=3),
+    "all_nodes_killed_at_the_first_end_get": Scenario(herd="all", herd_ends=(1,), kind="get", sends=3),
+    "all_nodes_killed_at_the_second_end_get": Scenario(herd="all", herd_ends=(2,), kind="get", sends=3),
+    "all_nodes_killed_at_the_third_end_get": Scenario(herd="all", herd_ends=(3,), kind="get", sends=3),
+    "all_nodes_killed_at_each_end_get": Scenario(herd="all", kind="get", sends=3),
+    "all_nodes_killed_at_the_second_end_two_attempts":
+        Scenario(herd="all", herd_ends=(2,), kind="resumed", moment="queued", attempts=2),
+    "all_edges_killed_at_the_first_end_without_a_program":
+        Scenario(herd="edges", herd_ends=(1,), kind="bare", moment="queued", attempts=2),
+    "all_nodes_killed_at_the_second_end_without_a_program":
+        Scenario(herd="all", herd_ends=(2,), kind="bare", moment="queued", attempts=2),
     "all_edges_killed_at_each_end_24_edges":
         Scenario(herd="edges", lethal_requests=2, edges=24, members=5, back_ends=24),
     "only_departures": Scenario(lethal_requests=0, departure_interval=0.5, seconds_after=10),
@@ -155,6 +170,15 @@
         Scenario(is_soak=True, lethal_requests=6, node_fault_interval=0.9, crash_interval=2.5,
                  departure_interval=2.0, herd="random", kinds=("turn", "resumed"), sends=12,
                  seconds_after=2),
+    "soak_herds_recorded_two_attempts":
+        Scenario(is_soak=True, lethal_requests=6, node_fault_interval=0.9, crash_interval=2.5,
+                 departure_interval=2.0, herd="random", kinds=("turn", "resumed"), sends=12,
+                 attempts=2, seconds_after=2),
+    # Callers repeat a plain request at most twice.
+    "soak_herds_plain":
+        Scenario(is_soak=True, lethal_requests=6, node_fault_interval=0.9, crash_interval=2.5,
+                 departure_interval=2.0, herd="random", kinds=("get", "bare"), sends=3, attempts=2,
+                 seconds_after=2),
     "soak_herds_many_nodes":
         Scenario(is_soak=True, lethal_requests=6, node_fault_interval=0.5, crash_interval=2.5,
                  departure_interval=2.0, herd="random", kinds=("turn", "resumed"), sends=12,
@@ -348,16 +372,20 @@
 
     def head(self, identity):
         headers = {"Pearbarrow-Request-Id": identity, "Pearbarrow-Deadline-Ms": "4000",
-                   "Pearbarrow-Program-Id": self.name, "Pearbarrow-Session-Id": self.name + "-s",
-                   "Pearbarrow-Program-Deadline-Ms": "60000", "Pearbarrow-Model": "m",
-                   "Content-Length": str(len(self.body))}
+                   "Pearbarrow-Model": "m", "Content-Length": str(len(self.body))}
+        if self.kind != "bare":
+            headers.update({"Pearbarrow-Program-Id": self.name,
+                            "Pearbarrow-Session-Id": self.name + "-s",
+                            "Pearbarrow-Program-Deadline-Ms": "60000"})
         if self.kind == "get":
             line = f"GET /tool/{self.body.decode()} HTTP/1.1"
             headers["Content-Length"] = "0"
         else:
-            line = "POST /agent/turn HTTP/1.1"
-            headers.update({"Pearbarrow-Token-Budget": "100000", "Pearbarrow-Token-Usage": "100,32"})
-        if self.kind == "resumed" and self.events:
+            line = f"POST /{'agent' if self.kind == 'turn' else 'stream'}/turn HTTP/1.1"
+            headers["Pearbarrow-Token-Usage"] = "100,32"
+        if self.kind in ("turn", "resumed"):
+            headers["Pearbarrow-Token-Budget"] = "100000"
+        if self.kind in ("resumed", "bare") and self.events:
             headers.update({"Last-Event-Id": str(self.events), "Resumes": self.began_as})
         lines = [line, "Host: shop.example"] + [f"{key}: {value}" for key, value in headers.items()]
         body = b"" if self.kind == "get" else self.body
@@ -574,8 +602,10 @@
         self.busy_nodes.discard(node)
 
     def configuration(self):
-        routes = [stand_ins.route("agent", "lm", "streaming", can_resume=self.scenario.kind == "resumed",
-                                  retain_s=60.0, timeout_ms=4000, slo_ms=200, target_gap_ms=200),
+        streams = {"retain_s": 60.0, "timeout_ms": 4000, "slo_ms": 200, "target_gap_ms": 200,
+                   "attempts": self.scenario.attempts}
+        routes = [stand_ins.route("agent", "lm", "streaming", **streams),
+                  stand_ins.route("stream", "lm", "streaming", can_resume=True, **streams),
                   stand_ins.route("tool", "lm", "idempotent", attempts=2, timeout_ms=4000)]
         services = [{"name": "lm", "health_path": "/healthz", "max_conns": 170, "protocol": "h1",
                      "tls": False, "engine": {"slots": 12, "chunk_tokens": 9, "most": 32}}]
--- a/tests/process/test_lethal_herds.py
+++ b/tests/process/test_lethal_herds.py
@@ -37,6 +37,9 @@
     def test_request_whose_nodes_are_killed_at_the_first_end_ends_at_most_three(self):
         self.check("all_nodes_killed_at_the_first_end")
 
+    def test_get_whose_nodes_are_killed_at_the_first_end_ends_at_most_three(self):
+        self.check("all_nodes_killed_at_the_first_end_get")
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/unit/fleet/fleet_fixture.h
+++ b/tests/unit/fleet/fleet_fixture.h
@@ -100,6 +100,7 @@
             edge_settings.push_back(common("edge-" + std::to_string(index)));
             edge_settings.back().caller = free_address();
             edge_settings.back().ready = free_address();
+            edge_settings.back().first_start = true;
         }
         for (std::size_t index = 0; index < storage_count; ++index) {
             storage_settings.push_back(common("storage-" + std::to_string(index)));
@@ -137,6 +138,7 @@
     void start_edge(std::size_t index) {
         edges[index] =
             std::make_unique<running_edge>(loop, clock, edge_settings[index], store_timeout);
+        edge_settings[index].first_start = false;
     }
     void start_storage(std::size_t index,
                        base::milliseconds disk_read_time = base::milliseconds{0}) {
