--- a/src/pearbarrow/fleet/storage_node.cc
+++ b/src/pearbarrow/fleet/storage_node.cc
@@ -93,6 +93,7 @@
     }
     store_ = *std::move(store);
     directory_copy_ = std::make_unique<directory_copy>(*store_);
+    suspect_copy_ = std::make_unique<suspect_copy>(*store_, parts_.suspects(), parts_.clock());
     return absl::OkStatus();
 }
 
@@ -106,6 +107,7 @@
     if (auto status = replica_->load(); !status.ok()) {
         return status;
     }
+    restore_suspects();
     membership_ = std::make_unique<turns::storage_membership>(
         parts_.loop(), parts_.clock(), *replica_, directory_service,
         turns::membership_options{
@@ -171,6 +173,8 @@
     set("pearbarrow_dispatch_load_groups",
         "Other replica groups of which a member tells this one what nodes report",
         load_reports_->connected_groups());
+    set("pearbarrow_suspects_stored", "Suspects on the disk of the member",
+        suspect_copy_->stored_count());
     const auto set_risk = [&](const char* loss, std::size_t groups) {
         registry
             .add_gauge("pearbarrow_storage_groups_at_risk",
@@ -197,6 +201,14 @@
         replica_->lagging_members());
 }
 
+void storage_node::restore_suspects() {
+    // An empty disk does not know what the member knew before it lost the earlier one.
+    if (replica_->is_complete()) {
+        suspect_copy_->restore();
+    }
+    suspect_copy_->follow();
+}
+
 void storage_node::restore_directory() {
     directory::directory_update update = directory_copy_->load();
     if (update.is_empty()) {
--- a/src/pearbarrow/fleet/storage_node.h
+++ b/src/pearbarrow/fleet/storage_node.h
@@ -8,6 +8,7 @@
 
 #include "pearbarrow/fleet/directory_copy.h"
 #include "pearbarrow/fleet/node_parts.h"
+#include "pearbarrow/fleet/suspect_copy.h"
 #include "pearbarrow/slowstart/start_limits.h"
 #include "pearbarrow/tenants/quota_service.h"
 #include "pearbarrow/turns/load_report_exchange.h"
@@ -39,6 +40,8 @@
     absl::Status open_store();
     void collect(base::metrics_registry& registry) const;
     void record_sync(const turns::synced_batch& batch);
+    /// Reads what the previous incarnation knew of suspects.
+    void restore_suspects();
     /// Publishes the directory that the previous incarnation stored.
     void restore_directory();
     void apply_changes(const directory::directory_state::changes& changed);
@@ -54,6 +57,7 @@
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
     std::unique_ptr<turns::turn_store> store_;
     std::unique_ptr<directory_copy> directory_copy_;
+    std::unique_ptr<suspect_copy> suspect_copy_;
     /// Whether the directory that is being published comes from the disk.
     bool restoring_ = false;
     std::unique_ptr<turns::turn_replica> replica_;
--- a/src/pearbarrow/suspects/suspect_exchange.cc
+++ b/src/pearbarrow/suspects/suspect_exchange.cc
@@ -50,10 +50,15 @@
 /// A node that serves without a reply, since the time is up, knows nothing of the time before its
 /// start.
 bool suspect_exchange::has_records() const {
-    return this->fetched > 0 || this->peers.peer_count() == 0 ||
+    return this->fetched > 0 || this->is_restored || this->peers.peer_count() == 0 ||
            this->clock.now() - this->started_at >= this->options.lost_node_time;
 }
 
+void suspect_exchange::restore(const std::vector<suspect>& stored) {
+    this->add(stored);
+    this->is_restored = true;
+}
+
 net::endpoint suspect_exchange::record_source() const {
     const std::vector<net::endpoint> members = this->storage_members();
     if (members.empty()) {
@@ -157,6 +162,9 @@
         }
     }
     this->schedule_expiry();
+    for (const suspect& each : observed) {
+        this->notify_changed(each.digest);
+    }
     if (this->learned) {
         for (const std::string& digest : new_suspects) {
             this->learned(digest);
@@ -172,10 +180,19 @@
     this->expiry_timer = this->loop.after(this->options.expiry_interval, [this] {
         this->expiry_timer.reset();
         this->known.expire(this->clock.now());
+        if (this->observer != nullptr) {
+            this->observer->on_expired();
+        }
         this->schedule_expiry();
     });
 }
 
+void suspect_exchange::notify_changed(const std::string& digest) const {
+    if (this->observer != nullptr) {
+        this->observer->on_changed(digest);
+    }
+}
+
 void suspect_exchange::announce(const suspect& trial, std::function<void()> done) {
     this->add({trial});
     this->known.set_trial(trial.digest, trial.trial, this->clock.now());
@@ -185,12 +202,17 @@
 void suspect_exchange::conclude(const std::string& digest, const std::string& request,
                                 const std::string& backend) {
     if (this->known.excuse_attempt(digest, request, backend)) {
+        this->notify_changed(digest);
         this->report({digest}, nullptr);
     }
 }
 
 bool suspect_exchange::excuse(const std::string& digest) {
-    return this->known.excuse(digest, this->clock.now());
+    const bool was_suspect = this->known.excuse(digest, this->clock.now());
+    if (was_suspect) {
+        this->notify_changed(digest);
+    }
+    return was_suspect;
 }
 
 void suspect_exchange::report(const std::vector<std::string>& digests, std::function<void()> done) {
--- a/src/pearbarrow/suspects/suspect_exchange.h
+++ b/src/pearbarrow/suspects/suspect_exchange.h
@@ -49,6 +49,19 @@
     bool is_first_start = false;
 };
 
+/// Is told what changes in the suspects of a node.
+class suspect_observer {
+  public:
+    suspect_observer() = default;
+    suspect_observer(const suspect_observer&) = delete;
+    suspect_observer& operator=(const suspect_observer&) = delete;
+    virtual ~suspect_observer() = default;
+    /// Something may have become known of the request.
+    virtual void on_changed(const std::string& digest) = 0;
+    /// Suspects may have expired.
+    virtual void on_expired() = 0;
+};
+
 class suspect_exchange {
   public:
     suspect_exchange(net::event_loop& loop, net::peer_rpc& rpc, const base::clock& clock,
@@ -60,6 +73,10 @@
     void on_new_suspect(std::function<void(const std::string& digest)> learned) {
         this->learned = std::move(learned);
     }
+    /// Sets the observer; null for none.
+    void set_observer(suspect_observer* observer) { this->observer = observer; }
+    /// Adds what an earlier process of this node has stored. Call it before `start`.
+    void restore(const std::vector<suspect>& stored);
     /// Starts to fetch what the peers know. Call it once the links between nodes are open.
     void start();
     const suspect_table& table() const { return this->known; }
@@ -101,6 +118,7 @@
     net::endpoint record_source() const;
     void fetch();
     std::vector<net::endpoint> storage_members() const;
+    void notify_changed(const std::string& digest) const;
     /// Expires suspects as long as there are any.
     void schedule_expiry();
 
@@ -117,6 +135,9 @@
     std::unique_ptr<net::timer_handle> expiry_timer;
     std::map<net::endpoint, base::instant> lost_since;
     std::function<void(const std::string& digest)> learned;
+    suspect_observer* observer = nullptr;
+    /// Whether the suspects of an earlier process have been added.
+    bool is_restored = false;
     std::uint32_t fetches = 0;
     std::uint32_t fetched = 0;
     /// Tasks on the loop hold it weakly and do nothing once the exchange is gone.
--- a/src/pearbarrow/turns/rocksdb_turn_store.cc
+++ b/src/pearbarrow/turns/rocksdb_turn_store.cc
@@ -100,6 +100,7 @@
     absl::StatusOr<turn_record> read(const turn_id& turn) const override;
     std::string read_directory() const override;
     std::vector<directory_entry> read_directory_entries() const override;
+    std::vector<suspect_entry> read_suspects() const override;
 
   private:
     struct pending_write {
@@ -113,6 +114,9 @@
     absl::Status read_identity(store_contents& contents);
     absl::Status read_progress(store_contents& contents) const;
     absl::Status read_all(store_contents& contents) const;
+    /// Calls `add` with each key of the half-open range, without its prefix, and its value.
+    template <typename Add>
+    void read_range(const char* begin, const char* end, const Add& add) const;
     /// Returns the open database; null while it is closed after a failed write.
     std::shared_ptr<rocksdb::DB> database() const;
     absl::Status write_batch(rocksdb::WriteBatch& batch);
@@ -259,21 +263,37 @@
     return value;
 }
 
-std::vector<directory_entry> rocksdb_turn_store::read_directory_entries() const {
-    std::vector<directory_entry> entries;
+template <typename Add>
+void rocksdb_turn_store::read_range(const char* begin, const char* end, const Add& add) const {
     const auto open_db = database();
     if (open_db == nullptr) {
-        return entries;
+        return;
     }
-    const rocksdb::Slice end = directory_entries_end;
+    const rocksdb::Slice upper_bound = end;
     rocksdb::ReadOptions range;
-    range.iterate_upper_bound = &end;
+    range.iterate_upper_bound = &upper_bound;
     const std::unique_ptr<rocksdb::Iterator> at(open_db->NewIterator(range));
-    constexpr std::size_t prefix_bytes = sizeof(directory_entries_begin) - 1;
-    for (at->Seek(directory_entries_begin); at->Valid(); at->Next()) {
-        entries.push_back({.key = std::string(as_string_view(at->key()).substr(prefix_bytes)),
-                           .value = std::string(as_string_view(at->value()))});
+    const std::size_t prefix_bytes = std::string_view(begin).size();
+    for (at->Seek(begin); at->Valid(); at->Next()) {
+        add(std::string(as_string_view(at->key()).substr(prefix_bytes)),
+            std::string(as_string_view(at->value())));
     }
+}
+
+std::vector<directory_entry> rocksdb_turn_store::read_directory_entries() const {
+    std::vector<directory_entry> entries;
+    read_range(directory_entries_begin, directory_entries_end,
+               [&entries](std::string key, std::string value) {
+                   entries.push_back({.key = std::move(key), .value = std::move(value)});
+               });
+    return entries;
+}
+
+std::vector<suspect_entry> rocksdb_turn_store::read_suspects() const {
+    std::vector<suspect_entry> entries;
+    read_range(suspects_begin, suspects_end, [&entries](std::string digest, std::string value) {
+        entries.push_back({.digest = std::move(digest), .value = std::move(value)});
+    });
     return entries;
 }
 
--- a/src/pearbarrow/turns/turn_store.h
+++ b/src/pearbarrow/turns/turn_store.h
@@ -59,6 +59,13 @@
     std::string value;
 };
 
+/// A request under which back ends may have ended, stored under its digest.
+struct suspect_entry {
+    std::string digest;
+    /// Empty to remove the entry.
+    std::string value;
+};
+
 /// One atomic change of the store.
 struct store_change {
     /// Applied before all other parts of the change.
@@ -78,6 +85,8 @@
     std::optional<std::string> directory;
     /// Directory entries that have changed.
     std::vector<directory_entry> directory_entries;
+    /// Suspects of which something new is known.
+    std::vector<suspect_entry> suspects;
     /// Replaces the stored positions of the other members.
     std::optional<std::vector<peer_position>> positions;
     /// The largest number assigned so far. It is set when changes are dropped, so that no number is
@@ -112,6 +121,8 @@
     virtual std::string read_directory() const = 0;
     /// Returns the stored directory entries, ordered by key.
     virtual std::vector<directory_entry> read_directory_entries() const { return {}; }
+    /// Returns the stored suspects.
+    virtual std::vector<suspect_entry> read_suspects() const { return {}; }
     /// Returns the turn with its texts, or kNotFound if it does not exist.
     virtual absl::StatusOr<turn_record> read(const turn_id& turn) const = 0;
 };
--- a/src/pearbarrow/turns/turn_store_layout.cc
+++ b/src/pearbarrow/turns/turn_store_layout.cc
@@ -11,6 +11,14 @@
     return key + value.turn.value();
 }
 
+void put_or_delete(rocksdb::WriteBatch& batch, const std::string& key, const std::string& value) {
+    if (value.empty()) {
+        batch.Delete(key);
+    } else {
+        batch.Put(key, value);
+    }
+}
+
 }  // namespace
 
 std::string turn_key(const turn_id& turn) {
@@ -63,12 +71,10 @@
         batch.Put(directory_key, *change.directory);
     }
     for (const directory_entry& entry : change.directory_entries) {
-        const std::string key = directory_entries_begin + entry.key;
-        if (entry.value.empty()) {
-            batch.Delete(key);
-        } else {
-            batch.Put(key, entry.value);
-        }
+        put_or_delete(batch, directory_entries_begin + entry.key, entry.value);
+    }
+    for (const suspect_entry& entry : change.suspects) {
+        put_or_delete(batch, suspects_begin + entry.digest, entry.value);
     }
     if (change.positions.has_value()) {
         batch.Put(positions_key, wire::encode(*change.positions));
--- a/src/pearbarrow/turns/turn_store_layout.h
+++ b/src/pearbarrow/turns/turn_store_layout.h
@@ -16,7 +16,7 @@
 // Each key is one letter followed by a name. `i`: id of the disk. `c`: its completeness. `t`: a
 // turn. `r`: a reservation (program, NUL, turn). `d`: the directory. `e`: an entry of the
 // directory. `p`: positions of the other members. `n`: an upper bound of the numbers of dropped
-// changes. `g`: the replica group. `v`: the newest voters of the group.
+// changes. `g`: the replica group. `v`: the newest voters of the group. `a`: a suspect.
 inline constexpr char identity_key[] = "i";
 inline constexpr char complete_key[] = "c";
 inline constexpr char directory_key[] = "d";
@@ -27,6 +27,8 @@
 // Half-open ranges of the keys above.
 inline constexpr char directory_entries_begin[] = "e";
 inline constexpr char directory_entries_end[] = "f";
+inline constexpr char suspects_begin[] = "a";
+inline constexpr char suspects_end[] = "b";
 inline constexpr char reservations_begin[] = "r";
 inline constexpr char reservations_end[] = "s";
 inline constexpr char turns_begin[] = "t";
--- a/tests/unit/fleet/lethal_requests_test.cc
+++ b/tests/unit/fleet/lethal_requests_test.cc
@@ -309,6 +309,42 @@
     cr_assert(callers.ended() == max_ends, "%u back ends ended", callers.ended());
 }
 
+namespace {
+
+/// Ends the processes of all nodes at once and starts them again on their disks.
+void restart_all_nodes(fleet_fixture& fleet) {
+    for (auto& edge : fleet.edges) {
+        edge.reset();
+    }
+    for (auto& member : fleet.storages) {
+        member.reset();
+    }
+    for (std::size_t member = 0; member < fleet.storages.size(); ++member) {
+        fleet.storage_settings[member].first_start = false;
+        fleet.start_storage(member);
+    }
+    for (std::size_t edge = 0; edge < fleet.edges.size(); ++edge) {
+        fleet.start_edge(edge);
+    }
+    cr_assert(run_until(fleet.loop, [&] { return fleet.is_settled(); }));
+}
+
+}  // namespace
+
+Test(lethal_requests, ends_under_a_plain_request_count_after_all_nodes_were_lost) {
+    lethal_fixture callers(1, 9);
+    callers.set_lethal(crash_moment::queued);
+    callers.fleet.call(0, "/plain/lethal", "a");
+    cr_assert(callers.ended() == 2, "%u back ends ended", callers.ended());
+    run_for(callers.fleet.loop, base::milliseconds{100});
+    restart_all_nodes(callers.fleet);
+    for (int index = 0; index < 3; ++index) {
+        callers.fleet.call(1, "/plain/lethal", "b" + std::to_string(index));
+        run_for(callers.fleet.loop, base::milliseconds{100});
+    }
+    cr_assert(callers.ended() == max_ends, "%u back ends ended", callers.ended());
+}
+
 Test(lethal_requests, restarted_edge_knows_blocked_requests) {
     lethal_fixture callers;
     callers.set_lethal(crash_moment::after_head);
--- a/tests/unit/suspects/suspect_exchange_test.cc
+++ b/tests/unit/suspects/suspect_exchange_test.cc
@@ -125,6 +125,16 @@
     cr_assert(run_until(nodes.loop, [&] { return is_done; }));
 }
 
+Test(suspect_exchange, node_that_restored_its_suspects_is_a_source_of_records) {
+    two_nodes nodes;
+    nodes.first.exchange->restore({suspect_at({"b1", "b2", "b3"})});
+    nodes.first.exchange->start();
+    nodes.second.exchange->start();
+    cr_assert(run_until(
+        nodes.loop, [&] { return nodes.second.status().is_blocked; }, base::milliseconds{300}));
+    cr_assert(nodes.second.exchange->is_current());
+}
+
 Test(suspect_exchange, node_whose_peers_do_not_reply_is_current_after_a_while) {
     net::event_loop loop;
     const net::testing::raw_server silent;
--- a/tests/unit/turns/memory_store.h
+++ b/tests/unit/turns/memory_store.h
@@ -74,6 +74,13 @@
         if (change.view.has_value()) {
             this->contents.view = *change.view;
         }
+        for (const suspect_entry& entry : change.suspects) {
+            if (entry.value.empty()) {
+                this->suspects.erase(entry.digest);
+            } else {
+                this->suspects[entry.digest] = entry.value;
+            }
+        }
         if (change.positions.has_value()) {
             this->contents.positions = *change.positions;
         }
@@ -84,6 +91,13 @@
         done(absl::OkStatus());
     }
     std::string read_directory() const override { return {}; }
+    std::vector<suspect_entry> read_suspects() const override {
+        std::vector<suspect_entry> entries;
+        for (const auto& [digest, value] : this->suspects) {
+            entries.push_back({.digest = digest, .value = value});
+        }
+        return entries;
+    }
     absl::StatusOr<turn_record> read(const turn_id& turn) const override {
         const auto found = this->turns.find(turn);
         if (found == this->turns.end()) {
@@ -108,6 +122,7 @@
     bool held = false;
     bool failing = false;
     std::size_t writes = 0;
+    std::map<std::string, std::string> suspects;
     std::map<turn_id, turn_record> turns;
     std::map<turn_id, stored_turn> stored_turns;
     std::map<std::pair<base::program_id, turn_id>, stored_reservation> stored_reservations;
--- a/tests/unit/turns/turn_store_test.cc
+++ b/tests/unit/turns/turn_store_test.cc
@@ -92,6 +92,22 @@
     cr_assert(again.store->read(turn_id("t2")).status().code() == absl::StatusCode::kNotFound);
 }
 
+Test(turn_store, keeps_suspects_until_they_are_removed) {
+    const temporary_folder folder;
+    {
+        opened_store opened(folder.path);
+        store_change change;
+        change.suspects = {{.digest = "first", .value = "1"}, {.digest = "second", .value = "2"}};
+        cr_assert(opened.write(change).ok());
+        change.suspects = {{.digest = "first", .value = {}}};
+        cr_assert(opened.write(change).ok());
+    }
+    opened_store again(folder.path, false);
+    const std::vector<suspect_entry> stored = again.store->read_suspects();
+    cr_assert(stored.size() == 1);
+    cr_assert(stored.front().digest == "second" && stored.front().value == "2");
+}
+
 Test(turn_store, synced_batches_are_reported_with_their_time) {
     const temporary_folder folder;
     opened_store opened(folder.path);
