Streams without a program count as plain requests for the bound (BUDGET)

Callers that state no program saw a resumable stream end five back ends when edges or nodes were killed. Each of its tries is reserved under an id of its own, which the next try does not know, and yet the request counted as one whose tries are all recorded, so the attempt of a lost edge was not counted either.

Such a request is now treated as one without a reservation. One record for all equal streams would let those of different callers count as attempts of each other.

--- a/src/pearbarrow/forward/forwarded_request.h
+++ b/src/pearbarrow/forward/forwarded_request.h
@@ -201,6 +201,8 @@
     /// Counts the earlier attempts of the request of which only the storage members know.
     void add_recorded_attempts(const turns::prepared_turn& prepared);
     suspects::suspected_end recorded_end(const turns::recorded_attempt& attempt) const;
+    /// Returns whether the storage members tell each try of the request of all earlier ones.
+    bool is_each_try_recorded() const;
     /// Returns whether the back end of a recorded attempt may have ended.
     bool is_in_doubt(const turns::reservation& attempt) const;
     /// Returns the id of the request that reserved the turn.
--- a/src/pearbarrow/forward/forwarded_suspect.cc
+++ b/src/pearbarrow/forward/forwarded_suspect.cc
@@ -47,6 +47,11 @@
     return turn.value().substr(std::min(prefix, turn.value().size()));
 }
 
+/// Without a program, each try has a record of its own that later tries cannot find.
+bool forwarded_request::is_each_try_recorded() const {
+    return facts_.turn.has_value() && !facts_.program.empty();
+}
+
 bool forwarded_request::is_in_doubt(const turns::reservation& attempt) const {
     if (!attempt.settled || attempt.doubt == turns::attempt_doubt::possible_end) {
         return true;
@@ -75,7 +80,7 @@
     recorded.digest = fingerprint().digest;
     recorded.tenant = facts_.tenant;
     recorded.route = route_.name;
-    recorded.is_reserved = true;
+    recorded.is_reserved = is_each_try_recorded();
     context_.suspects->add_recorded(recorded);
     context_.log.notable("earlier_attempts_recorded",
                          {{"request", facts_.request_id},
@@ -230,7 +235,7 @@
             .tenant = facts_.tenant,
             .route = route_.name,
             .sent_at = attempt_started_at_,
-            .is_reserved = facts_.turn.has_value()};
+            .is_reserved = is_each_try_recorded()};
 }
 
 suspects::backend_attempt forwarded_request::examined_attempt(suspects::break_kind kind) {
--- a/tests/process/test_lethal_herds.py
+++ b/tests/process/test_lethal_herds.py
@@ -43,6 +43,9 @@
     def test_get_whose_nodes_are_killed_at_the_second_end_ends_at_most_three(self):
         self.check("all_nodes_killed_at_the_second_end_get")
 
+    def test_stream_without_a_program_ends_at_most_three(self):
+        self.check("all_edges_killed_at_the_first_end_without_a_program")
+
     def test_plain_requests_end_at_most_three_while_nodes_fail_in_herds(self):
         self.check("soak_herds_plain")
 
