--- a/review/6/run.py
+++ b/review/6/run.py
@@ -11,7 +11,7 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 DOWN_S = 0.7
 # "All machines start within 0.3 s of each other, in any order."
-EDGES_LATER_S = 0.2
+EDGES_LATER_S = 0.28
 PAUSE_S = 10.0
 SUCCESSOR_S = 1.0
 LOST_DISK_S = 2.0
